--- /dev/null
+++ b/chervillift-api/src/main/java/org/chervillift/api/package-info.java
@@ -0,0 +1,2 @@
+/** Values, verdicts and errors that every module shares. */
+package org.chervillift.api;
--- /dev/null
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The load and experiment tool. */
+package org.chervillift.bench;
--- /dev/null
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.chervillift.cli;
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon on an entry VM. */
+package org.chervillift.daemon;
--- /dev/null
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked settings in INI files. */
+package org.chervillift.runtime.settings;
--- /dev/null
+++ b/chervillift-wire/src/main/java/org/chervillift/wire/package-info.java
@@ -0,0 +1,2 @@
+/** The protocol between daemons: protobuf messages over Netty. */
+package org.chervillift.wire;
