Link daemons over Netty with protobuf frames

Change: module chervillift-wire: peer.proto with its generated Java, PeerLinks with mutual HMAC proof of membership, a tag on every frame that makes a doubled, crossed or forged frame close the link, a bound on silence, full-jitter dials, and a send queue that drops the oldest advice and never a transfer. Conclusion: other modules can send typed messages; numbers 16 to 47 are kept for them.

--- /dev/null
+++ b/chervillift-wire/src/main/java/org/chervillift/wire/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Netty channels, the handshake and the frames. */
+package org.chervillift.wire.internal;
