Decide duties, budgets and the steps of maintenance waves

Cause: waves need decisions that hold under races: who holds the duty, whom the budget lets out, when a VM goes on, when a wave pauses. Change: core.duties (lease row, version as condition of every act), core.fleet (view, health, conditional writes), core.waves (budget per pool, steps from rows, guard, commands of operators).

--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/fleet/Versioned.java
@@ -0,0 +1,16 @@
+package org.chervillift.core.fleet;
+
+import org.chervillift.api.Checks;
+
+/**
+ * A row together with the version that it was read at.
+ *
+ * @param row the content
+ * @param version the version, at least 1
+ */
+public record Versioned<T>(T row, long version) {
+    public Versioned {
+        Checks.notNull("row", row);
+        Checks.inRange("version", version, 1, Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/waves/VmSteps.java
@@ -0,0 +1,201 @@
+package org.chervillift.core.waves;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.VmState;
+import org.chervillift.api.fleet.VmStatus;
+import org.chervillift.api.fleet.WaveRow;
+import org.chervillift.api.fleet.WaveState;
+import org.chervillift.api.platform.Transaction.Condition;
+import org.chervillift.core.fleet.FleetView;
+import org.chervillift.core.fleet.FleetWrite;
+import org.chervillift.core.fleet.Health;
+import org.chervillift.core.fleet.Versioned;
+import org.chervillift.core.waves.WaveReport.Kind;
+
+/**
+ * Decides the next step of a VM that is not in service.
+ *
+ * <p>The steps follow from the rows and from what the VM says of itself, so a new holder goes on
+ * where the last one stopped. No step here needs the budget.
+ */
+final class VmSteps {
+
+    private final FleetView view;
+    private final WaveSettings settings;
+    private final Instant now;
+    private final Health health;
+
+    VmSteps(FleetView view, WaveSettings settings, Instant now) {
+        this.view = view;
+        this.settings = settings;
+        this.now = now;
+        this.health = view.health().asOf(now, settings.healthMostAge());
+    }
+
+    List<WaveAction> next(VmRow vm) {
+        return switch (vm.state()) {
+            case IN_SERVICE, OUT -> List.of();
+            case DRAINING -> isCancelled(vm) ? List.of(enter(vm, VmState.RETURNING)) : drain(vm);
+            case MOVING -> drain(vm);
+            case REBOOTING -> reboot(vm);
+            case RETURNING, JOINING -> comeBack(vm);
+            case FAILED -> recover(vm);
+        };
+    }
+
+    /** A wave that does not run takes nothing further down. */
+    private boolean isCancelled(VmRow vm) {
+        if (vm.wave().isEmpty()) {
+            return false;
+        }
+        Versioned<WaveRow> wave = view.waves().get(vm.wave());
+        return wave == null
+                || wave.row().state() != WaveState.RUNNING
+                || wave.row().skipped().contains(vm.id());
+    }
+
+    private List<WaveAction> drain(VmRow vm) {
+        Optional<VmStatus> answer = view.status(vm.id());
+        if (answer.isEmpty()) {
+            return isYounger(vm, settings.returnTimeout())
+                    ? List.of()
+                    : List.of(enter(vm, VmState.FAILED));
+        }
+        VmStatus status = answer.get();
+        if (status.accepting() || status.fence() < vm.epoch()) {
+            return List.of(new WaveAction.Drain(vm.id(), vm.epoch()));
+        }
+        if (status.running() == 0 && !isYounger(vm, settings.settle())) {
+            return List.of(drained(vm));
+        }
+        return isYounger(vm, settings.drainReportAfter())
+                ? List.of()
+                : List.of(new WaveAction.Tell(held(vm, status)));
+    }
+
+    private WaveAction drained(VmRow vm) {
+        if (vm.state() == VmState.MOVING) {
+            return arrive(vm);
+        }
+        if (vm.wave().isEmpty()) {
+            return enter(vm, VmState.OUT);
+        }
+        // Depends on the wave, so that a pause that came first holds.
+        return new WaveAction.Commit(
+                FleetWrite.vm(
+                        view.conditions(view.vmUnchanged(vm.id()), view.waveUnchanged(vm.wave())),
+                        vm.enter(VmState.REBOOTING, now)),
+                Optional.empty());
+    }
+
+    private WaveAction arrive(VmRow vm) {
+        if (!view.pools().containsKey(vm.target())) {
+            return enter(vm, VmState.RETURNING);
+        }
+        return new WaveAction.Commit(
+                FleetWrite.vm(
+                        view.conditions(view.vmUnchanged(vm.id()), view.poolUnchanged(vm.target())),
+                        vm.arrive(now)),
+                Optional.empty());
+    }
+
+    private WaveReport held(VmRow vm, VmStatus status) {
+        Duration since = Duration.ofMillis(now.toEpochMilli() - vm.stateSinceMillis());
+        return new WaveReport(
+                Kind.DRAIN_HELD,
+                vm.id(),
+                "VM %s has been draining for %d s and still runs %d: %s."
+                        .formatted(
+                                vm.id(),
+                                since.toSeconds(),
+                                status.running(),
+                                String.join(", ", status.runningNames())));
+    }
+
+    private List<WaveAction> reboot(VmRow vm) {
+        Optional<VmStatus> answer = view.status(vm.id());
+        if (answer.isPresent() && answer.get().rebootFence() == vm.epoch()) {
+            return List.of(
+                    new WaveAction.Commit(
+                            FleetWrite.vm(
+                                    view.conditions(view.vmUnchanged(vm.id())), vm.rebooted(now)),
+                            Optional.empty()));
+        }
+        if (!isYounger(vm, settings.returnTimeout())) {
+            return List.of(failNotReturned(vm));
+        }
+        boolean asked = answer.map(s -> s.fence() >= vm.epoch()).orElse(false);
+        return asked ? List.of() : List.of(new WaveAction.Reboot(vm.id(), vm.epoch()));
+    }
+
+    private List<WaveAction> comeBack(VmRow vm) {
+        Optional<VmStatus> answer = view.status(vm.id());
+        boolean restored = answer.map(s -> s.accepting() && s.fence() >= vm.epoch()).orElse(false);
+        if (!restored || !health.isUp(vm.id())) {
+            return awaitReturn(vm, answer.isPresent() && !restored);
+        }
+        WaveReport report =
+                new WaveReport(
+                        Kind.RETURNED,
+                        vm.id(),
+                        "VM %s is in service in pool %s.".formatted(vm.id(), vm.pool()));
+        return List.of(
+                new WaveAction.Commit(
+                        FleetWrite.vm(
+                                view.conditions(view.vmUnchanged(vm.id())),
+                                vm.enter(VmState.IN_SERVICE, now)),
+                        Optional.of(report)));
+    }
+
+    private List<WaveAction> recover(VmRow vm) {
+        boolean answers = view.status(vm.id()).isPresent();
+        return answers && !isYounger(vm, settings.failedHold())
+                ? List.of(enter(vm, VmState.RETURNING))
+                : List.of();
+    }
+
+    private List<WaveAction> awaitReturn(VmRow vm, boolean restore) {
+        if (!isYounger(vm, settings.returnTimeout())) {
+            return List.of(failNotReturned(vm));
+        }
+        return restore ? List.of(new WaveAction.Restore(vm.id(), vm.epoch())) : List.of();
+    }
+
+    private WaveAction failNotReturned(VmRow vm) {
+        List<Condition> conditions = new ArrayList<>(view.conditions(view.vmUnchanged(vm.id())));
+        List<WaveRow> waves = new ArrayList<>();
+        Versioned<WaveRow> wave = view.waves().get(vm.wave());
+        if (wave != null) {
+            conditions.add(view.waveUnchanged(vm.wave()));
+            waves.add(WaveGuard.afterNoReturn(wave.row(), vm, settings));
+        }
+        VmRow failed = vm.enter(VmState.FAILED, now);
+        return new WaveAction.Commit(
+                new FleetWrite(conditions, List.of(failed), List.of(), waves),
+                Optional.of(noReturnReport(vm, waves)));
+    }
+
+    private WaveReport noReturnReport(VmRow vm, List<WaveRow> waves) {
+        String sentence =
+                "VM %s did not answer or did not take work for %d s in state %s."
+                        .formatted(vm.id(), settings.returnTimeout().toSeconds(), vm.state());
+        return waves.isEmpty()
+                ? new WaveReport(Kind.VM_FAILED, vm.id(), sentence)
+                : new WaveReport(Kind.WAVE_PAUSED, vm.wave(), sentence);
+    }
+
+    private WaveAction enter(VmRow vm, VmState next) {
+        return new WaveAction.Commit(
+                FleetWrite.vm(view.conditions(view.vmUnchanged(vm.id())), vm.enter(next, now)),
+                Optional.empty());
+    }
+
+    private boolean isYounger(VmRow vm, Duration age) {
+        return now.toEpochMilli() - vm.stateSinceMillis() < age.toMillis();
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/waves/WaveCommands.java
@@ -0,0 +1,204 @@
+package org.chervillift.core.waves;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.chervillift.api.ChervilliftException;
+import org.chervillift.api.ErrorCode;
+import org.chervillift.api.fleet.PoolRow;
+import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.VmState;
+import org.chervillift.api.fleet.WaveRow;
+import org.chervillift.api.fleet.WaveState;
+import org.chervillift.api.platform.Transaction.Condition;
+import org.chervillift.core.fleet.FleetView;
+import org.chervillift.core.fleet.FleetWrite;
+import org.chervillift.core.fleet.Versioned;
+
+/**
+ * Turns what an operator asks into conditional writes.
+ *
+ * <p>An empty answer says that what was asked is in force already, so a command may be sent again.
+ */
+public final class WaveCommands {
+
+    private WaveCommands() {}
+
+    /**
+     * Starts a wave.
+     *
+     * @throws ChervilliftException with {@link ErrorCode#CONFLICT} if another wave has its name, or
+     *     {@link ErrorCode#NOT_FOUND} if it names a pool that is not there
+     */
+    public static Optional<FleetWrite> start(FleetView view, WaveRow wave) {
+        Versioned<WaveRow> known = view.waves().get(wave.id());
+        if (known != null) {
+            if (isSameOrder(known.row(), wave)) {
+                return Optional.empty();
+            }
+            throw new ChervilliftException(
+                    ErrorCode.CONFLICT, "There is another wave " + wave.id() + " already.");
+        }
+        for (String p : wave.pools()) {
+            if (!view.pools().containsKey(p)) {
+                throw new ChervilliftException(ErrorCode.NOT_FOUND, "Pool " + p + ".");
+            }
+        }
+        Condition absent = new Condition(WaveRow.key(wave.id()), 0);
+        return Optional.of(FleetWrite.wave(List.of(absent), wave));
+    }
+
+    private static boolean isSameOrder(WaveRow a, WaveRow b) {
+        return a.pools().equals(b.pools())
+                && a.urgent() == b.urgent()
+                && a.deadlineMillis() - a.startedAtMillis()
+                        == b.deadlineMillis() - b.startedAtMillis();
+    }
+
+    /** Pauses a wave: no further VM goes down, and draining VMs come back. */
+    public static Optional<FleetWrite> pause(FleetView view, String id) {
+        WaveRow wave = open(view, id);
+        return wave.state() == WaveState.PAUSED
+                ? Optional.empty()
+                : put(view, wave.enter(WaveState.PAUSED, "An operator paused it."));
+    }
+
+    /** Resumes a wave; failures until now are no longer held against it. */
+    public static Optional<FleetWrite> resume(FleetView view, String id) {
+        WaveRow wave = open(view, id);
+        if (wave.state() == WaveState.RUNNING) {
+            return Optional.empty();
+        }
+        WaveRow cleared = wave.withFailures(List.of(), wave.failedOthers());
+        return put(view, cleared.enter(WaveState.RUNNING, ""));
+    }
+
+    /** Excepts VMs from a wave. */
+    public static Optional<FleetWrite> skip(FleetView view, String id, List<String> vms) {
+        WaveRow wave = open(view, id);
+        for (String v : vms) {
+            vm(view, v);
+        }
+        TreeSet<String> skipped = new TreeSet<>(wave.skipped());
+        return skipped.addAll(vms)
+                ? put(view, wave.withSkipped(List.copyOf(skipped)))
+                : Optional.empty();
+    }
+
+    /** Ends a wave: no further VM goes down, and VMs that are out come back. */
+    public static Optional<FleetWrite> abandon(FleetView view, String id) {
+        WaveRow wave = wave(view, id);
+        return switch (wave.state()) {
+            case RUNNING, PAUSED ->
+                    put(view, wave.enter(WaveState.ABANDONED, "An operator abandoned it."));
+            case ABANDONED, DONE -> Optional.empty();
+        };
+    }
+
+    /**
+     * Takes a VM out until an operator returns it.
+     *
+     * @throws ChervilliftException with {@link ErrorCode#CONFLICT} if the budget leaves no room
+     */
+    public static Optional<FleetWrite> drain(
+            FleetView view, String id, WaveSettings settings, Instant now) {
+        VmRow vm = vm(view, id);
+        return switch (vm.state()) {
+            case OUT -> Optional.empty();
+            case DRAINING -> vm.wave().isEmpty() ? Optional.empty() : refuse(vm);
+            case IN_SERVICE -> Optional.of(takeOut(view, vm, settings, now));
+            case REBOOTING, MOVING, RETURNING, JOINING, FAILED -> refuse(vm);
+        };
+    }
+
+    /** Lets a VM that an operator took out come back. */
+    public static Optional<FleetWrite> restore(FleetView view, String id, Instant now) {
+        VmRow vm = vm(view, id);
+        return switch (vm.state()) {
+            case OUT ->
+                    Optional.of(
+                            FleetWrite.vm(
+                                    List.of(view.vmUnchanged(id)),
+                                    vm.enter(VmState.RETURNING, now)));
+            case DRAINING -> vm.wave().isEmpty() ? backFromDrain(view, vm, now) : refuse(vm);
+            case IN_SERVICE, RETURNING -> Optional.empty();
+            case REBOOTING, MOVING, JOINING, FAILED -> refuse(vm);
+        };
+    }
+
+    private static Optional<FleetWrite> backFromDrain(FleetView view, VmRow vm, Instant now) {
+        return Optional.of(
+                FleetWrite.vm(
+                        List.of(view.vmUnchanged(vm.id())), vm.enter(VmState.RETURNING, now)));
+    }
+
+    private static FleetWrite takeOut(
+            FleetView view, VmRow vm, WaveSettings settings, Instant now) {
+        Versioned<PoolRow> pool = view.pools().get(vm.pool());
+        if (pool == null) {
+            throw new ChervilliftException(ErrorCode.NOT_FOUND, "Pool " + vm.pool() + ".");
+        }
+        List<VmRow> vms =
+                view.vms().values().stream()
+                        .map(Versioned::row)
+                        .filter(v -> v.pool().equals(vm.pool()))
+                        .toList();
+        PoolBudget budget =
+                PoolBudget.of(
+                        pool.row(),
+                        vms,
+                        view.health().asOf(now, settings.healthMostAge()),
+                        Optional.empty(),
+                        settings,
+                        now);
+        if (!budget.allows(vm)) {
+            throw new ChervilliftException(ErrorCode.CONFLICT, budget.whyNot());
+        }
+        return new FleetWrite(
+                List.of(view.vmUnchanged(vm.id()), view.poolUnchanged(vm.pool())),
+                List.of(vm.drainFor("", now)),
+                List.of(pool.row().changed()),
+                List.of());
+    }
+
+    private static Optional<FleetWrite> refuse(VmRow vm) {
+        throw new ChervilliftException(
+                ErrorCode.CONFLICT,
+                "VM %s is in state %s%s."
+                        .formatted(
+                                vm.id(),
+                                vm.state(),
+                                vm.wave().isEmpty() ? "" : " of wave " + vm.wave()));
+    }
+
+    private static Optional<FleetWrite> put(FleetView view, WaveRow wave) {
+        return Optional.of(FleetWrite.wave(List.of(view.waveUnchanged(wave.id())), wave));
+    }
+
+    private static WaveRow open(FleetView view, String id) {
+        WaveRow wave = wave(view, id);
+        return switch (wave.state()) {
+            case RUNNING, PAUSED -> wave;
+            case ABANDONED, DONE ->
+                    throw new ChervilliftException(
+                            ErrorCode.CONFLICT, "Wave " + id + " is " + wave.state() + ".");
+        };
+    }
+
+    private static WaveRow wave(FleetView view, String id) {
+        Versioned<WaveRow> wave = view.waves().get(id);
+        if (wave == null) {
+            throw new ChervilliftException(ErrorCode.NOT_FOUND, "Wave " + id + ".");
+        }
+        return wave.row();
+    }
+
+    private static VmRow vm(FleetView view, String id) {
+        Versioned<VmRow> vm = view.vms().get(id);
+        if (vm == null) {
+            throw new ChervilliftException(ErrorCode.NOT_FOUND, "VM " + id + ".");
+        }
+        return vm.row();
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/waves/WaveGuard.java
@@ -0,0 +1,116 @@
+package org.chervillift.core.waves;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.WaveRow;
+import org.chervillift.api.fleet.WaveState;
+
+/** Decides when a wave pauses by itself. */
+final class WaveGuard {
+
+    /** A wave pauses when so many failures would come by chance less often than this. */
+    private static final double CHANCE = 0.01;
+
+    /** One failure alone never pauses a wave: budget and probation hold without it. */
+    private static final int LEAST_FAILURES = 2;
+
+    /** How long after its return a VM's failure is held against the wave. */
+    private static final Duration WATCH = Duration.ofMinutes(30);
+
+    private static final double MILLIS_PER_DAY = Duration.ofDays(1).toMillis();
+
+    private WaveGuard() {}
+
+    /** Returns whether a failure of the VM now is held against the wave. */
+    static boolean isSoonAfterReturn(WaveRow wave, VmRow vm, Instant now) {
+        return vm.maintainedAtMillis() >= wave.startedAtMillis()
+                && now.toEpochMilli() - vm.maintainedAtMillis() < WATCH.toMillis();
+    }
+
+    /** Returns the wave after failures, paused if returned VMs fail more than others. */
+    static WaveRow afterFailures(
+            WaveRow wave,
+            List<VmRow> failed,
+            Collection<VmRow> vms,
+            WaveSettings settings,
+            Instant now) {
+        List<String> soon = new ArrayList<>(wave.failedAfterReturn());
+        int others = wave.failedOthers();
+        for (VmRow v : failed) {
+            if (isSoonAfterReturn(wave, v, now)) {
+                soon.add(v.id());
+            } else if (wave.hasToDo(v)) {
+                others++;
+            }
+        }
+        WaveRow counted = wave.withFailures(soon, others);
+        return counted.state() == WaveState.RUNNING
+                ? pauseIfWorse(counted, vms, settings, now)
+                : counted;
+    }
+
+    /** Returns the wave paused because a VM did not come back. */
+    static WaveRow afterNoReturn(WaveRow wave, VmRow vm, WaveSettings settings) {
+        if (wave.state() != WaveState.RUNNING) {
+            return wave;
+        }
+        return wave.enter(
+                WaveState.PAUSED,
+                "VM %s did not come back within %d s of its reboot."
+                        .formatted(vm.id(), settings.returnTimeout().toSeconds()));
+    }
+
+    private static WaveRow pauseIfWorse(
+            WaveRow wave, Collection<VmRow> vms, WaveSettings settings, Instant now) {
+        int failures = wave.failedAfterReturn().size();
+        if (failures < LEAST_FAILURES) {
+            return wave;
+        }
+        double expected = expectedFailures(wave, vms, settings, now);
+        if (chanceOfAtLeast(failures, expected) >= CHANCE) {
+            return wave;
+        }
+        String sentence =
+                "%d VMs failed within %d min of their return, where %.2f were to expect: %s."
+                        .formatted(
+                                failures,
+                                WATCH.toMinutes(),
+                                expected,
+                                String.join(", ", wave.failedAfterReturn()));
+        return wave.enter(WaveState.PAUSED, sentence);
+    }
+
+    /** The failures that the returned VMs would have had at the rate of the others. */
+    private static double expectedFailures(
+            WaveRow wave, Collection<VmRow> vms, WaveSettings settings, Instant now) {
+        double watched = 0;
+        double untouched = 0;
+        long sinceStart = now.toEpochMilli() - wave.startedAtMillis();
+        for (VmRow v : vms) {
+            if (v.maintainedAtMillis() >= wave.startedAtMillis()) {
+                long age = now.toEpochMilli() - v.maintainedAtMillis();
+                watched += Math.min(age, WATCH.toMillis()) / MILLIS_PER_DAY;
+            } else if (wave.hasToDo(v)) {
+                untouched += sinceStart / MILLIS_PER_DAY;
+            }
+        }
+        double usualDays = 1 / settings.failuresPerVmDay();
+        double rate = (1 + wave.failedOthers()) / (usualDays + untouched);
+        return rate * watched;
+    }
+
+    /** The chance that a Poisson count with this mean reaches the given number. */
+    static double chanceOfAtLeast(int count, double mean) {
+        double term = Math.exp(-mean);
+        double below = 0;
+        for (int i = 0; i < count; i++) {
+            below += term;
+            term *= mean / (i + 1);
+        }
+        return Math.max(0, 1 - below);
+    }
+}
