--- a/chervillift-sheet/src/main/java/org/chervillift/sheet/package-info.java
+++ b/chervillift-sheet/src/main/java/org/chervillift/sheet/package-info.java
@@ -1,2 +1,2 @@
-/** Reads the planners' sheet and works out the difference to the configuration in force. */
+/** Reads the planners' sheet: bytes in, a configuration or every error out. */
 package org.chervillift.sheet;
