Decide membership between daemons

Ages count from the echoed heartbeat, so a delayed message makes things look older and never newer. The test of a stale list was red while a member of the own data centre kept the long bound of distant ones.

--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/ContentKind.java
@@ -0,0 +1,9 @@
+package org.chervillift.core.membership;
+
+/** What processes fetch from the store or from each other. */
+public enum ContentKind {
+    /** The configuration. */
+    CONFIG,
+    /** The key ring. */
+    KEY_RING
+}
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/internal/Fetching.java
@@ -0,0 +1,144 @@
+package org.chervillift.core.membership.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chervillift.core.membership.ContentKind;
+import org.chervillift.core.membership.Member;
+import org.chervillift.core.membership.MembershipAction;
+import org.chervillift.core.membership.MembershipSettings;
+import org.chervillift.core.membership.NodeIdentity;
+import org.chervillift.core.membership.Versions;
+
+/**
+ * Decides where newer content is fetched from: from the store while it answers, otherwise from a
+ * peer that holds it.
+ */
+public final class Fetching {
+
+    private final NodeIdentity self;
+    private final MembershipSettings settings;
+    private final Map<ContentKind, Attempt> attempts = new EnumMap<>(ContentKind.class);
+    private Versions held = Versions.NONE;
+    private Versions inForce = Versions.NONE;
+    private Optional<Instant> storeReadAt = Optional.empty();
+
+    /** Creates the state of a process that holds nothing. */
+    public Fetching(NodeIdentity self, MembershipSettings settings) {
+        this.self = self;
+        this.settings = settings;
+    }
+
+    /** Returns what this process holds. */
+    public Versions held() {
+        return held;
+    }
+
+    /** Returns when the latest read that the store answered began. */
+    public Optional<Instant> storeReadAt() {
+        return storeReadAt;
+    }
+
+    /** Notes an answer of the store. */
+    public void storeRead(Versions versions, Instant startedAt) {
+        inForce = inForce.max(versions);
+        if (storeReadAt.isEmpty() || startedAt.isAfter(storeReadAt.get())) {
+            storeReadAt = Optional.of(startedAt);
+        }
+    }
+
+    /** Notes what this process holds; a lower version changes nothing. */
+    public void adopted(ContentKind kind, long version) {
+        held =
+                switch (kind) {
+                    case CONFIG -> held.max(new Versions(version, 0));
+                    case KEY_RING -> held.max(new Versions(0, version));
+                };
+        Attempt attempt = attempts.get(kind);
+        if (attempt != null && held.of(kind) >= attempt.version()) {
+            attempts.remove(kind);
+        }
+    }
+
+    /** Notes that a fetch brought nothing; the next one goes elsewhere. */
+    public void failed(ContentKind kind) {
+        attempts.computeIfPresent(kind, (k, a) -> a.ended());
+    }
+
+    /** Returns the fetches that are due now. */
+    public List<MembershipAction> due(Collection<Member> members, Instant now) {
+        List<MembershipAction> actions = new ArrayList<>();
+        for (ContentKind kind : ContentKind.values()) {
+            due(kind, members, now).ifPresent(actions::add);
+        }
+        return actions;
+    }
+
+    private Optional<MembershipAction> due(
+            ContentKind kind, Collection<Member> members, Instant now) {
+        List<Member> holders = holders(kind, members);
+        long told = holders.isEmpty() ? 0 : holders.getFirst().versions().of(kind);
+        long known = Math.max(inForce.of(kind), told);
+        Attempt last = attempts.getOrDefault(kind, Attempt.NONE);
+        if (known <= held.of(kind) || isWaiting(last, now)) {
+            return Optional.empty();
+        }
+        boolean storeUp = storeReadAt.map(r -> !isStale(r, now)).orElse(false);
+        boolean preferStore = holders.isEmpty() || last.count() % 2 == 0;
+        if (storeUp && preferStore) {
+            attempts.put(kind, last.begun(known, now));
+            return Optional.of(new MembershipAction.FetchFromStore(kind, known));
+        }
+        if (holders.isEmpty()) {
+            return Optional.empty();
+        }
+        Member peer = holders.get(last.count() % holders.size());
+        attempts.put(kind, last.begun(known, now));
+        return Optional.of(new MembershipAction.FetchFromPeer(kind, peer.id(), held.of(kind)));
+    }
+
+    /**
+     * Returns linked members that hold newer content: the highest version first, then near ones.
+     */
+    private List<Member> holders(ContentKind kind, Collection<Member> members) {
+        return members.stream()
+                .filter(m -> m.linked() && m.versions().of(kind) > held.of(kind))
+                .sorted(
+                        Comparator.comparingLong((Member m) -> -m.versions().of(kind))
+                                .thenComparing(m -> isFar(m))
+                                .thenComparingLong(m -> Rendezvous.weight(m.id(), self.id())))
+                .toList();
+    }
+
+    private boolean isFar(Member member) {
+        return !member.node().dataCentre().equals(self.dataCentre());
+    }
+
+    private boolean isWaiting(Attempt attempt, Instant now) {
+        return attempt.begunAt()
+                .map(b -> b.plus(settings.fetchTimeout()).isAfter(now))
+                .orElse(false);
+    }
+
+    private boolean isStale(Instant readAt, Instant now) {
+        return readAt.plus(settings.storeStaleAfter()).isBefore(now);
+    }
+
+    private record Attempt(long version, int count, Optional<Instant> begunAt) {
+
+        static final Attempt NONE = new Attempt(0, 0, Optional.empty());
+
+        Attempt begun(long newVersion, Instant now) {
+            return new Attempt(newVersion, count + 1, Optional.of(now));
+        }
+
+        Attempt ended() {
+            return new Attempt(version, count, Optional.empty());
+        }
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/internal/Liveness.java
@@ -0,0 +1,63 @@
+package org.chervillift.core.membership.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.chervillift.core.membership.Listing;
+import org.chervillift.core.membership.Member;
+import org.chervillift.core.membership.MemberState;
+import org.chervillift.core.membership.MembershipSettings;
+
+/** Judges whether a member lives. */
+public final class Liveness {
+
+    private final String dataCentre;
+    private final MembershipSettings settings;
+
+    /** Creates the judge of a process in a data centre. */
+    public Liveness(String dataCentre, MembershipSettings settings) {
+        this.dataCentre = dataCentre;
+        this.settings = settings;
+    }
+
+    /**
+     * Returns the state of a member.
+     *
+     * @param listReadAt when the read of the latest list began, if there is one
+     */
+    public MemberState judge(Member member, Optional<Instant> listReadAt, Instant now) {
+        if (member.state() == MemberState.GONE && !heardSince(member, member.since())) {
+            return MemberState.GONE;
+        }
+        if (isOver(member, listReadAt, now)) {
+            return MemberState.GONE;
+        }
+        if (member.saidLeaving() || member.listing() == Listing.LEAVING) {
+            return MemberState.LEAVING;
+        }
+        boolean expectLink = member.linked() || member.node().dataCentre().equals(dataCentre);
+        Duration bound = expectLink ? settings.suspectAfter() : settings.indirectSuspectAfter();
+        return heardSince(member, now.minus(bound)) ? MemberState.ALIVE : MemberState.SUSPECTED;
+    }
+
+    private boolean isOver(Member member, Optional<Instant> listReadAt, Instant now) {
+        if (heardSince(member, now.minus(settings.goneAfter()))) {
+            return false;
+        }
+        boolean left = member.saidLeaving() && !member.linked();
+        return left || listSaysGone(member, listReadAt);
+    }
+
+    /** A list says so only if its content is surely later than the last sign of life. */
+    private boolean listSaysGone(Member member, Optional<Instant> listReadAt) {
+        if (member.listing() != Listing.ABSENT || listReadAt.isEmpty()) {
+            return false;
+        }
+        Instant content = listReadAt.get().minus(settings.listLag());
+        return member.heardAt().map(h -> h.isBefore(content)).orElse(true);
+    }
+
+    private static boolean heardSince(Member member, Instant moment) {
+        return member.heardAt().map(h -> h.isAfter(moment)).orElse(false);
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The parts of the decisions on membership. */
+package org.chervillift.core.membership.internal;
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Who the other daemons are, what they know, and whom this one links to. */
+package org.chervillift.core.membership;
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/membership/MembershipTest.java
@@ -0,0 +1,190 @@
+package org.chervillift.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.chervillift.api.platform.ListedVm;
+import org.junit.jupiter.api.Test;
+
+class MembershipTest {
+
+    private static final Instant START = Instant.EPOCH.plusSeconds(1000);
+    private static final NodeIdentity SELF = node("a", 1);
+    private static final NodeIdentity PEER = node("b", 5);
+
+    private final Membership view =
+            new Membership(SELF, Set.of("127.0.0.1:9"), MembershipSettings.STANDARD);
+    private final List<MembershipAction> actions = new ArrayList<>();
+    private Instant now = START;
+    private long peerSequence;
+    private long lastSent;
+
+    @Test
+    void aDelayedHeartbeatMakesTheStoreReadLookOlderNeverNewer() {
+        link(PEER);
+        long echo = tick();
+        Instant echoSentAt = now;
+        pass(Duration.ofSeconds(3));
+        on(said(echo, Versions.NONE, Duration.ofMillis(200)));
+        assertThat(view.storeReadAt()).hasValue(echoSentAt.minusMillis(200));
+    }
+
+    @Test
+    void aMemberThatIsOnlyHeardButDoesNotHearUsBecomesSuspected() {
+        link(PEER);
+        for (int i = 0; i < 5; i++) {
+            pass(Duration.ofSeconds(1));
+            tick();
+            on(said(1, Versions.NONE, Duration.ZERO));
+        }
+        assertThat(state("b")).isEqualTo(MemberState.SUSPECTED);
+    }
+
+    @Test
+    void doubledLateAndForeignLifeHeartbeatsAreNotUsed() {
+        link(PEER);
+        MembershipEvent second = said(0, new Versions(2, 0), Duration.ZERO);
+        peerSequence = 0;
+        MembershipEvent first = said(0, new Versions(1, 0), Duration.ZERO);
+        Heartbeat high = ((MembershipEvent.HeartbeatReceived) second).heartbeat();
+        Heartbeat later =
+                new Heartbeat(9, 0, high.versions(), high.readAge(), false, List.of(), List.of());
+        assertThat(uses(new MembershipEvent.HeartbeatReceived("b", 5, later))).isTrue();
+        assertThat(uses(new MembershipEvent.HeartbeatReceived("b", 5, later)))
+                .as("doubled")
+                .isFalse();
+        assertThat(uses(first)).as("late").isFalse();
+        Heartbeat next =
+                new Heartbeat(10, 0, high.versions(), high.readAge(), false, List.of(), List.of());
+        assertThat(uses(new MembershipEvent.HeartbeatReceived("b", 4, next)))
+                .as("old life")
+                .isFalse();
+    }
+
+    @Test
+    void anotherVmAtTheSameAddressEndsTheOldOne() {
+        link(PEER);
+        on(new MembershipEvent.LinkDown("b", 5));
+        on(new MembershipEvent.LinkUp(new NodeIdentity("c", 1, "dc1", PEER.address())));
+        assertThat(state("b")).isEqualTo(MemberState.GONE);
+        assertThat(state("c")).isEqualTo(MemberState.ALIVE);
+    }
+
+    @Test
+    void anEarlierLifeIsToldOfTheLaterOne() {
+        link(PEER);
+        on(new MembershipEvent.LinkDown("b", 5));
+        on(new MembershipEvent.LinkUp(node("b", 4)));
+        assertThat(actions).contains(new MembershipAction.TellStaleIncarnation("b", 5));
+        assertThat(view.members().iterator().next().node().incarnation()).isEqualTo(5);
+        on(new MembershipEvent.StaleIncarnation(7));
+        assertThat(actions).contains(new MembershipAction.TakeIncarnation(SELF.withIncarnation(8)));
+    }
+
+    @Test
+    void newerContentComesFromTheStoreAndFromAPeerWhenTheStoreIsDown() {
+        link(PEER);
+        on(new MembershipEvent.StoreRead(Versions.NONE, now));
+        on(said(0, new Versions(3, 0), Duration.ZERO));
+        assertThat(actions).contains(new MembershipAction.FetchFromStore(ContentKind.CONFIG, 3));
+        on(new MembershipEvent.FetchFailed(ContentKind.CONFIG));
+        pass(Duration.ofSeconds(4));
+        tick();
+        assertThat(actions)
+                .contains(new MembershipAction.FetchFromPeer(ContentKind.CONFIG, "b", 0));
+    }
+
+    @Test
+    void aLaggingPeerBringsNoFetchAndALowerVersionIsNotTaken() {
+        link(PEER);
+        on(new MembershipEvent.Adopted(ContentKind.CONFIG, 7));
+        actions.clear();
+        on(said(0, new Versions(6, 0), Duration.ZERO));
+        on(new MembershipEvent.Adopted(ContentKind.CONFIG, 6));
+        assertThat(view.held().config()).isEqualTo(7);
+        assertThat(actions).noneMatch(a -> a instanceof MembershipAction.FetchFromPeer);
+    }
+
+    @Test
+    void aListThatMayBeOlderThanTheLastHeartbeatEndsNobody() {
+        link(PEER);
+        on(new MembershipEvent.LinkDown("b", 5));
+        pass(Duration.ofSeconds(15));
+        on(new MembershipEvent.ListRead(List.of(), now));
+        assertThat(state("b")).isEqualTo(MemberState.SUSPECTED);
+        pass(Duration.ofSeconds(30));
+        on(new MembershipEvent.ListRead(List.of(), now));
+        assertThat(state("b")).isEqualTo(MemberState.GONE);
+    }
+
+    @Test
+    void seedsAreDialledUntilTheListNamesTheOthers() {
+        tick();
+        assertThat(actions).contains(new MembershipAction.Dial(Set.of("127.0.0.1:9")));
+        ListedVm listed =
+                new ListedVm("b", ListedVm.Role.ENTRY, "dc1", "10.0.0.2:80", "10.0.0.2:7", false);
+        on(new MembershipEvent.ListRead(List.of(listed), now));
+        assertThat(actions).contains(new MembershipAction.Dial(Set.of("10.0.0.2:7")));
+    }
+
+    private static NodeIdentity node(String id, long incarnation) {
+        return new NodeIdentity(id, incarnation, "dc1", "10.0.0." + (int) id.charAt(0) + ":7");
+    }
+
+    private void link(NodeIdentity peer) {
+        on(new MembershipEvent.LinkUp(peer));
+    }
+
+    private long tick() {
+        on(new MembershipEvent.Tick());
+        return lastSent;
+    }
+
+    private void pass(Duration time) {
+        now = now.plus(time);
+    }
+
+    private boolean uses(MembershipEvent event) {
+        int before = actions.size();
+        on(event);
+        return actions.subList(before, actions.size()).stream()
+                .anyMatch(a -> a instanceof MembershipAction.UseHeartbeat);
+    }
+
+    private void on(MembershipEvent event) {
+        for (MembershipAction action : view.on(event, now)) {
+            if (action instanceof MembershipAction.SendHeartbeat s) {
+                lastSent = s.heartbeat().sequence();
+            }
+            actions.add(action);
+        }
+    }
+
+    private MembershipEvent said(long echo, Versions versions, Duration readAge) {
+        peerSequence++;
+        return new MembershipEvent.HeartbeatReceived(
+                "b",
+                5,
+                new Heartbeat(
+                        peerSequence,
+                        echo,
+                        versions,
+                        Optional.of(readAge),
+                        false,
+                        List.of(),
+                        List.of()));
+    }
+
+    private MemberState state(String id) {
+        return view.members().stream()
+                .filter(m -> m.id().equals(id))
+                .findFirst()
+                .orElseThrow()
+                .state();
+    }
+}
