Add the platform client and the stand-ins for platform and upstream

Cause: a request needs a platform to read from and an upstream to run at. Change: chervillift-http (event loop, JSON, clients, answers), the platform's interface over HTTP with JSON, stand-ins with faults as processes of their own. Conclusion: the daemon can be built on it.

--- /dev/null
+++ b/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
@@ -0,0 +1,36 @@
+package org.chervillift.http;
+
+import io.activej.eventloop.Eventloop;
+import java.util.function.Consumer;
+import org.chervillift.api.ChervilliftException;
+
+/** Creates event loops. */
+public final class Reactors {
+
+    private static final int EXIT_CODE_MACHINE_FAULT = 70;
+
+    private Reactors() {}
+
+    /**
+     * Creates an event loop that goes on after a fault in one of its tasks.
+     *
+     * @param onFault told of each fault, but for a {@link ChervilliftException}, which is an
+     *     expected outcome and travels in the promise
+     */
+    public static Eventloop create(String name, Consumer<Throwable> onFault) {
+        return Eventloop.builder()
+                .withThreadName(name)
+                .withFatalErrorHandler((fault, context) -> handle(fault, onFault))
+                .build();
+    }
+
+    private static void handle(Throwable fault, Consumer<Throwable> onFault) {
+        if (fault instanceof ChervilliftException) {
+            return;
+        }
+        onFault.accept(fault);
+        if (fault instanceof VirtualMachineError) {
+            Runtime.getRuntime().halt(EXIT_CODE_MACHINE_FAULT);
+        }
+    }
+}
--- /dev/null
+++ b/chervillift-http/src/main/java/org/chervillift/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the processes share around the HTTP library: the event loop, JSON, clients, answers. */
+package org.chervillift.http;
--- /dev/null
+++ b/chervillift-platform/src/main/java/org/chervillift/platform/protocol/VmsAnswer.java
@@ -0,0 +1,15 @@
+package org.chervillift.platform.protocol;
+
+import java.util.List;
+import org.chervillift.api.platform.ListedVm;
+
+/**
+ * Gives the list of VMs.
+ *
+ * @param vms the VMs, as the list shows them
+ */
+public record VmsAnswer(List<ListedVm> vms) {
+    public VmsAnswer {
+        vms = List.copyOf(vms);
+    }
+}
--- /dev/null
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
@@ -0,0 +1,156 @@
+package org.chervillift.standin;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpServer;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.chervillift.api.ChervilliftException;
+import org.chervillift.api.platform.ListedVm;
+import org.chervillift.http.HttpAnswer;
+import org.chervillift.http.Json;
+import org.chervillift.http.JsonClient;
+import org.chervillift.http.ReactorScheduler;
+import org.chervillift.http.ReactorThread;
+import org.chervillift.http.Reactors;
+import org.chervillift.runtime.settings.HostPort;
+import org.chervillift.standin.platform.PlatformServlet;
+import org.chervillift.standin.upstream.UpstreamServlet;
+
+/** The program that runs a stand-in, or switches the faults of one that runs. */
+public final class StandinMain {
+
+    private static final String USAGE =
+            """
+            usage: chervillift-standin platform --listen ADDRESS
+                   chervillift-standin upstream --listen ADDRESS --id ID [--slots N]
+                   chervillift-standin list-vm --target ADDRESS --vm JSON
+                   chervillift-standin fault --target ADDRESS --faults JSON
+                   chervillift-standin stats --target ADDRESS
+            """;
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_FAILED = 1;
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private StandinMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) throws IOException {
+        int code = run(args, System.out, System.err);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    private static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
+        if (args.length == 0) {
+            err.print(USAGE);
+            return EXIT_USAGE;
+        }
+        try {
+            CommandLine line = parse(Arrays.copyOfRange(args, 1, args.length));
+            return runCommand(args[0], line, out, err);
+        } catch (ParseException | ChervilliftException e) {
+            err.println(e.getMessage());
+            return EXIT_USAGE;
+        }
+    }
+
+    private static CommandLine parse(String[] args) throws ParseException {
+        Options options = new Options();
+        for (String name : new String[] {"listen", "id", "slots", "target", "vm", "faults"}) {
+            options.addOption(Option.builder().longOpt(name).hasArg().build());
+        }
+        return new DefaultParser().parse(options, args);
+    }
+
+    private static int runCommand(
+            String command, CommandLine line, PrintStream out, PrintStream err)
+            throws IOException, ParseException {
+        switch (command) {
+            case "platform" -> servePlatform(line);
+            case "upstream" -> serveUpstream(line);
+            case "list-vm" -> {
+                ListedVm vm = Json.decode(value(line, "vm"), ListedVm.class);
+                return ask(line, HttpMethod.PUT, "/admin/vms", Optional.of(Json.encode(vm)), out);
+            }
+            case "fault" -> {
+                Optional<String> faults = Optional.of(value(line, "faults"));
+                return ask(line, HttpMethod.PUT, "/admin/faults", faults, out);
+            }
+            case "stats" -> {
+                return ask(line, HttpMethod.GET, "/admin/stats", Optional.empty(), out);
+            }
+            default -> {
+                err.print(USAGE);
+                return EXIT_USAGE;
+            }
+        }
+        return 0;
+    }
+
+    private static String value(CommandLine line, String name) throws ParseException {
+        String value = line.getOptionValue(name);
+        if (value == null) {
+            throw new ParseException("--" + name + " is missing.");
+        }
+        return value;
+    }
+
+    private static void servePlatform(CommandLine line) throws IOException, ParseException {
+        Eventloop reactor = Reactors.create("platform", Throwable::printStackTrace);
+        PlatformServlet servlet = new PlatformServlet(reactor, new ReactorScheduler(reactor));
+        serve(reactor, servlet.routes(), value(line, "listen"));
+    }
+
+    private static void serveUpstream(CommandLine line) throws IOException, ParseException {
+        Eventloop reactor = Reactors.create("upstream", Throwable::printStackTrace);
+        int slots = Integer.parseInt(line.getOptionValue("slots", "8"));
+        UpstreamServlet servlet = new UpstreamServlet(reactor, value(line, "id"), slots);
+        serve(reactor, servlet.routes(), value(line, "listen"));
+    }
+
+    private static void serve(Eventloop reactor, AsyncServlet servlet, String listen)
+            throws IOException {
+        HttpServer server =
+                HttpServer.builder(reactor, servlet)
+                        .withListenAddress(HostPort.parse(listen).toSocketAddress())
+                        .build();
+        server.listen();
+        reactor.keepAlive(true);
+        System.out.println("listening " + listen);
+        reactor.run();
+    }
+
+    private static int ask(
+            CommandLine line,
+            HttpMethod method,
+            String path,
+            Optional<String> body,
+            PrintStream out)
+            throws ParseException {
+        HostPort target = HostPort.parse(value(line, "target"));
+        try (ReactorThread thread = new ReactorThread("standin-client")) {
+            HttpAnswer answer =
+                    thread.await(
+                            () ->
+                                    new JsonClient(
+                                                    thread.reactor(),
+                                                    target,
+                                                    TIMEOUT,
+                                                    Optional.empty())
+                                            .send(method, path, body));
+            out.println(answer.body());
+            return answer.isSuccess() ? 0 : EXIT_FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
@@ -0,0 +1,151 @@
+package org.chervillift.standin.platform;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import org.chervillift.api.platform.CommitResult;
+import org.chervillift.api.platform.ListedVm;
+import org.chervillift.api.platform.Transaction;
+import org.chervillift.http.Answers;
+import org.chervillift.http.Json;
+import org.chervillift.platform.protocol.CommitAnswer;
+import org.chervillift.platform.protocol.ObjectBody;
+import org.chervillift.platform.protocol.ReadRequest;
+import org.chervillift.platform.protocol.RowsAnswer;
+import org.chervillift.platform.protocol.VmsAnswer;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/** The platform's interface over HTTP, and the switches of its faults. */
+public final class PlatformServlet {
+
+    private static final int UNAVAILABLE = 503;
+    private static final int CONFLICT = 409;
+    private static final int NOT_FOUND = 404;
+
+    private final PlatformState state = new PlatformState();
+    private final LaggingList list = new LaggingList();
+    private final Reactor reactor;
+    private final Scheduler scheduler;
+    private PlatformFaults faults = PlatformFaults.NONE;
+    private long reads;
+    private long writes;
+    private long lists;
+
+    /** Creates the interface on an event loop. */
+    public PlatformServlet(Reactor reactor, Scheduler scheduler) {
+        this.reactor = reactor;
+        this.scheduler = scheduler;
+    }
+
+    /** Returns the servlet with all routes. */
+    public AsyncServlet routes() {
+        return RoutingServlet.builder(reactor)
+                .with(HttpMethod.POST, "/v1/rows", r -> reading(r, this::read))
+                .with(HttpMethod.GET, "/v1/tables/:table", r -> reading(r, this::scan))
+                .with(HttpMethod.POST, "/v1/transactions", r -> writing(r, this::commit))
+                .with(HttpMethod.GET, "/v1/objects/*", r -> reading(r, this::getObject))
+                .with(HttpMethod.PUT, "/v1/objects/*", r -> writing(r, this::putObject))
+                .with(HttpMethod.GET, "/v1/vms", r -> listing(r))
+                .with(HttpMethod.PUT, "/admin/vms", r -> withBody(r, this::putVm))
+                .with(HttpMethod.DELETE, "/admin/vms/:id", this::deleteVm)
+                .with(HttpMethod.PUT, "/admin/faults", r -> withBody(r, this::setFaults))
+                .with(HttpMethod.GET, "/admin/faults", r -> Answers.json(faults))
+                .with(
+                        HttpMethod.GET,
+                        "/admin/stats",
+                        r -> Answers.json(new PlatformStats(reads, writes, lists)))
+                .build();
+    }
+
+    private Promise<HttpResponse> reading(
+            HttpRequest request, Function<HttpRequest, Promise<HttpResponse>> answer) {
+        reads++;
+        return underFaults(() -> request.loadBody().then(b -> answer.apply(request)));
+    }
+
+    private Promise<HttpResponse> writing(
+            HttpRequest request, Function<HttpRequest, Promise<HttpResponse>> answer) {
+        writes++;
+        return underFaults(() -> request.loadBody().then(b -> answer.apply(request)))
+                .then(r -> faults.loseReplies() ? new SettablePromise<>() : Promise.of(r));
+    }
+
+    private Promise<HttpResponse> listing(HttpRequest request) {
+        lists++;
+        Duration lag = Duration.ofMillis(faults.listLagMillis());
+        return underFaults(() -> Answers.json(new VmsAnswer(list.show(scheduler.now(), lag))));
+    }
+
+    private Promise<HttpResponse> underFaults(
+            java.util.function.Supplier<Promise<HttpResponse>> answer) {
+        if (faults.down()) {
+            return Answers.text(UNAVAILABLE, "down");
+        }
+        Promise<HttpResponse> promise = answer.get();
+        if (faults.slowMillis() == 0) {
+            return promise;
+        }
+        return promise.then(r -> Promises.delay(Duration.ofMillis(faults.slowMillis()), r));
+    }
+
+    private static String body(HttpRequest request) {
+        return request.getBody().getString(StandardCharsets.UTF_8);
+    }
+
+    private Promise<HttpResponse> withBody(
+            HttpRequest request, Function<HttpRequest, Promise<HttpResponse>> answer) {
+        return request.loadBody().then(b -> answer.apply(request));
+    }
+
+    private Promise<HttpResponse> read(HttpRequest request) {
+        ReadRequest read = Json.decode(body(request), ReadRequest.class);
+        return Answers.json(new RowsAnswer(state.read(read.keys())));
+    }
+
+    private Promise<HttpResponse> scan(HttpRequest request) {
+        return Answers.json(new RowsAnswer(state.scan(request.getPathParameter("table"))));
+    }
+
+    private Promise<HttpResponse> commit(HttpRequest request) {
+        CommitResult result = state.commit(Json.decode(body(request), Transaction.class));
+        int status = result instanceof CommitResult.Conflict ? CONFLICT : 200;
+        return Answers.json(status, CommitAnswer.of(result));
+    }
+
+    private Promise<HttpResponse> getObject(HttpRequest request) {
+        Optional<String> content = state.getObject(request.getRelativePath());
+        return content.map(c -> Answers.json(new ObjectBody(c)))
+                .orElseGet(() -> Answers.text(NOT_FOUND, "no such object"));
+    }
+
+    private Promise<HttpResponse> putObject(HttpRequest request) {
+        state.putObject(
+                request.getRelativePath(), Json.decode(body(request), ObjectBody.class).content());
+        return Answers.text(200, "kept");
+    }
+
+    private Promise<HttpResponse> putVm(HttpRequest request) {
+        list.put(Json.decode(body(request), ListedVm.class), scheduler.now());
+        return Answers.text(200, "listed");
+    }
+
+    private Promise<HttpResponse> deleteVm(HttpRequest request) {
+        list.remove(request.getPathParameter("id"), scheduler.now());
+        return Answers.text(200, "removed");
+    }
+
+    private Promise<HttpResponse> setFaults(HttpRequest request) {
+        faults = Json.decode(body(request), PlatformFaults.class);
+        return Answers.json(faults);
+    }
+}
--- /dev/null
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
@@ -0,0 +1,163 @@
+package org.chervillift.standin.upstream;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.chervillift.api.Checks;
+import org.chervillift.http.Answers;
+import org.chervillift.http.Json;
+
+/** An upstream over HTTP that runs so many requests at once, and the switches of its faults. */
+public final class UpstreamServlet {
+
+    /** Names the team that a request runs for. */
+    public static final HttpHeader TEAM = HttpHeaders.of("Chervillift-Team");
+
+    /** Says in a 503 answer that the request has not run. */
+    public static final HttpHeader NOT_RUN = HttpHeaders.of("Chervillift-Not-Run");
+
+    private static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.of("Idempotency-Key");
+    private static final HttpHeader WORK_MILLIS = HttpHeaders.of("Work-Millis");
+    private static final int BUSY = 503;
+    private static final int FAILED = 500;
+
+    private final Reactor reactor;
+    private final String id;
+    private final int slots;
+    private final Map<String, Integer> runningByTeam = new HashMap<>();
+    private final Map<String, Integer> mostRunningByTeam = new HashMap<>();
+    private final Set<String> identifiers = new HashSet<>();
+    private UpstreamFaults faults = UpstreamFaults.NONE;
+    private long runs;
+    private int running;
+    private int mostRunning;
+    private long busyAnswers;
+    private long repeatedIdentifiers;
+
+    /** Creates an upstream with a name and a number of slots. */
+    public UpstreamServlet(Reactor reactor, String id, int slots) {
+        this.reactor = reactor;
+        this.id = Checks.notBlank("id", id);
+        this.slots = (int) Checks.inRange("slots", slots, 1, 10_000);
+    }
+
+    /** Returns the servlet with all routes. */
+    public AsyncServlet routes() {
+        return RoutingServlet.builder(reactor)
+                .with(HttpMethod.GET, "/admin/stats", r -> Answers.json(stats()))
+                .with(HttpMethod.PUT, "/admin/faults", this::setFaults)
+                .with("/*", this::work)
+                .build();
+    }
+
+    /** Returns what has run. */
+    public UpstreamStats stats() {
+        return new UpstreamStats(
+                runs,
+                running,
+                mostRunning,
+                busyAnswers,
+                runningByTeam,
+                mostRunningByTeam,
+                repeatedIdentifiers);
+    }
+
+    private Promise<HttpResponse> setFaults(HttpRequest request) {
+        return request.loadBody()
+                .then(
+                        b -> {
+                            String text = b.getString(StandardCharsets.UTF_8);
+                            faults = Json.decode(text, UpstreamFaults.class);
+                            return Answers.json(faults);
+                        });
+    }
+
+    private Promise<HttpResponse> work(HttpRequest request) {
+        if (faults.failAll()) {
+            return Answers.text(FAILED, "failed");
+        }
+        if (running >= slots) {
+            busyAnswers++;
+            return HttpResponse.ofCode(BUSY).withHeader(NOT_RUN, "true").toPromise();
+        }
+        return request.loadBody()
+                .then(body -> run(request, body.getString(StandardCharsets.UTF_8)));
+    }
+
+    private Promise<HttpResponse> run(HttpRequest request, String body) {
+        String team = orElse(request.getHeader(TEAM), "-");
+        begin(team);
+        noteIdentifier(request);
+        String sent = orElse(request.getHeader(WORK_MILLIS), "0");
+        return Promises.delay(Duration.ofMillis(Long.parseLong(sent)))
+                .whenResult(() -> end(team))
+                .then(() -> answer("%s ran %s for %s".formatted(id, body, team)));
+    }
+
+    private void begin(String team) {
+        runs++;
+        running++;
+        mostRunning = Math.max(mostRunning, running);
+        int ofTeam = runningByTeam.merge(team, 1, Integer::sum);
+        mostRunningByTeam.merge(team, ofTeam, Math::max);
+    }
+
+    private void end(String team) {
+        running--;
+        runningByTeam.merge(team, -1, Integer::sum);
+    }
+
+    private void noteIdentifier(HttpRequest request) {
+        String identifier = request.getHeader(IDEMPOTENCY_KEY);
+        boolean mayNotRepeat = request.getMethod() == HttpMethod.POST;
+        if (identifier != null && mayNotRepeat && !identifiers.add(identifier)) {
+            repeatedIdentifiers++;
+        }
+    }
+
+    private Promise<HttpResponse> answer(String text) {
+        if (faults.silent()) {
+            return new SettablePromise<>();
+        }
+        if (faults.cutAnswers()) {
+            return cutAnswer(text.getBytes(StandardCharsets.UTF_8));
+        }
+        Promise<HttpResponse> whole = Answers.text(200, text);
+        if (faults.lateMillis() == 0) {
+            return whole;
+        }
+        return whole.then(r -> Promises.delay(Duration.ofMillis(faults.lateMillis()), r));
+    }
+
+    private static Promise<HttpResponse> cutAnswer(byte[] body) {
+        ByteBuf half = ByteBuf.wrap(body, 0, body.length / 2);
+        return HttpResponse.ofCode(200)
+                .withHeader(HttpHeaders.CONTENT_LENGTH, String.valueOf(body.length))
+                .withBodyStream(
+                        ChannelSuppliers.concat(
+                                ChannelSuppliers.ofValue(half),
+                                ChannelSuppliers.ofException(new IOException("cut"))))
+                .toPromise();
+    }
+
+    private static String orElse(String value, String other) {
+        return value == null ? other : value;
+    }
+}
