--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
@@ -0,0 +1,63 @@
+package org.chervillift.daemon.internal;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.chervillift.api.ErrorCode;
+import org.chervillift.api.Verdict;
+import org.chervillift.http.Json;
+
+/** Turns verdicts into the answers that callers get. */
+public final class CallerAnswers {
+
+    /** Carries the word of the verdict. */
+    public static final HttpHeader VERDICT = HttpHeaders.of("Chervillift-Verdict");
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private CallerAnswers() {}
+
+    /** Returns the whole answer of an upstream. */
+    public static HttpResponse completed(UpstreamResult.Answered answer) {
+        HttpResponse.Builder builder =
+                HttpResponse.ofCode(answer.status())
+                        .withHeader(VERDICT, new Verdict.Completed().word());
+        if (!answer.contentType().isBlank()) {
+            builder.withHeader(HttpHeaders.CONTENT_TYPE, answer.contentType());
+        }
+        return builder.withBody(answer.body()).build();
+    }
+
+    /** Returns the answer for a request that has no answer of an upstream. */
+    public static HttpResponse of(Verdict verdict) {
+        return switch (verdict) {
+            case Verdict.Completed c -> throw new IllegalArgumentException("needs an answer");
+            case Verdict.NotRun n -> build(n, n.code(), n.detail(), n.retryAfter());
+            case Verdict.MayHaveRun m -> build(m, m.code(), m.detail(), Optional.empty());
+        };
+    }
+
+    private static HttpResponse build(
+            Verdict verdict, ErrorCode code, String detail, Optional<Duration> retryAfter) {
+        VerdictBody body =
+                new VerdictBody(verdict.word(), code.number(), code.sentence(), detail);
+        HttpResponse.Builder builder =
+                HttpResponse.ofCode(code.httpStatus())
+                        .withHeader(VERDICT, verdict.word())
+                        .withHeader(HttpHeaders.CONTENT_TYPE, "application/json; charset=utf-8")
+                        .withBody(Json.encode(body).getBytes(StandardCharsets.UTF_8));
+        retryAfter.ifPresent(d -> builder.withHeader(HttpHeaders.RETRY_AFTER, seconds(d)));
+        return builder.build();
+    }
+
+    private static String seconds(Duration duration) {
+        long rounded = Math.ceilDiv(duration.toMillis(), MILLIS_PER_SECOND);
+        return String.valueOf(Math.max(1, rounded));
+    }
+
+    /** The body of an answer without an answer of an upstream. */
+    private record VerdictBody(String verdict, int code, String sentence, String detail) {}
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
@@ -0,0 +1,71 @@
+package org.chervillift.daemon.internal;
+
+import io.activej.http.HttpServer;
+import io.activej.http.RoutingServlet;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.chervillift.http.Answers;
+import org.chervillift.api.Checks;
+import org.chervillift.api.ErrorCode;
+import org.chervillift.runtime.supervision.Part;
+
+/** Takes callers' requests over HTTP. */
+public final class CallerServer implements Part {
+
+    private static final int KIB = 1024;
+    private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
+
+    private final NioReactor reactor;
+    private final DaemonSettings settings;
+    private final RequestHandler handler;
+    private HttpServer server;
+
+    /** Creates a server that passes requests to a handler. */
+    public CallerServer(NioReactor reactor, DaemonSettings settings, RequestHandler handler) {
+        this.reactor = Checks.notNull("reactor", reactor);
+        this.settings = Checks.notNull("settings", settings);
+        this.handler = Checks.notNull("handler", handler);
+    }
+
+    @Override
+    public String name() {
+        return "caller-server";
+    }
+
+    @Override
+    public CompletionStage<Void> start(Consumer<Throwable> onFailure) {
+        RoutingServlet routes =
+                RoutingServlet.builder(reactor)
+                        .with("/queues/:queue/*", handler::handle)
+                        .with(
+                                "/*",
+                                r ->
+                                        Answers.error(
+                                                ErrorCode.UNKNOWN_QUEUE,
+                                                "The path must be /queues/QUEUE."))
+                        .build();
+        server =
+                HttpServer.builder(reactor, routes)
+                        .withListenAddress(settings.callerAddress().toSocketAddress())
+                        .withMaxBodySize(settings.mostBodyKib() * KIB)
+                        .withReadWriteTimeout(READ_WRITE_TIMEOUT)
+                        .withKeepAliveTimeout(KEEP_ALIVE)
+                        .build();
+        try {
+            server.listen();
+            return CompletableFuture.completedFuture(null);
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    @Override
+    public CompletionStage<Void> stop() {
+        return server.close().toVoid().toCompletableFuture();
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
@@ -0,0 +1,57 @@
+package org.chervillift.daemon.internal;
+
+import org.apache.logging.log4j.Level;
+import org.chervillift.runtime.events.Event;
+
+/** The events of the daemon's frame. */
+public enum DaemonEvent implements Event {
+    /** The daemon is ready. */
+    READY(1001, Level.INFO, "The daemon is ready."),
+    /** Shutdown begins. */
+    STOPPING(1002, Level.INFO, "The daemon stops; it is not ready any more."),
+    /** Shutdown has ended. */
+    STOPPED(1003, Level.INFO, "The daemon has stopped."),
+    /** Requests were still running at the bound of the shutdown. */
+    STOPPED_WITH_WORK(1004, Level.ERROR, "The daemon stopped while requests were running."),
+    /** The daemon cannot go on. */
+    FAILED(1005, Level.ERROR, "The daemon cannot go on and ends."),
+    /** A task met a fault of the program. */
+    FAULT(1006, Level.ERROR, "A task met a fault of the program."),
+    /** A newer configuration is in force here. */
+    CONFIG_ADOPTED(1010, Level.INFO, "A newer configuration is in force here."),
+    /** A newer key ring is in force here. */
+    KEYS_ADOPTED(1011, Level.INFO, "A newer key ring is in force here."),
+    /** The platform does not answer. */
+    PLATFORM_LOST(1012, Level.WARN, "The platform does not answer; the daemon goes on."),
+    /** The platform answers again. */
+    PLATFORM_FOUND(1013, Level.INFO, "The platform answers again."),
+    /** An operator's request was carried out. */
+    OPERATOR_ACTED(1020, Level.INFO, "An operator's request was carried out."),
+    /** An operator's request was refused. */
+    OPERATOR_REFUSED(1021, Level.WARN, "An operator's request was refused.");
+
+    private final int number;
+    private final Level level;
+    private final String meaning;
+
+    DaemonEvent(int number, Level level, String meaning) {
+        this.number = number;
+        this.level = level;
+        this.meaning = meaning;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String meaning() {
+        return meaning;
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetView.java
@@ -0,0 +1,64 @@
+package org.chervillift.daemon.internal;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.chervillift.api.Checks;
+import org.chervillift.api.config.FleetConfig;
+import org.chervillift.api.config.KeyRing;
+import org.chervillift.api.fleet.VmRow;
+
+/**
+ * What this process knows of the fleet.
+ *
+ * @param config the configuration in force here
+ * @param keys the keys in force here
+ * @param vms the VMs, as their rows say
+ * @param leaving identifiers of VMs that the list shows as leaving
+ * @param readAt when the platform was last read, if ever
+ */
+public record FleetView(
+        FleetConfig config,
+        KeyRing keys,
+        List<VmRow> vms,
+        Set<String> leaving,
+        Optional<Instant> readAt) {
+
+    /** What a process knows before its first read. */
+    public static final FleetView EMPTY =
+            new FleetView(
+                    FleetConfig.EMPTY, KeyRing.EMPTY, List.of(), Set.of(), Optional.empty());
+
+    public FleetView {
+        Checks.notNull("config", config);
+        Checks.notNull("keys", keys);
+        Checks.notNull("readAt", readAt);
+        vms = List.copyOf(vms);
+        leaving = Set.copyOf(leaving);
+    }
+
+    /** Returns the view with a newer configuration, or this view if it is not newer. */
+    public FleetView adopt(FleetConfig newer) {
+        return newer.version() <= config.version()
+                ? this
+                : new FleetView(newer, keys, vms, leaving, readAt);
+    }
+
+    /** Returns the view with a newer key ring, or this view if it is not newer. */
+    public FleetView adopt(KeyRing newer) {
+        return newer.version() <= keys.version()
+                ? this
+                : new FleetView(config, newer, vms, leaving, readAt);
+    }
+
+    /** Returns the view with the VMs as they were read. */
+    public FleetView withVms(List<VmRow> rows, Set<String> leavingIds) {
+        return new FleetView(config, keys, rows, leavingIds, readAt);
+    }
+
+    /** Returns the view with the moment of its last read. */
+    public FleetView withReadAt(Instant now) {
+        return new FleetView(config, keys, vms, leaving, Optional.of(now));
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The parts of the daemon. */
+package org.chervillift.daemon.internal;
