Serve a request from end to end as separate processes

Cause: nothing served a request. Conclusion: sheet to answer works in the simple case; limits, claims and freshness are not there yet.

--- /dev/null
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The measurements, one class each. */
+package org.chervillift.bench.internal;
--- /dev/null
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -0,0 +1,136 @@
+package org.chervillift.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.chervillift.api.ChervilliftException;
+import org.chervillift.cli.internal.ApplyCommand;
+import org.chervillift.cli.internal.Command;
+import org.chervillift.cli.internal.GrantKeyCommand;
+import org.chervillift.cli.internal.OperatorClient;
+import org.chervillift.cli.internal.Outcome;
+import org.chervillift.cli.internal.WithdrawKeyCommand;
+import org.chervillift.http.ReactorThread;
+import org.chervillift.runtime.settings.HostPort;
+
+/** The program chervillift, the operators' command-line tool. */
+public final class CliMain {
+
+    private static final List<Command> COMMANDS =
+            List.of(new ApplyCommand(), new GrantKeyCommand(), new WithdrawKeyCommand());
+    private static final String CREDENTIAL_VARIABLE = "CHERVILLIFT_CREDENTIAL";
+
+    private CliMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) {
+        System.exit(run(args, System.getenv(), System.out, System.err));
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @return the exit code
+     */
+    static int run(
+            String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
+        Optional<Command> command =
+                args.length == 0
+                        ? Optional.empty()
+                        : COMMANDS.stream().filter(c -> c.name().equals(args[0])).findFirst();
+        if (command.isEmpty()) {
+            printUsage(err);
+            return Outcome.USAGE;
+        }
+        try {
+            String[] rest = Arrays.copyOfRange(args, 1, args.length);
+            return runCommand(command.get(), rest, environment, out, err);
+        } catch (ParseException e) {
+            err.println(e.getMessage());
+            return Outcome.USAGE;
+        } catch (ChervilliftException e) {
+            err.println("Not known whether it took effect: " + e.getMessage());
+            return Outcome.UNKNOWN;
+        }
+    }
+
+    private static int runCommand(
+            Command command,
+            String[] args,
+            Map<String, String> environment,
+            PrintStream out,
+            PrintStream err)
+            throws ParseException {
+        Options options = globalOptions();
+        command.options().getOptions().forEach(options::addOption);
+        CommandLine line = new DefaultParser().parse(options, args);
+        long wanted =
+                Arrays.stream(command.arguments().split(" ")).filter(a -> !a.isEmpty()).count();
+        if (line.getArgList().size() != wanted) {
+            throw new ParseException("usage: " + command.name() + " " + command.arguments());
+        }
+        String server = line.getOptionValue("server", environment.get("CHERVILLIFT_SERVER"));
+        if (server == null) {
+            throw new ParseException("--server ADDRESS is missing.");
+        }
+        String credential = credential(line, environment);
+        try (ReactorThread thread = new ReactorThread("chervillift")) {
+            OperatorClient client = new OperatorClient(thread, HostPort.parse(server), credential);
+            return print(command.run(line, client), line, out, err);
+        }
+    }
+
+    private static int print(Outcome outcome, CommandLine line, PrintStream out, PrintStream err) {
+        PrintStream target = outcome.exitCode() == Outcome.DONE ? out : err;
+        boolean json = "json".equals(line.getOptionValue("output", "text"));
+        target.println(json ? outcome.json() : outcome.text());
+        return outcome.exitCode();
+    }
+
+    private static Options globalOptions() {
+        Options options = new Options();
+        options.addOption(withArgument("server", "ADDRESS of a daemon's control port"));
+        options.addOption(withArgument("output", "text or json"));
+        options.addOption(withArgument("credential-file", "FILE that holds the credential"));
+        return options;
+    }
+
+    private static Option withArgument(String name, String description) {
+        return Option.builder().longOpt(name).hasArg().desc(description).build();
+    }
+
+    private static String credential(CommandLine line, Map<String, String> environment)
+            throws ParseException {
+        String file = line.getOptionValue("credential-file");
+        if (file != null) {
+            try {
+                return Files.readString(Path.of(file)).strip();
+            } catch (IOException e) {
+                throw new ParseException("The credential file cannot be read.");
+            }
+        }
+        String credential = environment.get(CREDENTIAL_VARIABLE);
+        if (credential == null) {
+            throw new ParseException(
+                    "Give the credential by --credential-file or " + CREDENTIAL_VARIABLE + ".");
+        }
+        return credential;
+    }
+
+    private static void printUsage(PrintStream err) {
+        err.println("usage: chervillift COMMAND [--server ADDRESS] [--output text|json]");
+        for (Command c : COMMANDS) {
+            err.printf("  %-28s %s%n", c.name() + " " + c.arguments(), c.summary());
+        }
+    }
+}
--- /dev/null
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/Answered.java
@@ -0,0 +1,20 @@
+package org.chervillift.cli.internal;
+
+import org.chervillift.http.ErrorBody;
+import org.chervillift.http.HttpAnswer;
+import org.chervillift.http.Json;
+
+/** Turns a daemon's answers into outcomes. */
+public final class Answered {
+
+    private Answered() {}
+
+    /** Returns the outcome of an answer that reports an error. */
+    public static Outcome refused(HttpAnswer answer) {
+        ErrorBody error = Json.decode(answer.body(), ErrorBody.class);
+        return new Outcome(
+                Outcome.REFUSED,
+                "Refused (%d): %s".formatted(error.code(), error.detail()),
+                answer.body());
+    }
+}
--- /dev/null
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/Command.java
@@ -0,0 +1,25 @@
+package org.chervillift.cli.internal;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** One command of the operators' tool. */
+public interface Command {
+
+    /** Returns the word or words that name the command. */
+    String name();
+
+    /** Returns the arguments, as the help shows them. */
+    String arguments();
+
+    /** Returns one plain sentence. */
+    String summary();
+
+    /** Returns the options that only this command takes. */
+    default Options options() {
+        return new Options();
+    }
+
+    /** Carries the command out. */
+    Outcome run(CommandLine line, OperatorClient client);
+}
--- /dev/null
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the operators' tool. */
+package org.chervillift.cli.internal;
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -0,0 +1,129 @@
+package org.chervillift.daemon.internal;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.RoutingServlet;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.chervillift.api.Checks;
+import org.chervillift.api.platform.Platform;
+import org.chervillift.daemon.internal.operator.ConfigRoutes;
+import org.chervillift.daemon.internal.operator.KeyRoutes;
+import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.http.JsonClient;
+import org.chervillift.http.ReactorScheduler;
+import org.chervillift.platform.HttpPlatform;
+import org.chervillift.runtime.events.EventLog;
+import org.chervillift.runtime.events.Field;
+import org.chervillift.runtime.supervision.RestartPolicy;
+import org.chervillift.runtime.supervision.Scheduler;
+import org.chervillift.runtime.supervision.Supervisor;
+
+/** Puts the parts of the daemon together, starts them and stops them. */
+public final class Daemon {
+
+    private static final RestartPolicy RESTARTS =
+            new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
+    private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
+
+    private final DaemonSettings settings;
+    private final Scheduler scheduler;
+    private final FleetFollower follower;
+    private final RequestHandler handler;
+    private final UpstreamClient upstreamClient;
+    private final Supervisor supervisor;
+    private boolean started;
+    private boolean stopping;
+
+    /** Creates a daemon on an event loop; nothing runs yet. */
+    public Daemon(Eventloop reactor, DaemonSettings settings) {
+        this.settings = Checks.notNull("settings", settings);
+        scheduler = new ReactorScheduler(reactor);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        JsonClient platformClient =
+                new JsonClient(
+                        reactor,
+                        settings.platformAddress(),
+                        settings.platformTimeout(),
+                        Optional.empty());
+        Platform platform = new HttpPlatform(platformClient);
+        follower = new FleetFollower(platform, scheduler, settings);
+        upstreamClient = new UpstreamClient(reactor, settings);
+        handler =
+                new RequestHandler(
+                        follower::view, upstreamClient, settings, new RequestMetrics(registry));
+        CallerServer callers = new CallerServer(reactor, settings, handler);
+        ControlServer control =
+                new ControlServer(
+                        reactor,
+                        settings.controlAddress(),
+                        this::isReady,
+                        registry,
+                        operatorRoutes(reactor, platform));
+        supervisor =
+                new Supervisor("daemon", List.of(control, follower, callers), RESTARTS, scheduler);
+    }
+
+    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
+        List<OperatorRoutes> kinds =
+                List.of(
+                        new ConfigRoutes(platform, scheduler, follower),
+                        new KeyRoutes(platform, follower));
+        RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
+        kinds.forEach(k -> k.addTo(routes));
+        return new OperatorGate(settings.operatorSha256(), routes.build());
+    }
+
+    /** Returns whether the balancer may send callers here. */
+    public boolean isReady() {
+        return started && !stopping && follower.view().config().version() > 0;
+    }
+
+    /** Starts all parts. */
+    public CompletionStage<Void> start(Consumer<Throwable> onFailure) {
+        return supervisor
+                .start(onFailure)
+                .thenRun(
+                        () -> {
+                            started = true;
+                            EventLog.log(
+                                    DaemonEvent.READY,
+                                    Field.of("vm", settings.vmId()),
+                                    Field.of("callers", settings.callerAddress()));
+                        });
+    }
+
+    /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
+    public CompletionStage<Void> shutdown() {
+        stopping = true;
+        EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        Instant bound = scheduler.now().plus(settings.drainDelay()).plus(settings.drainBound());
+        scheduler.schedule(
+                settings.drainDelay(),
+                () -> {
+                    handler.stopTaking();
+                    awaitDrain(bound, drained);
+                });
+        return drained.thenCompose(ignored -> supervisor.stop())
+                .thenCompose(ignored -> upstreamClient.stop().toCompletableFuture())
+                .thenRun(() -> EventLog.log(DaemonEvent.STOPPED));
+    }
+
+    private void awaitDrain(Instant bound, CompletableFuture<Void> drained) {
+        if (handler.running() == 0) {
+            drained.complete(null);
+        } else if (scheduler.now().isAfter(bound)) {
+            EventLog.log(DaemonEvent.STOPPED_WITH_WORK, Field.of("running", handler.running()));
+            drained.complete(null);
+        } else {
+            scheduler.schedule(DRAIN_CHECK, () -> awaitDrain(bound, drained));
+        }
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/operator/package-info.java
@@ -0,0 +1,2 @@
+/** What operators can ask of the daemon. */
+package org.chervillift.daemon.internal.operator;
--- a/chervillift-http/src/main/java/org/chervillift/http/Answers.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/Answers.java
@@ -1,5 +1,6 @@
 package org.chervillift.http;
 
+import io.activej.http.HttpError;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -11,6 +12,7 @@
 public final class Answers {
 
     private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
 
     private Answers() {}
 
@@ -42,6 +44,9 @@
         if (fault instanceof ChervilliftException e) {
             return error(e.code(), e.getMessage());
         }
+        if (fault instanceof HttpError e && e.getCode() == NOT_FOUND) {
+            return error(ErrorCode.NOT_FOUND, "There is no such path.");
+        }
         return error(ErrorCode.INTERNAL, String.valueOf(fault.getMessage()));
     }
 }
--- a/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
@@ -52,9 +52,17 @@
 
     /** Sends a request; fails when the whole answer has not come in time. */
     public Promise<HttpAnswer> send(HttpMethod method, String path, Optional<String> body) {
+        byte[] bytes = body.map(b -> b.getBytes(StandardCharsets.UTF_8)).orElse(new byte[0]);
+        return send(method, path, bytes);
+    }
+
+    /** Sends a request with bytes; fails when the whole answer has not come in time. */
+    public Promise<HttpAnswer> send(HttpMethod method, String path, byte[] body) {
         HttpRequest.Builder request = HttpRequest.builder(method, base + path);
         bearer.ifPresent(b -> request.withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + b));
-        body.ifPresent(b -> request.withBody(b.getBytes(StandardCharsets.UTF_8)));
+        if (body.length > 0) {
+            request.withBody(body);
+        }
         return client.request(request.build()).then(JsonClient::load);
     }
 
