Report on the burn of service-level objectives

Conclusion: counts survive a planned stop; a killed daemon loses at most the counts since its last save (report.save-ms).

--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -19,6 +19,7 @@
 import org.chervillift.cli.internal.GrantKeyCommand;
 import org.chervillift.cli.internal.OperatorClient;
 import org.chervillift.cli.internal.Outcome;
+import org.chervillift.cli.internal.ReportCommand;
 import org.chervillift.cli.internal.WithdrawKeyCommand;
 import org.chervillift.http.ReactorThread;
 import org.chervillift.runtime.settings.HostPort;
@@ -27,7 +28,11 @@
 public final class CliMain {
 
     private static final List<Command> COMMANDS =
-            List.of(new ApplyCommand(), new GrantKeyCommand(), new WithdrawKeyCommand());
+            List.of(
+                    new ApplyCommand(),
+                    new GrantKeyCommand(),
+                    new WithdrawKeyCommand(),
+                    new ReportCommand());
     private static final String CREDENTIAL_VARIABLE = "CHERVILLIFT_CREDENTIAL";
 
     private CliMain() {}
--- a/chervillift-core/src/main/java/org/chervillift/core/report/AnswerOutcome.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/report/AnswerOutcome.java
@@ -1,8 +1,6 @@
 package org.chervillift.core.report;
 
 import java.time.Duration;
-import java.util.EnumSet;
-import java.util.Set;
 import org.chervillift.api.Checks;
 import org.chervillift.api.ErrorCode;
 
@@ -31,15 +29,4 @@
             Checks.notNull("code", code);
         }
     }
-
-    /** Refusals that the caller brought about; they do not count for objectives. */
-    Set<ErrorCode> CALLERS_OWN =
-            Set.copyOf(
-                    EnumSet.of(
-                            ErrorCode.BAD_REQUEST,
-                            ErrorCode.KEY_REFUSED,
-                            ErrorCode.UNKNOWN_QUEUE,
-                            ErrorCode.TEAM_LIMIT,
-                            ErrorCode.IDENTIFIER_REUSED,
-                            ErrorCode.TOO_LARGE));
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/report/UsageRecorder.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/report/UsageRecorder.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.chervillift.api.Checks;
+import org.chervillift.api.ErrorCode;
 import org.chervillift.api.config.Objective;
 import org.chervillift.api.report.QueueUsage;
 import org.chervillift.api.report.UsageBucket;
@@ -26,6 +28,17 @@
     /** Hours that are held while the platform is away. */
     public static final int MOST_HOURS = 24;
 
+    /** Refusals that the caller brought about; they do not count for objectives. */
+    private static final Set<ErrorCode> CALLERS_OWN =
+            Set.copyOf(
+                    EnumSet.of(
+                            ErrorCode.BAD_REQUEST,
+                            ErrorCode.KEY_REFUSED,
+                            ErrorCode.UNKNOWN_QUEUE,
+                            ErrorCode.TEAM_LIMIT,
+                            ErrorCode.IDENTIFIER_REUSED,
+                            ErrorCode.TOO_LARGE));
+
     private static final int FIRST_SERVER_ERROR = 500;
     private static final long HOUR_MILLIS = Duration.ofHours(1).toMillis();
 
@@ -58,7 +71,7 @@
                 yield new QueueUsage(good ? 1 : 0, good ? 0 : 1, Map.of());
             }
             case AnswerOutcome.Refused r -> {
-                long bad = AnswerOutcome.CALLERS_OWN.contains(r.code()) ? 0 : 1;
+                long bad = CALLERS_OWN.contains(r.code()) ? 0 : 1;
                 yield new QueueUsage(0, bad, Map.of(r.code().number(), 1L));
             }
         };
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
@@ -16,6 +16,9 @@
     /** Carries the word of the verdict. */
     public static final HttpHeader VERDICT = HttpHeaders.of("Chervillift-Verdict");
 
+    /** Carries the number of the error where there is no answer of an upstream. */
+    public static final HttpHeader CODE = HttpHeaders.of("Chervillift-Code");
+
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private CallerAnswers() {}
@@ -46,6 +49,7 @@
         HttpResponse.Builder builder =
                 HttpResponse.ofCode(code.httpStatus())
                         .withHeader(VERDICT, verdict.word())
+                        .withHeader(CODE, String.valueOf(code.number()))
                         .withHeader(HttpHeaders.CONTENT_TYPE, "application/json; charset=utf-8")
                         .withBody(Json.encode(body).getBytes(StandardCharsets.UTF_8));
         retryAfter.ifPresent(d -> builder.withHeader(HttpHeaders.RETRY_AFTER, seconds(d)));
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
@@ -1,7 +1,10 @@
 package org.chervillift.daemon.internal;
 
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.time.Duration;
@@ -10,6 +13,7 @@
 import java.util.function.Consumer;
 import org.chervillift.api.Checks;
 import org.chervillift.api.ErrorCode;
+import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.http.Answers;
 import org.chervillift.runtime.supervision.Part;
 
@@ -23,13 +27,19 @@
     private final NioReactor reactor;
     private final DaemonSettings settings;
     private final RequestHandler handler;
+    private final UsageReporter usage;
     private HttpServer server;
 
-    /** Creates a server that passes requests to a handler. */
-    public CallerServer(NioReactor reactor, DaemonSettings settings, RequestHandler handler) {
+    /** Creates a server that passes requests to a handler and counts the answers. */
+    public CallerServer(
+            NioReactor reactor,
+            DaemonSettings settings,
+            RequestHandler handler,
+            UsageReporter usage) {
         this.reactor = Checks.notNull("reactor", reactor);
         this.settings = Checks.notNull("settings", settings);
         this.handler = Checks.notNull("handler", handler);
+        this.usage = Checks.notNull("usage", usage);
     }
 
     @Override
@@ -41,7 +51,7 @@
     public CompletionStage<Void> start(Consumer<Throwable> onFailure) {
         RoutingServlet routes =
                 RoutingServlet.builder(reactor)
-                        .with("/queues/:queue/*", handler::handle)
+                        .with("/queues/:queue/*", this::handle)
                         .with(
                                 "/*",
                                 r ->
@@ -64,6 +74,13 @@
         }
     }
 
+    private Promise<HttpResponse> handle(HttpRequest request) {
+        String queue = request.getPathParameter("queue");
+        long start = System.nanoTime();
+        return handler.handle(request)
+                .whenResult(r -> usage.note(queue, r, Duration.ofNanos(System.nanoTime() - start)));
+    }
+
     @Override
     public CompletionStage<Void> stop() {
         return server.close().toVoid().toCompletableFuture();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -16,6 +16,8 @@
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.daemon.internal.report.ReportRoutes;
+import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
 import org.chervillift.platform.HttpPlatform;
@@ -37,6 +39,7 @@
     private final FleetFollower follower;
     private final RequestHandler handler;
     private final UpstreamClient upstreamClient;
+    private final UsageReporter usage;
     private final Supervisor supervisor;
     private boolean started;
     private boolean stopping;
@@ -58,7 +61,8 @@
         handler =
                 new RequestHandler(
                         follower::view, upstreamClient, settings, new RequestMetrics(registry));
-        CallerServer callers = new CallerServer(reactor, settings, handler);
+        usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
+        CallerServer callers = new CallerServer(reactor, settings, handler, usage);
         ControlServer control =
                 new ControlServer(
                         reactor,
@@ -67,14 +71,16 @@
                         registry,
                         operatorRoutes(reactor, platform));
         supervisor =
-                new Supervisor("daemon", List.of(control, follower, callers), RESTARTS, scheduler);
+                new Supervisor(
+                        "daemon", List.of(control, follower, usage, callers), RESTARTS, scheduler);
     }
 
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
         List<OperatorRoutes> kinds =
                 List.of(
                         new ConfigRoutes(platform, scheduler, follower),
-                        new KeyRoutes(platform, follower));
+                        new KeyRoutes(platform, follower),
+                        new ReportRoutes(platform, scheduler, follower, usage));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
         return new OperatorGate(settings.operatorSha256(), routes.build());
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
@@ -25,6 +25,8 @@
     PLATFORM_LOST(1012, Level.WARN, "The platform does not answer; the daemon goes on."),
     /** The platform answers again. */
     PLATFORM_FOUND(1013, Level.INFO, "The platform answers again."),
+    /** Counts for the report could not be saved. */
+    USAGE_NOT_SAVED(1014, Level.WARN, "Counts for the report could not be saved; they are held."),
     /** An operator's request was carried out. */
     OPERATOR_ACTED(1020, Level.INFO, "An operator's request was carried out."),
     /** An operator's request was refused. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -22,6 +22,7 @@
  * @param drainBound the longest wait for running requests at shutdown
  * @param upstreamTimeout the bound on the wait for an upstream's answer
  * @param mostBodyKib the largest body of a request or an answer, in KiB
+ * @param reportSave the time between two saves of the counts for the report
  * @param operatorSha256 the SHA-256 of the operators' credential, in hexadecimal digits
  */
 public record DaemonSettings(
@@ -36,6 +37,7 @@
         Duration drainBound,
         Duration upstreamTimeout,
         int mostBodyKib,
+        Duration reportSave,
         String operatorSha256) {
 
     private static final Duration ONE_MILLI = Duration.ofMillis(1);
@@ -95,6 +97,12 @@
                                     new SettingType.Millis(Duration.ofMillis(50), ONE_MINUTE),
                                     "1000",
                                     "The time between two reads of the platform."),
+                            Setting.optional(
+                                    "report",
+                                    "save-ms",
+                                    new SettingType.Millis(Duration.ofSeconds(1), ONE_HOUR),
+                                    "60000",
+                                    "The time between two saves of the counts for the report."),
                             Setting.optional(
                                     "shutdown",
                                     "delay-ms",
@@ -128,6 +136,7 @@
                 s.duration("shutdown.bound-ms"),
                 s.duration("upstreams.timeout-ms"),
                 s.number("callers.most-body-kib"),
+                s.duration("report.save-ms"),
                 s.text("control.operator-sha256"));
     }
 }
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/report/ReportRoutes.java
@@ -0,0 +1,142 @@
+package org.chervillift.daemon.internal.report;
+
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.stream.Collectors;
+import org.chervillift.api.Checks;
+import org.chervillift.api.ChervilliftException;
+import org.chervillift.api.ErrorCode;
+import org.chervillift.api.config.Pool;
+import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.WaveRow;
+import org.chervillift.api.platform.Platform;
+import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowKey;
+import org.chervillift.api.report.FleetReport;
+import org.chervillift.api.report.UsageRow;
+import org.chervillift.core.report.BurnReports;
+import org.chervillift.daemon.internal.FleetFollower;
+import org.chervillift.daemon.internal.FleetView;
+import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.http.Answers;
+import org.chervillift.http.Json;
+import org.chervillift.http.Stages;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/** Reports on the service that callers got, from the rows of all entry VMs. */
+public final class ReportRoutes implements OperatorRoutes {
+
+    private static final int DAY_HOURS = 24;
+    private static final int MOST_HOURS = 31 * DAY_HOURS;
+
+    private final Platform platform;
+    private final Scheduler scheduler;
+    private final FleetFollower follower;
+    private final UsageReporter usage;
+
+    /** Creates the routes. */
+    public ReportRoutes(
+            Platform platform, Scheduler scheduler, FleetFollower follower, UsageReporter usage) {
+        this.platform = Checks.notNull("platform", platform);
+        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.follower = Checks.notNull("follower", follower);
+        this.usage = Checks.notNull("usage", usage);
+    }
+
+    @Override
+    public void addTo(RoutingServlet.Builder routes) {
+        routes.with(HttpMethod.GET, "/v1/report", this::report);
+    }
+
+    private Promise<HttpResponse> report(HttpRequest request) {
+        Instant now = scheduler.now();
+        Duration span = Duration.ofHours(hours(request));
+        return Stages.toPromise(
+                        usageRows(tables(now.minus(span), now))
+                                .thenCombine(
+                                        platform.scan(WaveRow.TABLE),
+                                        (rows, waves) -> build(rows, waves, span, now)))
+                .then(r -> Answers.json(r));
+    }
+
+    private static int hours(HttpRequest request) {
+        String hours = request.getQueryParameter("hours");
+        try {
+            int number = hours == null ? DAY_HOURS : Integer.parseInt(hours);
+            return (int) Checks.inRange("hours", number, 1, MOST_HOURS);
+        } catch (IllegalArgumentException e) {
+            throw new ChervilliftException(
+                    ErrorCode.BAD_REQUEST, "hours must be from 1 to " + MOST_HOURS + ".", e);
+        }
+    }
+
+    private static Set<String> tables(Instant from, Instant to) {
+        Set<String> tables = new TreeSet<>();
+        for (Instant t = from; t.isBefore(to); t = t.plus(Duration.ofHours(1))) {
+            tables.add(UsageRow.table(t));
+        }
+        tables.add(UsageRow.table(to));
+        return tables;
+    }
+
+    private CompletionStage<List<UsageRow>> usageRows(Set<String> tables) {
+        CompletionStage<Map<RowKey, UsageRow>> all =
+                CompletableFuture.completedFuture(new HashMap<>());
+        for (String table : tables) {
+            all = all.thenCombine(platform.scan(table), ReportRoutes::add);
+        }
+        return all.thenApply(this::withOwnCounts);
+    }
+
+    private static Map<RowKey, UsageRow> add(Map<RowKey, UsageRow> known, List<Row> rows) {
+        rows.forEach(r -> known.put(r.key(), Json.decode(r.value(), UsageRow.class)));
+        return known;
+    }
+
+    /** The counts of this process are newer than its rows. */
+    private List<UsageRow> withOwnCounts(Map<RowKey, UsageRow> rows) {
+        usage.unsaved().forEach(r -> rows.put(r.key(), r));
+        return List.copyOf(rows.values());
+    }
+
+    private FleetReport build(List<UsageRow> rows, List<Row> waves, Duration span, Instant now) {
+        FleetView view = follower.view();
+        Map<String, Integer> states = new TreeMap<>();
+        view.vms().forEach(v -> states.merge(v.state().name(), 1, Integer::sum));
+        return new FleetReport(
+                now.minus(span).toEpochMilli(),
+                now.toEpochMilli(),
+                view.config().version(),
+                BurnReports.report(view.config().objectives(), rows, span, now),
+                states,
+                spareVms(view),
+                waves.stream().map(ReportRoutes::waveLine).toList());
+    }
+
+    private static int spareVms(FleetView view) {
+        Set<String> spare =
+                view.config().pools().stream()
+                        .filter(Pool::spare)
+                        .map(Pool::name)
+                        .collect(Collectors.toSet());
+        return (int) view.vms().stream().map(VmRow::pool).filter(spare::contains).count();
+    }
+
+    private static String waveLine(Row row) {
+        WaveRow wave = Json.decode(row.value(), WaveRow.class);
+        return "%s: %s. %s".formatted(wave.id(), wave.state(), wave.reason()).strip();
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/report/package-info.java
@@ -0,0 +1,2 @@
+/** Saves counts of answers, and reports on them. */
+package org.chervillift.daemon.internal.report;
