--- a/chervillift-core/src/main/java/org/chervillift/core/membership/Membership.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/Membership.java
@@ -102,6 +102,11 @@
         return List.copyOf(members.values());
     }
 
+    /** Returns the addresses to which links are to be kept. */
+    public Set<String> dialled() {
+        return dialled;
+    }
+
     /** Returns when this process, or a peer that it hears, certainly read the store. */
     public Optional<Instant> storeReadAt() {
         return latest(fetching.storeReadAt(), passedOnReadAt);
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/ContentExchange.java
@@ -0,0 +1,115 @@
+package org.chervillift.daemon.internal.peers;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.chervillift.api.ChervilliftException;
+import org.chervillift.core.membership.ContentKind;
+import org.chervillift.core.membership.MembershipAction;
+import org.chervillift.core.membership.MembershipEvent;
+import org.chervillift.runtime.events.EventLog;
+import org.chervillift.runtime.events.Field;
+import org.chervillift.wire.Delivery;
+import org.chervillift.wire.PeerIdentity;
+import org.chervillift.wire.generated.FetchReply;
+import org.chervillift.wire.generated.FetchRequest;
+import org.chervillift.wire.generated.PeerMessage;
+import org.chervillift.wire.generated.StaleIncarnation;
+
+/** Fetches newer content from the store or a peer, and gives it to peers that ask. */
+final class ContentExchange {
+
+    private final FleetContent content;
+    private final PeersPart peers;
+
+    ContentExchange(FleetContent content, PeersPart peers) {
+        this.content = content;
+        this.peers = peers;
+    }
+
+    void fetchFromStore(ContentKind kind) {
+        content.refresh().whenComplete((ignored, fault) -> ended(kind, fault != null));
+    }
+
+    void fetchFromPeer(MembershipAction.FetchFromPeer fetch) {
+        FetchRequest request =
+                FetchRequest.newBuilder()
+                        .setKind(encode(fetch.kind()))
+                        .setAboveVersion(fetch.aboveVersion())
+                        .build();
+        PeerMessage message = PeerMessage.newBuilder().setFetchRequest(request).build();
+        if (!peers.send(fetch.peer(), message, Delivery.TRANSFER)) {
+            ended(fetch.kind(), true);
+        }
+    }
+
+    void tellStaleIncarnation(MembershipAction.TellStaleIncarnation tell) {
+        StaleIncarnation body = StaleIncarnation.newBuilder().setKnown(tell.known()).build();
+        PeerMessage message = PeerMessage.newBuilder().setStaleIncarnation(body).build();
+        peers.send(tell.peer(), message, Delivery.TRANSFER);
+    }
+
+    /** Answers only with content that the asking peer does not hold. */
+    void requested(PeerIdentity peer, PeerMessage message) {
+        FetchRequest request = message.getFetchRequest();
+        Optional<ContentKind> kind = decode(request.getKind());
+        if (kind.isEmpty() || content.held().of(kind.get()) <= request.getAboveVersion()) {
+            return;
+        }
+        content.encoded(kind.get())
+                .ifPresent(
+                        bytes ->
+                                peers.send(peer.id(), reply(kind.get(), bytes), Delivery.TRANSFER));
+    }
+
+    void replied(PeerIdentity peer, PeerMessage message) {
+        FetchReply reply = message.getFetchReply();
+        Optional<ContentKind> kind = decode(reply.getKind());
+        if (kind.isEmpty()) {
+            return;
+        }
+        try {
+            content.offer(kind.get(), reply.getContent().toByteArray());
+            EventLog.log(
+                    PeerEvent.FETCHED_FROM_PEER,
+                    Field.of("kind", kind.get()),
+                    Field.of("version", reply.getVersion()),
+                    Field.of("peer", peer.id()));
+        } catch (ChervilliftException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        } finally {
+            ended(kind.get(), content.held().of(kind.get()) < reply.getVersion());
+        }
+    }
+
+    private void ended(ContentKind kind, boolean failed) {
+        peers.heldChanged();
+        if (failed) {
+            peers.on(new MembershipEvent.FetchFailed(kind));
+        }
+    }
+
+    private PeerMessage reply(ContentKind kind, byte[] bytes) {
+        FetchReply reply =
+                FetchReply.newBuilder()
+                        .setKind(encode(kind))
+                        .setVersion(content.held().of(kind))
+                        .setContent(ByteString.copyFrom(bytes))
+                        .build();
+        return PeerMessage.newBuilder().setFetchReply(reply).build();
+    }
+
+    private static org.chervillift.wire.generated.ContentKind encode(ContentKind kind) {
+        return switch (kind) {
+            case CONFIG -> org.chervillift.wire.generated.ContentKind.CONTENT_KIND_CONFIG;
+            case KEY_RING -> org.chervillift.wire.generated.ContentKind.CONTENT_KIND_KEY_RING;
+        };
+    }
+
+    private static Optional<ContentKind> decode(org.chervillift.wire.generated.ContentKind kind) {
+        return switch (kind) {
+            case CONTENT_KIND_CONFIG -> Optional.of(ContentKind.CONFIG);
+            case CONTENT_KIND_KEY_RING -> Optional.of(ContentKind.KEY_RING);
+            case CONTENT_KIND_UNSPECIFIED, UNRECOGNIZED -> Optional.empty();
+        };
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Talks to the other daemons: membership, versions, freshness and load. */
+package org.chervillift.daemon.internal.peers;
