--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -24,6 +24,7 @@
 import org.chervillift.cli.internal.Outcome;
 import org.chervillift.cli.internal.PlanCommand;
 import org.chervillift.cli.internal.Progress;
+import org.chervillift.cli.internal.ReportCommand;
 import org.chervillift.cli.internal.WithdrawKeyCommand;
 import org.chervillift.http.ReactorThread;
 import org.chervillift.runtime.settings.HostPort;
@@ -38,7 +39,8 @@
                     new GetCommand(),
                     new HistoryCommand(),
                     new GrantKeyCommand(),
-                    new WithdrawKeyCommand());
+                    new WithdrawKeyCommand(),
+                    new ReportCommand());
     private static final String CREDENTIAL_VARIABLE = "CHERVILLIFT_CREDENTIAL";
 
     private CliMain() {}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -22,6 +22,8 @@
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.daemon.internal.report.ReportRoutes;
+import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
 import org.chervillift.platform.HttpPlatform;
@@ -46,6 +48,7 @@
     private final FleetFollower follower;
     private final RequestHandler handler;
     private final UpstreamClient upstreamClient;
+    private final UsageReporter usage;
     private final Supervisor supervisor;
     private boolean started;
     private boolean stopping;
@@ -73,7 +76,8 @@
                         upstreamClient,
                         settings,
                         new RequestMetrics(registry));
-        CallerServer callers = new CallerServer(reactor, settings, handler);
+        usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
+        CallerServer callers = new CallerServer(reactor, settings, handler, usage);
         ControlServer control =
                 new ControlServer(
                         reactor,
@@ -82,7 +86,8 @@
                         registry,
                         operatorRoutes(reactor, platform, keyGate));
         supervisor =
-                new Supervisor("daemon", List.of(control, follower, callers), RESTARTS, scheduler);
+                new Supervisor(
+                        "daemon", List.of(control, follower, usage, callers), RESTARTS, scheduler);
     }
 
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
@@ -93,7 +98,8 @@
         List<OperatorRoutes> kinds =
                 List.of(
                         new ConfigRoutes(configs, follower),
-                        new KeyRoutes(keys, follower, scheduler, KEY_RULES));
+                        new KeyRoutes(keys, follower, scheduler, KEY_RULES),
+                        new ReportRoutes(platform, scheduler, follower, usage));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
         return new OperatorGate(settings.operators(), routes.build());
