--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/MembersCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/MembersCommand.java
@@ -44,7 +44,15 @@
                         .orElse("The platform was never read."));
         text.append('\n');
         text.append(
-                row("member", "data centre", "state", "since s", "heard s", "route", "config", "keys"));
+                row(
+                        "member",
+                        "data centre",
+                        "state",
+                        "since s",
+                        "heard s",
+                        "route",
+                        "config",
+                        "keys"));
         members.members().forEach(m -> text.append(row(m)));
         return Outcome.done(text.toString().stripTrailing(), answer.body());
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -13,9 +14,17 @@
 import java.util.function.Consumer;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Platform;
+import org.chervillift.core.config.ApplyRules;
+import org.chervillift.core.keys.FreshnessRules;
+import org.chervillift.core.keys.KeyFreshness;
+import org.chervillift.core.keys.KeyGate;
+import org.chervillift.daemon.internal.config.ConfigStore;
+import org.chervillift.daemon.internal.keys.KeyOperations;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
+import org.chervillift.daemon.internal.operator.MemberRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.daemon.internal.peers.PeersPart;
 import org.chervillift.daemon.internal.report.ReportRoutes;
 import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.http.JsonClient;
@@ -23,6 +32,7 @@
 import org.chervillift.platform.HttpPlatform;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
+import org.chervillift.runtime.supervision.Part;
 import org.chervillift.runtime.supervision.RestartPolicy;
 import org.chervillift.runtime.supervision.Scheduler;
 import org.chervillift.runtime.supervision.Supervisor;
@@ -32,14 +42,18 @@
 
     private static final RestartPolicy RESTARTS =
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
+    private static final ApplyRules APPLY_RULES = new ApplyRules(10);
+    private static final FreshnessRules KEY_RULES = FreshnessRules.WITHOUT_VOUCHING;
     private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
 
     private final DaemonSettings settings;
     private final Scheduler scheduler;
+    private final KeyFreshness freshness;
     private final FleetFollower follower;
     private final RequestHandler handler;
     private final UpstreamClient upstreamClient;
     private final UsageReporter usage;
+    private final PeersPart peers;
     private final Supervisor supervisor;
     private boolean started;
     private boolean stopping;
@@ -56,11 +70,18 @@
                         settings.platformTimeout(),
                         Optional.empty());
         Platform platform = new HttpPlatform(platformClient);
-        follower = new FleetFollower(platform, scheduler, settings);
+        freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
+        KeyGate keyGate = new KeyGate(freshness);
+        follower = new FleetFollower(platform, scheduler, settings, keyGate, freshness);
+        peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
         upstreamClient = new UpstreamClient(reactor, settings);
         handler =
                 new RequestHandler(
-                        follower::view, upstreamClient, settings, new RequestMetrics(registry));
+                        follower::view,
+                        (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                        upstreamClient,
+                        settings,
+                        new RequestMetrics(registry));
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         CallerServer callers = new CallerServer(reactor, settings, handler, usage);
         ControlServer control =
@@ -69,21 +90,28 @@
                         settings.controlAddress(),
                         this::isReady,
                         registry,
-                        operatorRoutes(reactor, platform));
-        supervisor =
-                new Supervisor(
-                        "daemon", List.of(control, follower, usage, callers), RESTARTS, scheduler);
+                        operatorRoutes(reactor, platform, keyGate));
+        List<Part> parts = new ArrayList<>(List.of(control, follower, usage, callers));
+        if (settings.peers().hasPeers()) {
+            parts.addFirst(peers);
+        }
+        supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
     }
 
-    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
+    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
+        ConfigStore configs =
+                new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
+        KeyOperations keys =
+                new KeyOperations(platform, scheduler, freshness, keyGate, scheduler::now);
         List<OperatorRoutes> kinds =
                 List.of(
-                        new ConfigRoutes(platform, scheduler, follower),
-                        new KeyRoutes(platform, follower),
-                        new ReportRoutes(platform, scheduler, follower, usage));
+                        new ConfigRoutes(configs, follower),
+                        new KeyRoutes(keys, follower, scheduler, KEY_RULES),
+                        new ReportRoutes(platform, scheduler, follower, usage),
+                        new MemberRoutes(peers.membership(), scheduler));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
-        return new OperatorGate(settings.operatorSha256(), routes.build());
+        return new OperatorGate(settings.operators(), routes.build());
     }
 
     /** Returns whether the balancer may send callers here. */
@@ -108,6 +136,7 @@
     /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
     public CompletionStage<Void> shutdown() {
         stopping = true;
+        peers.leave();
         EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
         CompletableFuture<Void> drained = new CompletableFuture<>();
         Instant bound = scheduler.now().plus(settings.drainDelay()).plus(settings.drainBound());
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
@@ -27,6 +27,9 @@
     PLATFORM_FOUND(1013, Level.INFO, "The platform answers again."),
     /** Counts for the report could not be saved. */
     USAGE_NOT_SAVED(1014, Level.WARN, "Counts for the report could not be saved; they are held."),
+    /** One version was offered with two contents. */
+    CONFIG_CONTRADICTED(
+            5001, Level.ERROR, "One version came with another content; it is not taken."),
     /** An operator's request was carried out. */
     OPERATOR_ACTED(1020, Level.INFO, "An operator's request was carried out."),
     /** An operator's request was refused. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -1,7 +1,9 @@
 package org.chervillift.daemon.internal;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import org.chervillift.daemon.internal.peers.PeerSettings;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.settings.Setting;
 import org.chervillift.runtime.settings.SettingType;
@@ -23,7 +25,8 @@
  * @param upstreamTimeout the bound on the wait for an upstream's answer
  * @param mostBodyKib the largest body of a request or an answer, in KiB
  * @param reportSave the time between two saves of the counts for the report
- * @param operatorSha256 the SHA-256 of the operators' credential, in hexadecimal digits
+ * @param operators who may act as an operator
+ * @param peers how this daemon meets its peers
  */
 public record DaemonSettings(
         String vmId,
@@ -38,7 +41,8 @@
         Duration upstreamTimeout,
         int mostBodyKib,
         Duration reportSave,
-        String operatorSha256) {
+        OperatorCredentials operators,
+        PeerSettings peers) {
 
     private static final Duration ONE_MILLI = Duration.ofMillis(1);
     private static final Duration ONE_MINUTE = Duration.ofMinutes(1);
@@ -48,7 +52,7 @@
     /** All settings, with what is allowed. */
     public static final SettingsSchema SCHEMA =
             new SettingsSchema(
-                    List.of(
+                    withPeers(
                             Setting.required(
                                     "vm",
                                     "id",
@@ -77,9 +81,10 @@
                                     "Where health, metrics and operators' requests are taken."),
                             Setting.required(
                                     "control",
-                                    "operator-sha256",
+                                    "operators",
                                     new SettingType.Text(),
-                                    "The SHA-256 of the operators' credential, in hexadecimal."),
+                                    "Each operator as NAME:SHA256 of the credential, with commas"
+                                            + " between them."),
                             Setting.required(
                                     "platform",
                                     "address",
@@ -122,6 +127,12 @@
                                     "30000",
                                     "The bound on the wait for an upstream's answer.")));
 
+    private static List<Setting> withPeers(Setting... settings) {
+        List<Setting> all = new ArrayList<>(List.of(settings));
+        all.addAll(PeerSettings.SCHEMA);
+        return all;
+    }
+
     /** Returns the settings of the daemon from checked values. */
     public static DaemonSettings from(Settings s) {
         return new DaemonSettings(
@@ -137,6 +148,7 @@
                 s.duration("upstreams.timeout-ms"),
                 s.number("callers.most-body-kib"),
                 s.duration("report.save-ms"),
-                s.text("control.operator-sha256"));
+                OperatorCredentials.parse(s.text("control.operators")),
+                PeerSettings.from(s));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/PeerMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/PeerMetrics.java
@@ -11,12 +11,12 @@
 import org.chervillift.wire.LinkCounters;
 
 /** Shows links, bytes, versions and members as metrics. */
-final class PeerMetrics {
+public final class PeerMetrics {
 
     private PeerMetrics() {}
 
     /** Registers the metrics; the suppliers are asked at each scrape. */
-    static void register(
+    public static void register(
             PrometheusRegistry registry, Supplier<LinkCounters> counters, Membership membership) {
         GaugeWithCallback.builder()
                 .name("chervillift_peer_links")
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/PeersPart.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/PeersPart.java
@@ -110,6 +110,11 @@
         return membership;
     }
 
+    /** Returns where peers dial this process, while it listens. */
+    public Optional<HostPort> listenAddress() {
+        return Optional.ofNullable(links).map(PeerLinks::listenAddress);
+    }
+
     /** Returns what the links have done since they were opened last. */
     public LinkCounters counters() {
         return links == null ? NO_LINKS : links.counters();
--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/internal/peers/PeersPartTest.java
@@ -0,0 +1,140 @@
+package org.chervillift.daemon.internal.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.chervillift.api.config.PeerFreshness;
+import org.chervillift.core.membership.ContentKind;
+import org.chervillift.core.membership.MembershipSettings;
+import org.chervillift.core.membership.NodeIdentity;
+import org.chervillift.core.membership.Versions;
+import org.chervillift.runtime.settings.HostPort;
+import org.chervillift.runtime.supervision.Scheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Daemons' peer parts over real links. */
+class PeersPartTest {
+
+    private static final String SECRET = "a secret that is shared by the whole fleet";
+    private static final long WAIT_SECONDS = 30;
+
+    private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
+    private final List<PeersPart> parts = new ArrayList<>();
+
+    @AfterEach
+    void stop() throws Exception {
+        for (PeersPart p : parts) {
+            onLoop(p::stop).toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+        loop.shutdown();
+    }
+
+    @Test
+    void aNewVmLearnsConfigurationAndKeysFromAPeerWhileTheStoreIsDown() throws Exception {
+        Content old = new Content(new Versions(12, 7));
+        Content fresh = new Content(Versions.NONE);
+        PeersPart oldPart = start("old", List.of(), old);
+        start("new", List.of(oldPart.listenAddress().orElseThrow()), fresh);
+        await(() -> fresh.held().equals(new Versions(12, 7)));
+        assertThat(old.held()).isEqualTo(new Versions(12, 7));
+    }
+
+    private PeersPart start(String id, List<HostPort> seeds, Content content) throws Exception {
+        HostPort listen = new HostPort("127.0.0.1", 0);
+        PeersPart part =
+                new PeersPart(
+                        new NodeIdentity(id, 1, "dc1", listen.toString()),
+                        new PeerSettings(listen, seeds, SECRET),
+                        MembershipSettings.STANDARD,
+                        new Loop(new LoopScheduler(), loop, new SplittableRandom(1)),
+                        content,
+                        new NoFreshness());
+        parts.add(part);
+        onLoop(() -> part.start(e -> {})).toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        return part;
+    }
+
+    private <T> T onLoop(java.util.concurrent.Callable<T> task)
+            throws InterruptedException, ExecutionException {
+        return loop.submit(task).get();
+    }
+
+    private void await(BooleanSupplier condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!onLoop(condition::getAsBoolean)) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    /** Content that is only a version; the store is down. */
+    private static final class Content implements FleetContent {
+
+        private Versions held;
+
+        Content(Versions held) {
+            this.held = held;
+        }
+
+        @Override
+        public Versions held() {
+            return held;
+        }
+
+        @Override
+        public Optional<byte[]> encoded(ContentKind kind) {
+            return Optional.of(Long.toString(held.of(kind)).getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void offer(ContentKind kind, byte[] content) {
+            long version = Long.parseLong(new String(content, StandardCharsets.UTF_8));
+            boolean config = kind == ContentKind.CONFIG;
+            held = held.max(config ? new Versions(version, 0) : new Versions(0, version));
+        }
+
+        @Override
+        public CompletionStage<Void> refresh() {
+            return CompletableFuture.failedFuture(new IllegalStateException("down"));
+        }
+    }
+
+    private static final class NoFreshness implements FreshnessExchange {
+
+        @Override
+        public PeerFreshness tell(Instant echoReceivedAt, Instant now) {
+            return new PeerFreshness(0, 0, Duration.ZERO, Optional.empty(), false);
+        }
+
+        @Override
+        public void heard(String peer, PeerFreshness told, Instant echoSentAt) {}
+    }
+
+    private final class LoopScheduler implements Scheduler {
+
+        @Override
+        public Instant now() {
+            return Instant.EPOCH.plusNanos(System.nanoTime());
+        }
+
+        @Override
+        public Cancellation schedule(Duration delay, Runnable task) {
+            var future = loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+            return () -> future.cancel(false);
+        }
+    }
+}
