--- a/chervillift-api/src/main/java/org/chervillift/api/ErrorCode.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/ErrorCode.java
@@ -32,6 +32,10 @@
     DEADLINE_PASSED(1012, 504, "The deadline passed before the request could start."),
     /** The process has not read its configuration yet, or cannot vouch that it is fresh. */
     NOT_FRESH(1013, 503, "This entry VM cannot vouch that the key is still in force."),
+    /** The same request was taken before, and its end is not known. */
+    IDENTIFIER_IN_USE(1014, 409, "The same request was taken before, and its end is not known."),
+    /** The request ran before, and its answer was too large to be kept. */
+    ANSWER_NOT_KEPT(1015, 410, "The request ran before, and its answer was not kept."),
     /** The platform is down or slow. */
     PLATFORM_UNAVAILABLE(2001, 503, "The platform does not answer."),
     /** Somebody else changed the same thing first. */
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/routing/Relays.java
@@ -0,0 +1,94 @@
+package org.chervillift.core.routing;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.chervillift.api.Checks;
+
+/**
+ * Chooses another entry VM for a request that has no room here.
+ *
+ * <p>Entry VMs of the own data centre go first. One that had no room, or did not answer, is passed
+ * over for a while, so that a full fleet costs few messages. Confined to one thread.
+ */
+public final class Relays {
+
+    private static final int MOST_IN_FLIGHT = 64;
+
+    private final RoutingSettings settings;
+    private final String entryVm;
+    private final String dataCentre;
+    private final Map<String, Instant> heldUntil = new HashMap<>();
+    private final Map<String, Integer> inFlight = new HashMap<>();
+    private List<EntryVm> near = List.of();
+    private List<EntryVm> far = List.of();
+
+    /** Creates a chooser that knows no other entry VM. */
+    public Relays(RoutingSettings settings, String entryVm, String dataCentre) {
+        this.settings = Checks.notNull("settings", settings);
+        this.entryVm = Checks.notBlank("entryVm", entryVm);
+        this.dataCentre = Checks.notBlank("dataCentre", dataCentre);
+    }
+
+    /** Takes over the live entry VMs of the fleet. */
+    public void update(List<EntryVm> entryVms) {
+        List<EntryVm> others =
+                entryVms.stream().filter(e -> !e.id().equals(entryVm)).distinct().toList();
+        near = others.stream().filter(e -> e.dataCentre().equals(dataCentre)).toList();
+        far = others.stream().filter(e -> !e.dataCentre().equals(dataCentre)).toList();
+        heldUntil.keySet().removeIf(k -> others.stream().noneMatch(e -> holdKey(k, e)));
+    }
+
+    private static boolean holdKey(String key, EntryVm vm) {
+        return key.startsWith(vm.id() + "/");
+    }
+
+    /** Chooses an entry VM that may have room for a pool. */
+    public Optional<EntryVm> choose(
+            String pool, Set<String> tried, RandomGenerator random, Instant now) {
+        return draw(near, pool, tried, random, now)
+                .or(() -> draw(far, pool, tried, random, now))
+                .map(this::started);
+    }
+
+    private Optional<EntryVm> draw(
+            List<EntryVm> from,
+            String pool,
+            Set<String> tried,
+            RandomGenerator random,
+            Instant now) {
+        List<EntryVm> able = new ArrayList<>();
+        for (EntryVm e : from) {
+            Instant held = heldUntil.getOrDefault(e.id() + "/" + pool, Instant.MIN);
+            boolean full = inFlight.getOrDefault(e.id(), 0) >= MOST_IN_FLIGHT;
+            if (!full && !tried.contains(e.id()) && !now.isBefore(held)) {
+                able.add(e);
+            }
+        }
+        return able.isEmpty()
+                ? Optional.empty()
+                : Optional.of(able.get(random.nextInt(able.size())));
+    }
+
+    private EntryVm started(EntryVm vm) {
+        inFlight.merge(vm.id(), 1, Integer::sum);
+        return vm;
+    }
+
+    /**
+     * Takes in the end of a relayed attempt.
+     *
+     * @param answered whether the entry VM gave the answer of an upstream
+     */
+    public void ended(String vm, String pool, boolean answered, Instant now) {
+        inFlight.computeIfPresent(vm, (k, n) -> n > 1 ? n - 1 : null);
+        if (!answered) {
+            heldUntil.put(vm + "/" + pool, now.plus(settings.relayHold()));
+        }
+    }
+}
