Prove the requests' conditions on real processes

Cause: the conditions must hold on real processes that are killed and paused. Change: bin/prove runs four entry VMs under a load whose callers repeat each request through other entry VMs, kills and pauses entry VMs, makes the platform fail in each of its ways, and judges what callers were told against a ledger that the stand-in upstreams share.

--- /dev/null
+++ b/bin/cluster.sh
@@ -0,0 +1,119 @@
+# Functions that start and stop a small fleet of stand-ins and entry VMs on this machine.
+# Sourced by bin/demo and bin/prove; each process is ended by its own id.
+# shellcheck shell=bash
+
+run=$(mktemp -d)
+declare -A pids=()
+platform=127.0.0.1:18000
+export CHERVILLIFT_CREDENTIAL=demo-credential
+export CHERVILLIFT_SERVER=127.0.0.1:18301
+credential_sha256=$(printf %s "$CHERVILLIFT_CREDENTIAL" | sha256sum | cut -d' ' -f1)
+
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$run"
+}
+
+fail() {
+  echo "FAILED: $*"
+  tail -n 5 "$run"/*.log
+  exit 1
+}
+
+start() { # name, program and arguments
+  local name=$1
+  shift
+  "$@" > "$run/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+wait_for() { # name, text in its log
+  local _
+  for _ in $(seq 1 200); do
+    grep -q "$2" "$run/$1.log" 2>/dev/null && return 0
+    sleep 0.1
+  done
+  fail "$1 did not start"
+}
+
+wait_http() { # address, path
+  local _
+  for _ in $(seq 1 150); do
+    curl -fsS -o /dev/null "http://$1$2" 2>/dev/null && return 0
+    sleep 0.1
+  done
+  fail "$1$2 does not answer"
+}
+
+start_platform() {
+  start platform bin/chervillift-standin platform --listen $platform
+  wait_for platform listening
+}
+
+start_upstreams() { # eight upstreams of the sample sheet in one process, which share a ledger
+  local addresses='' ids='' port=18101 id
+  for id in vm-a1 vm-a2 vm-a3 vm-a4 vm-b1 vm-b2 vm-b3 vm-b4; do
+    addresses+="127.0.0.1:$port,"
+    ids+="$id,"
+    port=$((port + 1))
+  done
+  start upstreams bin/chervillift-standin upstream --listen "${addresses%,}" --id "${ids%,}"
+  wait_for upstreams listening
+}
+
+write_settings() { # number, data centre
+  cat > "$run/entry-$1.ini" <<INI
+[vm]
+id = entry-$1
+data-centre = $2
+[callers]
+address = 127.0.0.1:1820$1
+[control]
+address = 127.0.0.1:1830$1
+operator-sha256 = $credential_sha256
+[platform]
+address = $platform
+refresh-ms = 250
+[report]
+save-ms = 1000
+[shutdown]
+delay-ms = 200
+INI
+}
+
+start_entry() { # number
+  start "entry-$1" bin/chervilliftd "$run/entry-$1.ini"
+}
+
+start_entries() { # four entry VMs in two data centres
+  local n=1 dc
+  for dc in dc-a dc-a dc-b dc-b; do
+    write_settings $n $dc
+    bin/chervilliftd --check "$run/entry-$n.ini" > /dev/null || fail "settings of entry-$n"
+    start_entry $n
+    n=$((n + 1))
+  done
+  for n in 1 2 3 4; do wait_http "127.0.0.1:1830$n" /health/live; done
+}
+
+wait_ready() { # numbers
+  local n
+  for n in "$@"; do wait_http "127.0.0.1:1830$n" /health/ready; done
+}
+
+platform_faults() { # down, slow in ms, lose replies, lag of the list in ms
+  curl -fsS -o /dev/null -X PUT "http://$platform/admin/faults" \
+    -d "{\"down\":$1,\"slowMillis\":$2,\"loseReplies\":$3,\"listLagMillis\":$4}"
+}
+
+upstream_faults() { # port, silent, fail all, cut answers, late in ms
+  curl -fsS -o /dev/null -X PUT "http://127.0.0.1:$1/admin/faults" \
+    -d "{\"silent\":$2,\"failAll\":$3,\"cutAnswers\":$4,\"lateMillis\":$5}"
+}
+
+json_text() { # name of a text field; JSON from standard input
+  sed -n "s/.*\"$1\":\"\([^\"]*\)\".*/\1/p"
+}
--- a/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
@@ -24,6 +24,7 @@
 import org.chervillift.http.Reactors;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.standin.platform.PlatformServlet;
+import org.chervillift.standin.upstream.RunLedger;
 import org.chervillift.standin.upstream.UpstreamServlet;
 
 /** The program that runs a stand-in, or switches the faults of one that runs. */
@@ -32,10 +33,11 @@
     private static final String USAGE =
             """
             usage: chervillift-standin platform --listen ADDRESS
-                   chervillift-standin upstream --listen ADDRESS --id ID [--slots N]
+                   chervillift-standin upstream --listen ADDRESSES --id IDS [--slots N]
                    chervillift-standin list-vm --target ADDRESS --vm JSON
                    chervillift-standin fault --target ADDRESS --faults JSON
                    chervillift-standin stats --target ADDRESS
+                   chervillift-standin ledger --target ADDRESS
             """;
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_FAILED = 1;
@@ -78,7 +80,7 @@
             throws IOException, ParseException {
         switch (command) {
             case "platform" -> servePlatform(line);
-            case "upstream" -> serveUpstream(line);
+            case "upstream" -> serveUpstreams(line);
             case "list-vm" -> {
                 ListedVm vm = Json.decode(value(line, "vm"), ListedVm.class);
                 return ask(line, HttpMethod.PUT, "/admin/vms", Optional.of(Json.encode(vm)), out);
@@ -90,6 +92,9 @@
             case "stats" -> {
                 return ask(line, HttpMethod.GET, "/admin/stats", Optional.empty(), out);
             }
+            case "ledger" -> {
+                return ask(line, HttpMethod.GET, "/admin/ledger", Optional.empty(), out);
+            }
             default -> {
                 err.print(USAGE);
                 return EXIT_USAGE;
@@ -109,25 +114,40 @@
     private static void servePlatform(CommandLine line) throws IOException, ParseException {
         Eventloop reactor = Reactors.create("platform", Throwable::printStackTrace);
         PlatformServlet servlet = new PlatformServlet(reactor, new ReactorScheduler(reactor));
-        serve(reactor, servlet.routes(), value(line, "listen"));
+        listen(reactor, servlet.routes(), value(line, "listen"));
+        run(reactor);
     }
 
-    private static void serveUpstream(CommandLine line) throws IOException, ParseException {
+    /** Serves upstreams that share a ledger, one an address. */
+    private static void serveUpstreams(CommandLine line) throws IOException, ParseException {
         Eventloop reactor = Reactors.create("upstream", Throwable::printStackTrace);
         int slots = Integer.parseInt(line.getOptionValue("slots", "8"));
-        UpstreamServlet servlet = new UpstreamServlet(reactor, value(line, "id"), slots);
-        serve(reactor, servlet.routes(), value(line, "listen"));
+        String[] addresses = value(line, "listen").split(",");
+        String[] ids = value(line, "id").split(",");
+        if (addresses.length != ids.length) {
+            throw new ParseException("--listen and --id must have the same number of entries.");
+        }
+        RunLedger ledger = new RunLedger();
+        for (int i = 0; i < ids.length; i++) {
+            listen(
+                    reactor,
+                    new UpstreamServlet(reactor, ids[i], slots, ledger).routes(),
+                    addresses[i]);
+        }
+        run(reactor);
     }
 
-    private static void serve(Eventloop reactor, AsyncServlet servlet, String listen)
+    private static void listen(Eventloop reactor, AsyncServlet servlet, String address)
             throws IOException {
-        HttpServer server =
-                HttpServer.builder(reactor, servlet)
-                        .withListenAddress(HostPort.parse(listen).toSocketAddress())
-                        .build();
-        server.listen();
+        HttpServer.builder(reactor, servlet)
+                .withListenAddress(HostPort.parse(address).toSocketAddress())
+                .build()
+                .listen();
+    }
+
+    private static void run(Eventloop reactor) {
         reactor.keepAlive(true);
-        System.out.println("listening " + listen);
+        System.out.println("listening");
         reactor.run();
     }
 
--- /dev/null
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/RunLedger.java
@@ -0,0 +1,61 @@
+package org.chervillift.standin.upstream;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Counts what ran at one or more upstreams, independently of the system under test.
+ *
+ * <p>Upstreams of one process share a ledger, so that its peaks are of one moment. Used by one
+ * thread.
+ */
+public final class RunLedger {
+
+    private final Map<String, Integer> runningByTeam = new HashMap<>();
+    private final Map<String, Integer> mostRunningByTeam = new HashMap<>();
+    private final Map<String, Integer> runsByIdentifier = new HashMap<>();
+
+    /** Notes that a request starts for a team. */
+    void begin(String team) {
+        int ofTeam = runningByTeam.merge(team, 1, Integer::sum);
+        mostRunningByTeam.merge(team, ofTeam, Math::max);
+    }
+
+    /** Notes the identifier of a non-idempotent request that starts. */
+    void noteIdentifier(String identifier) {
+        runsByIdentifier.merge(identifier, 1, Integer::sum);
+    }
+
+    /** Notes that a request of a team has ended. */
+    void end(String team) {
+        runningByTeam.merge(team, -1, Integer::sum);
+    }
+
+    /** Returns the counts. */
+    public LedgerCounts counts() {
+        return new LedgerCounts(runningByTeam, mostRunningByTeam, runsByIdentifier);
+    }
+
+    /**
+     * The counts of a ledger.
+     *
+     * @param runningByTeam requests running now, by team
+     * @param mostRunningByTeam the most requests that ran at once, by team
+     * @param runsByIdentifier runs of non-idempotent requests, by identifier
+     */
+    public record LedgerCounts(
+            Map<String, Integer> runningByTeam,
+            Map<String, Integer> mostRunningByTeam,
+            Map<String, Integer> runsByIdentifier) {
+        public LedgerCounts {
+            runningByTeam = Map.copyOf(runningByTeam);
+            mostRunningByTeam = Map.copyOf(mostRunningByTeam);
+            runsByIdentifier = Map.copyOf(runsByIdentifier);
+        }
+
+        /** Returns the number of identifiers that ran more than once. */
+        public long repeatedIdentifiers() {
+            return runsByIdentifier.values().stream().filter(n -> n > 1).count();
+        }
+    }
+}
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
@@ -16,10 +16,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
-import java.util.Set;
 import org.chervillift.api.Checks;
 import org.chervillift.http.Answers;
 import org.chervillift.http.Json;
@@ -41,18 +37,21 @@
     private final Reactor reactor;
     private final String id;
     private final int slots;
-    private final Map<String, Integer> runningByTeam = new HashMap<>();
-    private final Map<String, Integer> mostRunningByTeam = new HashMap<>();
-    private final Set<String> identifiers = new HashSet<>();
+    private final RunLedger ledger;
     private UpstreamFaults faults = UpstreamFaults.NONE;
     private long runs;
     private int running;
     private int mostRunning;
     private long busyAnswers;
-    private long repeatedIdentifiers;
 
-    /** Creates an upstream with a name and a number of slots. */
+    /** Creates an upstream with a name, a number of slots and a ledger of its own. */
     public UpstreamServlet(Reactor reactor, String id, int slots) {
+        this(reactor, id, slots, new RunLedger());
+    }
+
+    /** Creates an upstream that notes its runs in a ledger. */
+    public UpstreamServlet(Reactor reactor, String id, int slots, RunLedger ledger) {
+        this.ledger = Checks.notNull("ledger", ledger);
         this.reactor = reactor;
         this.id = Checks.notBlank("id", id);
         this.slots = (int) Checks.inRange("slots", slots, 1, 10_000);
@@ -62,6 +61,7 @@
     public AsyncServlet routes() {
         return RoutingServlet.builder(reactor)
                 .with(HttpMethod.GET, "/admin/stats", r -> Answers.json(stats()))
+                .with(HttpMethod.GET, "/admin/ledger", r -> Answers.json(ledger.counts()))
                 .with(HttpMethod.PUT, "/admin/faults", this::setFaults)
                 .with("/*", this::work)
                 .build();
@@ -69,14 +69,15 @@
 
     /** Returns what has run. */
     public UpstreamStats stats() {
+        RunLedger.LedgerCounts counts = ledger.counts();
         return new UpstreamStats(
                 runs,
                 running,
                 mostRunning,
                 busyAnswers,
-                runningByTeam,
-                mostRunningByTeam,
-                repeatedIdentifiers);
+                counts.runningByTeam(),
+                counts.mostRunningByTeam(),
+                counts.repeatedIdentifiers());
     }
 
     private Promise<HttpResponse> setFaults(HttpRequest request) {
@@ -115,20 +116,19 @@
         runs++;
         running++;
         mostRunning = Math.max(mostRunning, running);
-        int ofTeam = runningByTeam.merge(team, 1, Integer::sum);
-        mostRunningByTeam.merge(team, ofTeam, Math::max);
+        ledger.begin(team);
     }
 
     private void end(String team) {
         running--;
-        runningByTeam.merge(team, -1, Integer::sum);
+        ledger.end(team);
     }
 
     private void noteIdentifier(HttpRequest request) {
         String identifier = request.getHeader(IDEMPOTENCY_KEY);
         boolean mayNotRepeat = request.getMethod() == HttpMethod.POST;
-        if (identifier != null && mayNotRepeat && !identifiers.add(identifier)) {
-            repeatedIdentifiers++;
+        if (identifier != null && mayNotRepeat) {
+            ledger.noteIdentifier(identifier);
         }
     }
 
