--- a/bin/cluster.sh
+++ b/bin/cluster.sh
@@ -73,7 +73,7 @@
 address = 127.0.0.1:1820$1
 [control]
 address = 127.0.0.1:1830$1
-operator-sha256 = $credential_sha256
+operators = demo:$credential_sha256
 [platform]
 address = $platform
 refresh-ms = 250
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -23,7 +23,7 @@
  * @param upstreamTimeout the bound on the wait for an upstream's answer
  * @param mostBodyKib the largest body of a request or an answer, in KiB
  * @param reportSave the time between two saves of the counts for the report
- * @param operatorSha256 the SHA-256 of the operators' credential, in hexadecimal digits
+ * @param operators who may act as an operator
  */
 public record DaemonSettings(
         String vmId,
@@ -38,7 +38,7 @@
         Duration upstreamTimeout,
         int mostBodyKib,
         Duration reportSave,
-        String operatorSha256) {
+        OperatorCredentials operators) {
 
     private static final Duration ONE_MILLI = Duration.ofMillis(1);
     private static final Duration ONE_MINUTE = Duration.ofMinutes(1);
@@ -77,9 +77,10 @@
                                     "Where health, metrics and operators' requests are taken."),
                             Setting.required(
                                     "control",
-                                    "operator-sha256",
+                                    "operators",
                                     new SettingType.Text(),
-                                    "The SHA-256 of the operators' credential, in hexadecimal."),
+                                    "Each operator as NAME:SHA256 of the credential, with commas"
+                                            + " between them."),
                             Setting.required(
                                     "platform",
                                     "address",
@@ -137,6 +138,6 @@
                 s.duration("upstreams.timeout-ms"),
                 s.number("callers.most-body-kib"),
                 s.duration("report.save-ms"),
-                s.text("control.operator-sha256"));
+                OperatorCredentials.parse(s.text("control.operators")));
     }
 }
