Read tables again only when their stamps have changed

Cause: each daemon scanned all VM rows, read all keys and the whole list once a second; at 1,200 VMs that is about 300 KB a second against a bound of 8 KB. Change: a stamp row for each followed table, written with each transaction; readers compare stamps; the list of VMs is read with an entity tag.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -8,17 +8,21 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.chervillift.api.Checks;
+import org.chervillift.api.fleet.VmRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
 import org.chervillift.core.keys.FreshnessRules;
 import org.chervillift.core.keys.KeyFreshness;
 import org.chervillift.core.keys.KeyGate;
+import org.chervillift.daemon.internal.config.ConfigRows;
 import org.chervillift.daemon.internal.config.ConfigStore;
 import org.chervillift.daemon.internal.keys.KeyOperations;
+import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
@@ -26,7 +30,9 @@
 import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
+import org.chervillift.platform.ChangedReads;
 import org.chervillift.platform.HttpPlatform;
+import org.chervillift.platform.StampingPlatform;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 import org.chervillift.runtime.supervision.RestartPolicy;
@@ -40,6 +46,8 @@
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
     private static final ApplyRules APPLY_RULES = new ApplyRules(10);
     private static final FreshnessRules KEY_RULES = FreshnessRules.WITHOUT_VOUCHING;
+    private static final Set<String> FOLLOWED =
+            Set.of(ConfigRows.HEAD.table(), KeyRows.RING.table(), VmRow.TABLE);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
 
     private final DaemonSettings settings;
@@ -64,10 +72,12 @@
                         settings.platformAddress(),
                         settings.platformTimeout(),
                         Optional.empty());
-        Platform platform = new HttpPlatform(platformClient);
+        Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
-        follower = new FleetFollower(platform, scheduler, settings, keyGate, freshness);
+        follower =
+                new FleetFollower(
+                        new ChangedReads(platform), scheduler, settings, keyGate, freshness);
         upstreamClient = new UpstreamClient(reactor, settings);
         handler =
                 new RequestHandler(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
@@ -48,6 +48,7 @@
     private final KeyFreshness freshness;
     private FleetView view = FleetView.EMPTY;
     private VersionGuard configGuard = VersionGuard.NONE;
+    private List<Row> vmRows = List.of();
     private boolean platformLost;
     private boolean running;
 
@@ -160,7 +161,8 @@
     }
 
     private Void adoptVms(List<Row> rows, List<ListedVm> listed) {
-        List<VmRow> vms = rows.stream().map(r -> Json.decode(r.value(), VmRow.class)).toList();
+        List<VmRow> vms = rows.equals(vmRows) ? view.vms() : decodeVms(rows);
+        vmRows = rows;
         Set<String> leaving =
                 listed.stream()
                         .filter(ListedVm::leaving)
@@ -170,6 +172,10 @@
         return null;
     }
 
+    private static List<VmRow> decodeVms(List<Row> rows) {
+        return rows.stream().map(r -> Json.decode(r.value(), VmRow.class)).toList();
+    }
+
     private void noteOutcome(Throwable fault) {
         if (fault != null && !platformLost) {
             EventLog.log(DaemonEvent.PLATFORM_LOST, Field.of("detail", fault.getMessage()));
--- a/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
@@ -66,6 +66,25 @@
         return client.request(request.build()).then(JsonClient::load);
     }
 
+    /**
+     * Reads a path unless it is still as it was.
+     *
+     * @param tag the entity tag of what is known, if anything is
+     * @return the answer; its status is 304 when nothing has changed
+     */
+    public Promise<TaggedAnswer> get(String path, Optional<String> tag) {
+        HttpRequest.Builder request = HttpRequest.get(base + path);
+        bearer.ifPresent(b -> request.withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + b));
+        tag.ifPresent(t -> request.withHeader(HttpHeaders.IF_NONE_MATCH, t));
+        return client.request(request.build())
+                .then(
+                        r -> {
+                            Optional<String> newTag =
+                                    Optional.ofNullable(r.getHeader(HttpHeaders.ETAG));
+                            return load(r).map(a -> new TaggedAnswer(a, newTag));
+                        });
+    }
+
     /** Closes all connections. */
     public Promise<?> stop() {
         return client.stop();
--- /dev/null
+++ b/chervillift-platform/src/main/java/org/chervillift/platform/ChangedReads.java
@@ -0,0 +1,117 @@
+package org.chervillift.platform;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.chervillift.api.Checks;
+import org.chervillift.api.platform.CommitResult;
+import org.chervillift.api.platform.ListedVm;
+import org.chervillift.api.platform.Platform;
+import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowKey;
+import org.chervillift.api.platform.Transaction;
+
+/**
+ * Reads rows again only when the stamps of their tables have changed.
+ *
+ * <p>What is given is of the moment when the stamps were read, or newer. For one reader that reads
+ * the same rows again and again. A full read comes every {@link #FULL_READ_EVERY} times all the
+ * same, so that a writer that sets no stamp is seen late and not never.
+ */
+public final class ChangedReads implements Platform {
+
+    /** Reads between two full reads. */
+    public static final int FULL_READ_EVERY = 30;
+
+    private final Platform platform;
+    private final Map<Object, Entry> entries = new HashMap<>();
+
+    /** Creates a reader before a platform. */
+    public ChangedReads(Platform platform) {
+        this.platform = Checks.notNull("platform", platform);
+    }
+
+    @Override
+    public CompletionStage<List<Row>> read(List<RowKey> keys) {
+        Set<String> tables = new TreeSet<>();
+        keys.forEach(k -> tables.add(k.table()));
+        return ifChanged(List.copyOf(keys), tables, () -> platform.read(keys));
+    }
+
+    @Override
+    public CompletionStage<List<Row>> scan(String table) {
+        return ifChanged(table, Set.of(table), () -> platform.scan(table));
+    }
+
+    @Override
+    public CompletionStage<CommitResult> commit(Transaction transaction) {
+        return platform.commit(transaction);
+    }
+
+    @Override
+    public CompletionStage<Optional<String>> getObject(String name) {
+        return platform.getObject(name);
+    }
+
+    @Override
+    public CompletionStage<Void> putObject(String name, String content) {
+        return platform.putObject(name, content);
+    }
+
+    @Override
+    public CompletionStage<List<ListedVm>> listVms() {
+        return platform.listVms();
+    }
+
+    private CompletionStage<List<Row>> ifChanged(
+            Object what, Set<String> tables, Supplier<CompletionStage<List<Row>>> full) {
+        List<RowKey> stamps = tables.stream().map(StampingPlatform::stamp).toList();
+        return platform.read(stamps).thenCompose(rows -> choose(what, stamps, rows, full));
+    }
+
+    private CompletionStage<List<Row>> choose(
+            Object what,
+            List<RowKey> stamps,
+            List<Row> stampRows,
+            Supplier<CompletionStage<List<Row>>> full) {
+        Entry known = entries.get(what);
+        boolean complete = stampRows.size() == stamps.size();
+        if (known != null && complete && known.isStill(stampRows)) {
+            entries.put(what, known.used());
+            return CompletableFuture.completedFuture(known.rows());
+        }
+        return full.get()
+                .thenApply(
+                        rows -> {
+                            entries.put(what, new Entry(versions(stampRows), rows, 0));
+                            return rows;
+                        });
+    }
+
+    private static Map<RowKey, Long> versions(List<Row> rows) {
+        Map<RowKey, Long> versions = new HashMap<>();
+        rows.forEach(r -> versions.put(r.key(), r.version()));
+        return versions;
+    }
+
+    private record Entry(Map<RowKey, Long> stamps, List<Row> rows, int uses) {
+        Entry {
+            stamps = Map.copyOf(stamps);
+            rows = List.copyOf(rows);
+        }
+
+        boolean isStill(List<Row> stampRows) {
+            return uses < FULL_READ_EVERY && stamps.equals(versions(stampRows));
+        }
+
+        Entry used() {
+            return new Entry(stamps, rows, uses + 1);
+        }
+    }
+}
--- a/chervillift-platform/src/main/java/org/chervillift/platform/HttpPlatform.java
+++ b/chervillift-platform/src/main/java/org/chervillift/platform/HttpPlatform.java
@@ -16,6 +16,7 @@
 import org.chervillift.http.HttpAnswer;
 import org.chervillift.http.Json;
 import org.chervillift.http.JsonClient;
+import org.chervillift.http.TaggedAnswer;
 import org.chervillift.platform.protocol.CommitAnswer;
 import org.chervillift.platform.protocol.ObjectBody;
 import org.chervillift.platform.protocol.ReadRequest;
@@ -29,6 +30,8 @@
     private static final int CONFLICT = 409;
 
     private final JsonClient client;
+    private List<ListedVm> lastList = List.of();
+    private Optional<String> listTag = Optional.empty();
 
     /** Creates the platform behind a client. */
     public HttpPlatform(JsonClient client) {
@@ -73,11 +76,20 @@
 
     @Override
     public CompletionStage<List<ListedVm>> listVms() {
-        return call(HttpMethod.GET, "/v1/vms")
-                .map(a -> Json.decode(success(a).body(), VmsAnswer.class).vms())
+        return unavailableOnFault(client.get("/v1/vms", listTag))
+                .map(this::listOf)
                 .toCompletableFuture();
     }
 
+    private List<ListedVm> listOf(TaggedAnswer answer) {
+        if (!answer.isNotModified()) {
+            HttpAnswer whole = success(answer.answer());
+            lastList = Json.decode(whole.body(), VmsAnswer.class).vms();
+            listTag = answer.tag();
+        }
+        return lastList;
+    }
+
     private static CommitResult commitResult(HttpAnswer answer) {
         HttpAnswer told = answer.status() == CONFLICT ? answer : success(answer);
         return Json.decode(told.body(), CommitAnswer.class).toResult();
@@ -98,7 +110,7 @@
         return unavailableOnFault(client.send(method, path, Optional.of(body)));
     }
 
-    private static Promise<HttpAnswer> unavailableOnFault(Promise<HttpAnswer> promise) {
+    private static <T> Promise<T> unavailableOnFault(Promise<T> promise) {
         return promise.mapException(e -> new PlatformException(String.valueOf(e.getMessage()), e));
     }
 
--- a/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
@@ -1,6 +1,7 @@
 package org.chervillift.standin.platform;
 
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -11,6 +12,7 @@
 import io.activej.reactor.Reactor;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import org.chervillift.api.platform.CommitResult;
@@ -31,6 +33,7 @@
     private static final int UNAVAILABLE = 503;
     private static final int CONFLICT = 409;
     private static final int NOT_FOUND = 404;
+    private static final int NOT_MODIFIED = 304;
 
     private final PlatformState state = new PlatformState();
     private final LaggingList list = new LaggingList();
@@ -83,7 +86,19 @@
     private Promise<HttpResponse> listing(HttpRequest request) {
         lists++;
         Duration lag = Duration.ofMillis(faults.listLagMillis());
-        return underFaults(() -> Answers.json(new VmsAnswer(list.show(scheduler.now(), lag))));
+        return underFaults(() -> listed(request, list.show(scheduler.now(), lag)));
+    }
+
+    /** The hash of the list is its entity tag; equal lists have equal tags. */
+    private static Promise<HttpResponse> listed(HttpRequest request, List<ListedVm> vms) {
+        String tag = '"' + Integer.toHexString(vms.hashCode()) + "-" + vms.size() + '"';
+        if (tag.equals(request.getHeader(HttpHeaders.IF_NONE_MATCH))) {
+            return HttpResponse.ofCode(NOT_MODIFIED).toPromise();
+        }
+        return HttpResponse.ok200()
+                .withHeader(HttpHeaders.ETAG, tag)
+                .withJson(Json.encode(new VmsAnswer(vms)))
+                .toPromise();
     }
 
     private Promise<HttpResponse> underFaults(
