--- a/chervillift-core/src/main/java/org/chervillift/core/fleet/Health.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/fleet/Health.java
@@ -10,29 +10,39 @@
 import org.chervillift.api.Checks;
 
 /**
- * Which VMs were seen to take work, and since when each other one was not.
+ * Which VMs were seen to take work, and which did not say so themselves.
+ *
+ * <p>The list lags, so a VM that only the list does not show is unknown: it counts as unavailable,
+ * but it does not count as failed.
  *
  * @param up the VMs that were seen to take work at the last look
- * @param notUpSince when each VM was first seen not to take work
+ * @param silentSince when each VM that was asked first did not say that it takes work
  * @param seenAt the time of the last look
  */
-public record Health(Set<String> up, Map<String, Instant> notUpSince, Instant seenAt) {
+public record Health(Set<String> up, Map<String, Instant> silentSince, Instant seenAt) {
 
     /** Nothing has been seen yet, so every VM counts as unavailable. */
     public static final Health UNKNOWN = new Health(Set.of(), Map.of(), Instant.EPOCH);
 
     public Health {
         up = Set.copyOf(up);
-        notUpSince = Map.copyOf(notUpSince);
+        silentSince = Map.copyOf(silentSince);
         Checks.notNull("seenAt", seenAt);
     }
 
-    /** Returns the health after another look. */
-    public Health observe(Collection<String> known, Set<String> upNow, Instant now) {
+    /**
+     * Returns the health after another look.
+     *
+     * @param watched the VMs that were asked themselves
+     * @param answering those of them that said that they take work
+     * @param upNow the VMs that count as available, by their own answers and by the list
+     */
+    public Health observe(
+            Collection<String> watched, Set<String> answering, Set<String> upNow, Instant now) {
         Map<String, Instant> since = new HashMap<>();
-        for (String vm : known) {
-            if (!upNow.contains(vm)) {
-                since.put(vm, notUpSince.getOrDefault(vm, now));
+        for (String vm : watched) {
+            if (!answering.contains(vm)) {
+                since.put(vm, silentSince.getOrDefault(vm, now));
             }
         }
         return new Health(upNow, since, now);
@@ -48,8 +58,8 @@
         return up.contains(vm);
     }
 
-    /** Returns for how long the VM has not been seen to take work, if it was looked for. */
-    public Optional<Duration> notUpFor(String vm, Instant now) {
-        return Optional.ofNullable(notUpSince.get(vm)).map(t -> Duration.between(t, now));
+    /** Returns for how long the VM has not said that it takes work, if it was asked. */
+    public Optional<Duration> silentFor(String vm, Instant now) {
+        return Optional.ofNullable(silentSince.get(vm)).map(t -> Duration.between(t, now));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/waves/WavePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/waves/WavePlanner.java
@@ -87,15 +87,18 @@
     }
 
     private List<VmRow> newlyFailed() {
-        return allVms.stream()
-                .filter(v -> v.dataCentre().equals(dataCentre))
-                .filter(v -> v.state() == VmState.IN_SERVICE)
-                .filter(this::isDownForLong)
-                .toList();
+        List<VmRow> inService =
+                allVms.stream()
+                        .filter(v -> v.dataCentre().equals(dataCentre))
+                        .filter(v -> v.state() == VmState.IN_SERVICE)
+                        .toList();
+        List<VmRow> silent = inService.stream().filter(this::isDownForLong).toList();
+        // When most are silent the fault is likelier between them and us; they stay unknown.
+        return silent.size() * 2 > inService.size() ? List.of() : silent;
     }
 
     private boolean isDownForLong(VmRow vm) {
-        return health.notUpFor(vm.id(), now)
+        return health.silentFor(vm.id(), now)
                 .map(d -> d.compareTo(settings.failAfter()) >= 0)
                 .orElse(false);
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/waves/PoolBudgetTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/waves/PoolBudgetTest.java
@@ -92,7 +92,7 @@
     @Test
     void takesNothingWhenTheLastLookIsOld() {
         List<VmRow> vms = List.of(vm("v0", "r0"), vm("v1", "r1"));
-        Health health = Health.UNKNOWN.observe(ids(vms), ids(vms), NOW);
+        Health health = Health.UNKNOWN.observe(ids(vms), ids(vms), ids(vms), NOW);
         Health old = health.asOf(NOW.plusSeconds(11), SETTINGS.healthMostAge());
 
         PoolBudget budget =
@@ -109,7 +109,7 @@
     }
 
     private static PoolBudget budget(List<VmRow> vms, Set<String> up, int percent) {
-        Health health = Health.UNKNOWN.observe(ids(vms), up, NOW);
+        Health health = Health.UNKNOWN.observe(ids(vms), up, up, NOW);
         PoolRow pool = new PoolRow("p", percent, false, 0);
         return PoolBudget.of(pool, vms, health, Optional.empty(), SETTINGS, NOW);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
@@ -42,8 +42,7 @@
 
     private static HttpResponse build(
             Verdict verdict, ErrorCode code, String detail, Optional<Duration> retryAfter) {
-        VerdictBody body =
-                new VerdictBody(verdict.word(), code.number(), code.sentence(), detail);
+        VerdictBody body = new VerdictBody(verdict.word(), code.number(), code.sentence(), detail);
         HttpResponse.Builder builder =
                 HttpResponse.ofCode(code.httpStatus())
                         .withHeader(VERDICT, verdict.word())
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
-import org.chervillift.http.Answers;
 import org.chervillift.api.Checks;
 import org.chervillift.api.ErrorCode;
+import org.chervillift.http.Answers;
 import org.chervillift.runtime.supervision.Part;
 
 /** Takes callers' requests over HTTP. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetView.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetView.java
@@ -27,8 +27,7 @@
 
     /** What a process knows before its first read. */
     public static final FleetView EMPTY =
-            new FleetView(
-                    FleetConfig.EMPTY, KeyRing.EMPTY, List.of(), Set.of(), Optional.empty());
+            new FleetView(FleetConfig.EMPTY, KeyRing.EMPTY, List.of(), Set.of(), Optional.empty());
 
     public FleetView {
         Checks.notNull("config", config);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
@@ -86,8 +86,7 @@
     }
 
     private static Optional<Team> team(CallerRequest request, Queue queue, FleetView view) {
-        Optional<String> name =
-                request.key().flatMap(k -> KeyAuthenticator.teamOf(k, view.keys()));
+        Optional<String> name = request.key().flatMap(k -> KeyAuthenticator.teamOf(k, view.keys()));
         if (name.isEmpty() && queue.open() && request.key().isEmpty()) {
             return Optional.of(ANYONE);
         }
@@ -140,8 +139,7 @@
 
     private static HttpResponse ofFault(Exception fault) {
         if (fault instanceof ChervilliftException e) {
-            return CallerAnswers.of(
-                    new Verdict.NotRun(e.code(), e.getMessage(), Optional.empty()));
+            return CallerAnswers.of(new Verdict.NotRun(e.code(), e.getMessage(), Optional.empty()));
         }
         return CallerAnswers.of(
                 new Verdict.MayHaveRun(ErrorCode.INTERNAL, String.valueOf(fault.getMessage())));
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/UpstreamClient.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/UpstreamClient.java
@@ -103,8 +103,7 @@
             return new UpstreamResult.Failed(
                     new Verdict.NotRun(ErrorCode.NO_UPSTREAM, detail, Optional.empty()));
         }
-        return new UpstreamResult.Failed(
-                new Verdict.MayHaveRun(ErrorCode.UPSTREAM_FAILED, detail));
+        return new UpstreamResult.Failed(new Verdict.MayHaveRun(ErrorCode.UPSTREAM_FAILED, detail));
     }
 
     private record NeverConnected() {}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/waves/FleetTables.java
@@ -0,0 +1,108 @@
+package org.chervillift.daemon.waves;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.CompletionStage;
+import org.chervillift.api.Checks;
+import org.chervillift.api.fleet.DutyRow;
+import org.chervillift.api.fleet.PoolRow;
+import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.WaveRow;
+import org.chervillift.api.platform.CommitResult;
+import org.chervillift.api.platform.Platform;
+import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.Transaction;
+import org.chervillift.api.platform.Transaction.Condition;
+import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.core.fleet.FleetView;
+import org.chervillift.core.fleet.FleetWrite;
+import org.chervillift.core.fleet.Health;
+import org.chervillift.core.fleet.Versioned;
+import org.chervillift.http.Json;
+
+/** Reads and writes the rows of the fleet at the platform. */
+public final class FleetTables {
+
+    private final Platform platform;
+
+    /** Creates the access to the rows at a platform. */
+    public FleetTables(Platform platform) {
+        this.platform = Checks.notNull("platform", platform);
+    }
+
+    /** Reads a duty's row. */
+    public CompletionStage<Optional<Versioned<DutyRow>>> duty(String name) {
+        return platform.read(List.of(DutyRow.key(name)))
+                .thenApply(rows -> rows.stream().map(r -> decode(r, DutyRow.class)).findFirst());
+    }
+
+    /**
+     * Reads waves, pools and VMs.
+     *
+     * <p>VMs are read last. So a pool's row that is unchanged at the commit vouches that no VM was
+     * taken out of it since its VMs were read.
+     */
+    public CompletionStage<FleetView> read(Optional<Versioned<DutyRow>> duty) {
+        return platform.scan(WaveRow.TABLE)
+                .thenCompose(
+                        waves ->
+                                platform.scan(PoolRow.TABLE)
+                                        .thenCompose(
+                                                pools ->
+                                                        platform.scan(VmRow.TABLE)
+                                                                .thenApply(
+                                                                        vms ->
+                                                                                view(
+                                                                                        duty, vms,
+                                                                                        pools,
+                                                                                        waves))));
+    }
+
+    private static FleetView view(
+            Optional<Versioned<DutyRow>> duty, List<Row> vms, List<Row> pools, List<Row> waves) {
+        return new FleetView(
+                duty,
+                decodeAll(vms, VmRow.class),
+                decodeAll(pools, PoolRow.class),
+                decodeAll(waves, WaveRow.class),
+                Health.UNKNOWN,
+                Map.of());
+    }
+
+    /** Writes rows under their conditions. */
+    public CompletionStage<CommitResult> commit(FleetWrite write) {
+        List<Write> writes = new ArrayList<>();
+        write.vms().forEach(v -> writes.add(Write.put(VmRow.key(v.id()), Json.encode(v))));
+        write.pools().forEach(p -> writes.add(Write.put(PoolRow.key(p.name()), Json.encode(p))));
+        write.waves().forEach(w -> writes.add(Write.put(WaveRow.key(w.id()), Json.encode(w))));
+        return commit(write.conditions(), writes);
+    }
+
+    /** Writes a duty's row under conditions. */
+    public CompletionStage<CommitResult> commit(List<Condition> conditions, DutyRow row) {
+        Write write = Write.put(DutyRow.key(row.name()), Json.encode(row));
+        return commit(conditions, List.of(write));
+    }
+
+    private CompletionStage<CommitResult> commit(List<Condition> conditions, List<Write> writes) {
+        String token = UUID.randomUUID().toString();
+        return platform.commit(new Transaction(token, conditions, writes));
+    }
+
+    private static <T> SortedMap<String, Versioned<T>> decodeAll(List<Row> rows, Class<T> type) {
+        SortedMap<String, Versioned<T>> decoded = new TreeMap<>();
+        for (Row r : rows) {
+            decoded.put(r.key().key(), decode(r, type));
+        }
+        return decoded;
+    }
+
+    private static <T> Versioned<T> decode(Row row, Class<T> type) {
+        return new Versioned<>(Json.decode(row.value(), type), row.version());
+    }
+}
--- a/chervillift-standin/src/main/java/org/chervillift/standin/fleet/FakeVm.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/fleet/FakeVm.java
@@ -41,6 +41,11 @@
         return running.size();
     }
 
+    /** Returns the greatest fence that it has seen. */
+    public long fence() {
+        return fence;
+    }
+
     /** Returns the time since when it has been down by itself. */
     public Instant downSince() {
         return downSince;
