--- a/chervillift-bench/src/main/java/org/chervillift/bench/waves/BudgetAudit.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/waves/BudgetAudit.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -128,6 +130,7 @@
         int available = 0;
         Map<String, Integer> byRack = new HashMap<>();
         Set<String> racksOut = new HashSet<>();
+        List<String> out = new ArrayList<>();
         for (VmRow v : vms.values()) {
             if (!v.pool().equals(pool) || v.state() == VmState.JOINING) {
                 continue;
@@ -138,6 +141,7 @@
                 byRack.merge(v.rack(), 1, Integer::sum);
             } else if (isOutOnPurpose(v)) {
                 racksOut.add(v.rack());
+                out.add(v.id() + " " + v.state());
             }
         }
         int required = (size * pools.get(pool).minAvailablePercent() + PERCENT - 1) / PERCENT;
@@ -149,7 +153,7 @@
         boolean roomForRack = available - largest >= required;
         require(
                 racksOut.size() <= 1 || roomForRack,
-                "Racks " + racksOut + " are out at once. " + counts,
+                "Racks " + racksOut + " are out at once: " + out + ". " + counts,
                 now);
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/waves/VmSteps.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/waves/VmSteps.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.chervillift.api.fleet.PoolRow;
 import org.chervillift.api.fleet.VmRow;
 import org.chervillift.api.fleet.VmState;
 import org.chervillift.api.fleet.VmStatus;
@@ -154,9 +155,21 @@
 
     private List<WaveAction> recover(VmRow vm) {
         boolean answers = view.status(vm.id()).isPresent();
-        return answers && !isYounger(vm, settings.failedHold())
-                ? List.of(enter(vm, VmState.RETURNING))
-                : List.of();
+        if (!answers || isYounger(vm, settings.failedHold())) {
+            return List.of();
+        }
+        // A VM that comes back counts as out on purpose, so whoever takes out another must see it.
+        Versioned<PoolRow> pool = view.pools().get(vm.pool());
+        if (pool == null) {
+            return List.of(enter(vm, VmState.RETURNING));
+        }
+        FleetWrite write =
+                new FleetWrite(
+                        view.conditions(view.vmUnchanged(vm.id()), view.poolUnchanged(vm.pool())),
+                        List.of(vm.enter(VmState.RETURNING, now)),
+                        List.of(pool.row().changed()),
+                        List.of());
+        return List.of(new WaveAction.Commit(write, Optional.empty()));
     }
 
     private List<WaveAction> awaitReturn(VmRow vm, boolean restore) {
--- a/chervillift-core/src/main/java/org/chervillift/core/waves/WaveCommands.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/waves/WaveCommands.java
@@ -116,17 +116,31 @@
     public static Optional<FleetWrite> restore(FleetView view, String id, Instant now) {
         VmRow vm = vm(view, id);
         return switch (vm.state()) {
-            case OUT ->
-                    Optional.of(
-                            FleetWrite.vm(
-                                    List.of(view.vmUnchanged(id)),
-                                    vm.enter(VmState.RETURNING, now)));
+            case OUT -> Optional.of(backFromOut(view, vm, now));
             case DRAINING -> vm.wave().isEmpty() ? backFromDrain(view, vm, now) : refuse(vm);
             case IN_SERVICE, RETURNING -> Optional.empty();
             case REBOOTING, MOVING, JOINING, FAILED -> refuse(vm);
         };
     }
 
+    /** A VM that comes back counts as out on purpose, so whoever takes out another must see it. */
+    private static FleetWrite backFromOut(FleetView view, VmRow vm, Instant now) {
+        PoolRow pool = pool(view, vm).row();
+        return new FleetWrite(
+                List.of(view.vmUnchanged(vm.id()), view.poolUnchanged(vm.pool())),
+                List.of(vm.enter(VmState.RETURNING, now)),
+                List.of(pool.changed()),
+                List.of());
+    }
+
+    private static Versioned<PoolRow> pool(FleetView view, VmRow vm) {
+        Versioned<PoolRow> pool = view.pools().get(vm.pool());
+        if (pool == null) {
+            throw new ChervilliftException(ErrorCode.NOT_FOUND, "Pool " + vm.pool() + ".");
+        }
+        return pool;
+    }
+
     private static Optional<FleetWrite> backFromDrain(FleetView view, VmRow vm, Instant now) {
         return Optional.of(
                 FleetWrite.vm(
@@ -135,10 +149,7 @@
 
     private static FleetWrite takeOut(
             FleetView view, VmRow vm, WaveSettings settings, Instant now) {
-        Versioned<PoolRow> pool = view.pools().get(vm.pool());
-        if (pool == null) {
-            throw new ChervilliftException(ErrorCode.NOT_FOUND, "Pool " + vm.pool() + ".");
-        }
+        Versioned<PoolRow> pool = pool(view, vm);
         List<VmRow> vms =
                 view.vms().values().stream()
                         .map(Versioned::row)
