--- a/chervillift-api/src/main/java/org/chervillift/api/platform/ListedVm.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/platform/ListedVm.java
@@ -28,6 +28,11 @@
         Checks.notNull("peerAddress", peerAddress);
     }
 
+    /** Returns the entry with another mark whether the VM was told to leave. */
+    public ListedVm withLeaving(boolean nowLeaving) {
+        return new ListedVm(id, role, dataCentre, address, peerAddress, nowLeaving);
+    }
+
     /** What runs on a VM. */
     public enum Role {
         /** The daemon of this system. */
--- /dev/null
+++ b/chervillift-platform/src/main/java/org/chervillift/platform/HttpMaintenanceControl.java
@@ -0,0 +1,72 @@
+package org.chervillift.platform;
+
+import io.activej.http.HttpMethod;
+import io.activej.promise.Promise;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.chervillift.api.Checks;
+import org.chervillift.api.fleet.MaintenanceControl;
+import org.chervillift.api.fleet.VmStatus;
+import org.chervillift.api.platform.PlatformException;
+import org.chervillift.http.HttpAnswer;
+import org.chervillift.http.Json;
+import org.chervillift.http.JsonClient;
+import org.chervillift.platform.protocol.MaintenanceAnswer;
+import org.chervillift.platform.protocol.MaintenanceRequest;
+import org.chervillift.platform.protocol.StatusAnswer;
+import org.chervillift.platform.protocol.StatusRequest;
+
+/** The platform's maintenance operations over HTTP with JSON. */
+public final class HttpMaintenanceControl implements MaintenanceControl {
+
+    private static final String PATH = "/v1/maintenance/";
+
+    private final JsonClient client;
+
+    /** Creates the operations behind a client. */
+    public HttpMaintenanceControl(JsonClient client) {
+        this.client = Checks.notNull("client", client);
+    }
+
+    @Override
+    public CompletionStage<Boolean> drain(String vm, long fence) {
+        return operate("drain", vm, fence);
+    }
+
+    @Override
+    public CompletionStage<Boolean> reboot(String vm, long fence) {
+        return operate("reboot", vm, fence);
+    }
+
+    @Override
+    public CompletionStage<Boolean> restore(String vm, long fence) {
+        return operate("restore", vm, fence);
+    }
+
+    @Override
+    public CompletionStage<List<VmStatus>> status(List<String> vms) {
+        return call("status", new StatusRequest(vms))
+                .map(a -> Json.decode(a.body(), StatusAnswer.class).statuses())
+                .toCompletableFuture();
+    }
+
+    private CompletionStage<Boolean> operate(String operation, String vm, long fence) {
+        return call(operation, new MaintenanceRequest(vm, fence))
+                .map(a -> Json.decode(a.body(), MaintenanceAnswer.class).accepted())
+                .toCompletableFuture();
+    }
+
+    private Promise<HttpAnswer> call(String operation, Object body) {
+        return client.send(HttpMethod.POST, PATH + operation, Optional.of(Json.encode(body)))
+                .mapException(e -> new PlatformException(String.valueOf(e.getMessage()), e))
+                .map(HttpMaintenanceControl::success);
+    }
+
+    private static HttpAnswer success(HttpAnswer answer) {
+        if (!answer.isSuccess()) {
+            throw new PlatformException("It answered with status " + answer.status() + ".", null);
+        }
+        return answer;
+    }
+}
--- a/chervillift-standin/src/main/java/org/chervillift/standin/platform/LaggingList.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/platform/LaggingList.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.chervillift.api.platform.ListedVm;
 
@@ -28,6 +29,11 @@
         remember(now);
     }
 
+    /** Returns a VM as it is now, if it is listed. */
+    public Optional<ListedVm> current(String id) {
+        return Optional.ofNullable(current.get(id));
+    }
+
     /** Returns the VMs as they were a lag ago. */
     public List<ListedVm> show(Instant now, Duration lag) {
         Instant moment = now.minus(lag);
--- a/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
@@ -8,11 +8,12 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
-import io.activej.reactor.Reactor;
+import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.chervillift.api.platform.CommitResult;
 import org.chervillift.api.platform.ListedVm;
 import org.chervillift.api.platform.Transaction;
@@ -34,7 +35,7 @@
 
     private final PlatformState state = new PlatformState();
     private final LaggingList list = new LaggingList();
-    private final Reactor reactor;
+    private final NioReactor reactor;
     private final Scheduler scheduler;
     private PlatformFaults faults = PlatformFaults.NONE;
     private long reads;
@@ -42,15 +43,16 @@
     private long lists;
 
     /** Creates the interface on an event loop. */
-    public PlatformServlet(Reactor reactor, Scheduler scheduler) {
+    public PlatformServlet(NioReactor reactor, Scheduler scheduler) {
         this.reactor = reactor;
         this.scheduler = scheduler;
     }
 
     /** Returns the servlet with all routes. */
     public AsyncServlet routes() {
-        return RoutingServlet.builder(reactor)
-                .with(HttpMethod.POST, "/v1/rows", r -> reading(r, this::read))
+        RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
+        new MaintenanceServlet(reactor, scheduler, list).addTo(routes, this::underWriteFaults);
+        return routes.with(HttpMethod.POST, "/v1/rows", r -> reading(r, this::read))
                 .with(HttpMethod.GET, "/v1/tables/:table", r -> reading(r, this::scan))
                 .with(HttpMethod.POST, "/v1/transactions", r -> writing(r, this::commit))
                 .with(HttpMethod.GET, "/v1/objects/*", r -> reading(r, this::getObject))
@@ -76,7 +78,11 @@
     private Promise<HttpResponse> writing(
             HttpRequest request, Function<HttpRequest, Promise<HttpResponse>> answer) {
         writes++;
-        return underFaults(() -> request.loadBody().then(b -> answer.apply(request)))
+        return underWriteFaults(() -> request.loadBody().then(b -> answer.apply(request)));
+    }
+
+    private Promise<HttpResponse> underWriteFaults(Supplier<Promise<HttpResponse>> answer) {
+        return underFaults(answer)
                 .then(r -> faults.loseReplies() ? new SettablePromise<>() : Promise.of(r));
     }
 
@@ -86,8 +92,7 @@
         return underFaults(() -> Answers.json(new VmsAnswer(list.show(scheduler.now(), lag))));
     }
 
-    private Promise<HttpResponse> underFaults(
-            java.util.function.Supplier<Promise<HttpResponse>> answer) {
+    private Promise<HttpResponse> underFaults(Supplier<Promise<HttpResponse>> answer) {
         if (faults.down()) {
             return Answers.text(UNAVAILABLE, "down");
         }
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -43,6 +44,7 @@
     private final int slots;
     private final Map<String, Integer> runningByTeam = new HashMap<>();
     private final Map<String, Integer> mostRunningByTeam = new HashMap<>();
+    private final UpstreamMaintenance maintenance;
     private final Set<String> identifiers = new HashSet<>();
     private UpstreamFaults faults = UpstreamFaults.NONE;
     private long runs;
@@ -56,12 +58,16 @@
         this.reactor = reactor;
         this.id = Checks.notBlank("id", id);
         this.slots = (int) Checks.inRange("slots", slots, 1, 10_000);
+        this.maintenance =
+                new UpstreamMaintenance(
+                        id, () -> running, () -> Instant.ofEpochMilli(reactor.currentTimeMillis()));
     }
 
     /** Returns the servlet with all routes. */
     public AsyncServlet routes() {
-        return RoutingServlet.builder(reactor)
-                .with(HttpMethod.GET, "/admin/stats", r -> Answers.json(stats()))
+        RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
+        maintenance.addTo(routes);
+        return routes.with(HttpMethod.GET, "/admin/stats", r -> Answers.json(stats()))
                 .with(HttpMethod.PUT, "/admin/faults", this::setFaults)
                 .with("/*", this::work)
                 .build();
@@ -76,7 +82,8 @@
                 busyAnswers,
                 runningByTeam,
                 mostRunningByTeam,
-                repeatedIdentifiers);
+                repeatedIdentifiers,
+                maintenance.cut());
     }
 
     private Promise<HttpResponse> setFaults(HttpRequest request) {
@@ -93,7 +100,7 @@
         if (faults.failAll()) {
             return Answers.text(FAILED, "failed");
         }
-        if (running >= slots) {
+        if (running >= slots || !maintenance.takesWork()) {
             busyAnswers++;
             return HttpResponse.ofCode(BUSY).withHeader(NOT_RUN, "true").toPromise();
         }
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamStats.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamStats.java
@@ -12,6 +12,7 @@
  * @param runningByTeam requests running now, by team
  * @param mostRunningByTeam the most requests that ran at once, by team
  * @param repeatedIdentifiers identifiers of non-idempotent requests that ran more than once
+ * @param cutRequests requests that were running when the VM was rebooted
  */
 public record UpstreamStats(
         long runs,
@@ -20,7 +21,8 @@
         long busyAnswers,
         Map<String, Integer> runningByTeam,
         Map<String, Integer> mostRunningByTeam,
-        long repeatedIdentifiers) {
+        long repeatedIdentifiers,
+        long cutRequests) {
     public UpstreamStats {
         runningByTeam = Map.copyOf(runningByTeam);
         mostRunningByTeam = Map.copyOf(mostRunningByTeam);
