--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -28,12 +28,15 @@
 import org.chervillift.daemon.internal.operator.KeyRoutes;
 import org.chervillift.daemon.internal.operator.MemberRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.daemon.internal.operator.WaveRoutes;
 import org.chervillift.daemon.internal.peers.PeersPart;
 import org.chervillift.daemon.internal.report.ReportRoutes;
 import org.chervillift.daemon.internal.report.UsageReporter;
+import org.chervillift.daemon.waves.Maintenance;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
 import org.chervillift.platform.ChangedReads;
+import org.chervillift.platform.HttpMaintenanceControl;
 import org.chervillift.platform.HttpPlatform;
 import org.chervillift.platform.StampingPlatform;
 import org.chervillift.runtime.events.EventLog;
@@ -62,6 +65,7 @@
     private final UpstreamClient upstreamClient;
     private final UsageReporter usage;
     private final PeersPart peers;
+    private final Maintenance maintenance;
     private final Supervisor supervisor;
     private boolean started;
     private boolean stopping;
@@ -93,6 +97,15 @@
                         settings,
                         new RequestMetrics(registry));
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
+        maintenance =
+                Maintenance.of(
+                        platform,
+                        new HttpMaintenanceControl(platformClient),
+                        settings.vmId(),
+                        settings.dataCentre(),
+                        settings.waves(),
+                        scheduler,
+                        follower::dataCentres);
         CallerServer callers = new CallerServer(reactor, settings, handler, usage);
         ControlServer control =
                 new ControlServer(
@@ -101,7 +114,8 @@
                         this::isReady,
                         registry,
                         operatorRoutes(reactor, platform, keyGate));
-        List<Part> parts = new ArrayList<>(List.of(control, follower, usage, callers));
+        List<Part> parts =
+                new ArrayList<>(List.of(control, follower, usage, callers, maintenance.part()));
         if (settings.peers().hasPeers()) {
             parts.addFirst(peers);
         }
@@ -118,7 +132,8 @@
                         new ConfigRoutes(configs, follower),
                         new KeyRoutes(keys, follower, scheduler, KEY_RULES),
                         new ReportRoutes(platform, scheduler, follower, usage),
-                        new MemberRoutes(peers.membership(), scheduler));
+                        new MemberRoutes(peers.membership(), scheduler),
+                        new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
         return new OperatorGate(settings.operators(), routes.build());
