Hold the upper limit of a team across the fleet with permits in the table

Cause: the thin path counts a team's work at each entry VM alone, so that several entry VMs together exceed the limit.

Change: a row a team divides the limit among holders (one run of one process each); every move is one conditional write. An entry VM spends a permit only if it holds it under every outcome of the write under way. A lease row a holder; it is deleted only past lease, clock error, longest pause and hard bound of a run, or by the successor on the same VM, or by the holder that gave everything back. Lowered limits start nothing until the table shows that all permits fit.

Not wired yet.

--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -13,11 +13,13 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
+import org.chervillift.bench.limits.SoakBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
 
-    private static final List<Benchmark> BENCHMARKS = List.of(new PathBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(new PathBenchmark(), new SoakBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/limits/TeamRow.java
@@ -0,0 +1,65 @@
+package org.chervillift.core.limits;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.chervillift.api.Checks;
+
+/**
+ * The row that divides a team's limit among the entry VMs.
+ *
+ * @param limitVersion the version of the configuration that the limit comes from
+ * @param limit the upper limit across the fleet
+ * @param holdings what each holder has, by holder
+ */
+public record TeamRow(long limitVersion, int limit, SortedMap<String, Holding> holdings) {
+
+    /** The row before the first write. */
+    public static final TeamRow EMPTY = new TeamRow(0, 0, new TreeMap<>());
+
+    public TeamRow {
+        Checks.notNegative("limitVersion", limitVersion);
+        Checks.notNegative("limit", limit);
+        holdings = Collections.unmodifiableSortedMap(new TreeMap<>(holdings));
+    }
+
+    /** Returns the permits of one holder. */
+    public int permitsOf(String holder) {
+        Holding h = holdings.get(holder);
+        return h == null ? 0 : h.permits();
+    }
+
+    /** Returns the permits that all holders have together. */
+    public int held() {
+        return holdings.values().stream().mapToInt(Holding::permits).sum();
+    }
+
+    /** Returns the permits that nobody holds; negative after the limit was lowered. */
+    public int free() {
+        return limit - held();
+    }
+
+    /** Returns the row with a limit, unless the row's limit is of the same or a later version. */
+    public TeamRow withLimit(long version, int newLimit) {
+        return version > limitVersion ? new TeamRow(version, newLimit, holdings) : this;
+    }
+
+    /** Returns the row with another holding; an empty holding is left out. */
+    public TeamRow with(String holder, Holding holding) {
+        SortedMap<String, Holding> changed = new TreeMap<>(holdings);
+        if (holding.permits() == 0 && holding.wanted() == 0) {
+            changed.remove(holder);
+        } else {
+            changed.put(holder, holding);
+        }
+        return new TeamRow(limitVersion, limit, changed);
+    }
+
+    /** Returns the row without some holders. */
+    public TeamRow without(Collection<String> holders) {
+        SortedMap<String, Holding> changed = new TreeMap<>(holdings);
+        changed.keySet().removeAll(holders);
+        return new TeamRow(limitVersion, limit, changed);
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/limits/LimitAgentTest.java
@@ -0,0 +1,241 @@
+package org.chervillift.core.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import org.chervillift.core.limits.LimitCommit.Change;
+import org.junit.jupiter.api.Test;
+
+class LimitAgentTest {
+
+    private static final LimitSettings SETTINGS = LimitSettings.DEFAULT;
+    private static final String TEAM = "team";
+
+    private final Map<String, Versioned<HolderLease>> leases = new HashMap<>();
+    private Versioned<TeamRow> row = new Versioned<>(0, TeamRow.EMPTY);
+    private long versions;
+    private Instant now = Instant.ofEpochSecond(1_000_000);
+
+    @Test
+    void aReplyLostAfterTheWriteGivesNoPermitUntilTheWriteIsConfirmed() {
+        LimitAgent agent = agent("a");
+        adopt(agent, 1, 4);
+        run(agent, 20);
+        assertThat(agent.admit(TEAM, now)).isNotInstanceOf(Admission.Refused.class);
+        LimitAction commit = stepUntilCommit(agent);
+        apply(((LimitAction.Commit) commit).commit());
+        agent.handle(new LimitEvent.Unanswered(), now);
+
+        assertThat(row.value().held()).isPositive();
+        assertThat(agent.admitAgain(TEAM, now)).isNotInstanceOf(Admission.Admitted.class);
+
+        now = now.plusSeconds(10);
+        LimitAction again = agent.handle(new LimitEvent.Tick(), now).getFirst();
+        assertThat(again).isEqualTo(commit);
+        agent.handle(new LimitEvent.Committed(), now);
+        assertThat(agent.admitAgain(TEAM, now)).isInstanceOf(Admission.Admitted.class);
+    }
+
+    @Test
+    void aPermitFromBeforeAPauseIsNotSentAfterTheLease() {
+        LimitAgent agent = agent("a");
+        adopt(agent, 1, 4);
+        Permit permit = obtain(agent);
+        assertThat(agent.maySend(permit, now)).isTrue();
+
+        Instant woken = now.plus(SETTINGS.leaseTerm());
+        assertThat(agent.maySend(permit, woken)).isFalse();
+        assertThat(agent.admit(TEAM, woken)).isNotInstanceOf(Admission.Admitted.class);
+    }
+
+    @Test
+    void permitsOfTheDeadAreReclaimedOnlyAfterTheWholeBound() {
+        LimitAgent dead = agent("dead");
+        adopt(dead, 1, 1);
+        obtain(dead);
+        Instant over = leases.get(dead.holder()).value().until().plus(SETTINGS.reclaimAfter());
+        LimitAgent living = agent("b");
+        adopt(living, 1, 1);
+
+        while (now.isBefore(over)) {
+            living.admit(TEAM, now);
+            run(living, 1);
+            assertThat(living.granted(TEAM)).isZero();
+            now = now.plusSeconds(20);
+        }
+        run(living, 1_000);
+        obtain(living);
+        assertThat(living.running(TEAM)).isEqualTo(1);
+    }
+
+    @Test
+    void aRestartInPlaceWaitsOnlyForWorkThatMayStillRun() {
+        LimitAgent killed = agent("a");
+        adopt(killed, 1, 1);
+        obtain(killed);
+        Instant restarted = now;
+        LimitAgent successor = agent("a");
+        adopt(successor, 1, 1);
+
+        while (!now.isAfter(restarted.plus(SETTINGS.longestRun()))) {
+            successor.admit(TEAM, now);
+            run(successor, 1);
+            assertThat(successor.granted(TEAM)).isZero();
+        }
+        run(successor, 1_000);
+        obtain(successor);
+        assertThat(successor.running(TEAM)).isEqualTo(1);
+    }
+
+    @Test
+    void nothingStartsUnderALoweredLimitUntilAllPermitsFit() {
+        LimitAgent first = agent("a");
+        LimitAgent second = agent("b");
+        adopt(first, 1, 10);
+        adopt(second, 1, 10);
+        List<Permit> running = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            running.add(obtain(first));
+        }
+        obtain(second);
+
+        adopt(first, 2, 3);
+        adopt(second, 2, 3);
+        assertThat(second.admit(TEAM, now)).isNotInstanceOf(Admission.Admitted.class);
+        run(first, 100);
+        run(second, 100);
+        assertThat(second.admit(TEAM, now)).isNotInstanceOf(Admission.Admitted.class);
+
+        running.forEach(p -> first.end(p, RunEnd.OVER, now));
+        run(first, 200);
+        run(second, 200);
+        obtain(second);
+        assertThat(first.running(TEAM) + second.running(TEAM)).isLessThanOrEqualTo(3);
+    }
+
+    @Test
+    void anUnknownEndHoldsThePermitForTheHardBound() {
+        LimitAgent agent = agent("a");
+        adopt(agent, 1, 1);
+        agent.end(obtain(agent), RunEnd.UNKNOWN, now);
+        Instant bound = now.plus(SETTINGS.longestRun());
+
+        while (now.plusMillis(50).isBefore(bound)) {
+            run(agent, 1);
+            assertThat(agent.running(TEAM)).isEqualTo(1);
+        }
+        run(agent, 5);
+        assertThat(agent.running(TEAM)).isZero();
+    }
+
+    @Test
+    void aGracefulStopGivesAllBackAndLeavesNoLease() {
+        LimitAgent agent = agent("a");
+        adopt(agent, 1, 100);
+        Permit permit = obtain(agent);
+        agent.handle(new LimitEvent.Leaving(), now);
+        run(agent, 40);
+        assertThat(row.value().held()).isEqualTo(1);
+        assertThat(agent.hasLeft()).isFalse();
+
+        agent.end(permit, RunEnd.OVER, now);
+        run(agent, 40);
+        assertThat(row.value().held()).isZero();
+        assertThat(agent.hasLeft()).isTrue();
+        assertThat(leases).isEmpty();
+    }
+
+    private LimitAgent agent(String vm) {
+        String incarnation = "i" + versions++;
+        return new LimitAgent(vm, "dc", incarnation, SETTINGS, new Random(7), now);
+    }
+
+    private void adopt(LimitAgent agent, long version, int limit) {
+        answerAll(
+                agent,
+                agent.handle(new LimitEvent.LimitsAdopted(version, Map.of(TEAM, limit)), now));
+    }
+
+    private Permit obtain(LimitAgent agent) {
+        for (int i = 0; i < 100; i++) {
+            if (agent.admit(TEAM, now) instanceof Admission.Admitted a) {
+                return a.permit();
+            }
+            run(agent, 5);
+        }
+        throw new AssertionError("no permit");
+    }
+
+    private void run(LimitAgent agent, int ticks) {
+        for (int i = 0; i < ticks; i++) {
+            now = now.plus(Duration.ofMillis(50));
+            answerAll(agent, agent.handle(new LimitEvent.Tick(), now));
+        }
+    }
+
+    private LimitAction stepUntilCommit(LimitAgent agent) {
+        for (int i = 0; i < 100; i++) {
+            now = now.plus(Duration.ofMillis(50));
+            List<LimitAction> actions = agent.handle(new LimitEvent.Tick(), now);
+            while (!actions.isEmpty()) {
+                if (actions.getFirst() instanceof LimitAction.Commit c) {
+                    return c;
+                }
+                actions = agent.handle(answer(agent, actions.getFirst()), now);
+            }
+        }
+        throw new AssertionError("no commit");
+    }
+
+    private void answerAll(LimitAgent agent, List<LimitAction> actions) {
+        List<LimitAction> open = actions;
+        while (!open.isEmpty()) {
+            open = agent.handle(answer(agent, open.getFirst()), now);
+        }
+    }
+
+    private LimitEvent answer(LimitAgent agent, LimitAction action) {
+        return switch (action) {
+            case LimitAction.ReadLeases r ->
+                    new LimitEvent.LeasesRead(List.copyOf(leases.values()));
+            case LimitAction.ReadRows r -> {
+                Map<String, Versioned<TeamRow>> rows = new TreeMap<>();
+                r.teams().forEach(t -> rows.put(t, row));
+                yield new LimitEvent.RowsRead(
+                        Optional.ofNullable(leases.get(agent.holder())), rows);
+            }
+            case LimitAction.Commit c ->
+                    apply(c.commit()) ? new LimitEvent.Committed() : new LimitEvent.Conflicted();
+        };
+    }
+
+    private boolean apply(LimitCommit commit) {
+        boolean holds =
+                commit.rows().stream().allMatch(w -> w.version() == row.version())
+                        && commit.leases().stream()
+                                .allMatch(w -> w.version() == leaseVersion(w.holder()));
+        if (!holds) {
+            return false;
+        }
+        commit.rows().forEach(w -> row = new Versioned<>(++versions, w.row()));
+        for (LimitCommit.LeaseWrite w : commit.leases()) {
+            if (w.change() == Change.DELETE) {
+                leases.remove(w.holder());
+            }
+            w.lease().ifPresent(l -> leases.put(l.holder(), new Versioned<>(++versions, l)));
+        }
+        return true;
+    }
+
+    private long leaseVersion(String holder) {
+        return leases.containsKey(holder) ? leases.get(holder).version() : 0;
+    }
+}
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/limits/internal/DivisionTest.java
@@ -0,0 +1,67 @@
+package org.chervillift.core.limits.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+import org.chervillift.core.limits.Holding;
+import org.chervillift.core.limits.TeamRow;
+import org.junit.jupiter.api.Test;
+
+class DivisionTest {
+
+    @Property(seed = "41")
+    void capsAddUpToTheLimitWhenMoreIsWanted(
+            @ForAll @IntRange(max = 200) int limit,
+            @ForAll @Size(min = 1, max = 48) List<@IntRange(min = 1, max = 300) Integer> wants,
+            @ForAll @LongRange(min = 0, max = 1_000_000) long turn) {
+        TeamRow row = row(limit, wants, turn);
+        int wanted = wants.stream().mapToInt(Integer::intValue).sum();
+
+        if (wanted <= limit) {
+            row.holdings()
+                    .forEach(
+                            (h, v) ->
+                                    assertThat(Division.cap(row, h, v.wanted(), turn))
+                                            .isEqualTo(Division.NO_CAP));
+        } else {
+            int caps =
+                    row.holdings().entrySet().stream()
+                            .mapToInt(
+                                    e -> Division.cap(row, e.getKey(), e.getValue().wanted(), turn))
+                            .sum();
+            assertThat(caps).isEqualTo(limit);
+        }
+    }
+
+    @Test
+    void aLimitOfOneReachesEachOfEightHoldersInTurn() {
+        List<Integer> wants = List.of(1, 1, 1, 1, 1, 1, 1, 1);
+        Set<String> served = new HashSet<>();
+        for (long turn = 0; turn < 100; turn++) {
+            TeamRow row = row(1, wants, turn);
+            for (String h : row.holdings().keySet()) {
+                if (Division.cap(row, h, 1, turn) == 1) {
+                    served.add(h);
+                }
+            }
+        }
+
+        assertThat(served).hasSize(wants.size());
+    }
+
+    private static TeamRow row(int limit, List<Integer> wants, long turn) {
+        TreeMap<String, Holding> holdings = new TreeMap<>();
+        for (int i = 0; i < wants.size(); i++) {
+            holdings.put("vm%02d".formatted(i), new Holding(0, wants.get(i), turn));
+        }
+        return new TeamRow(1, limit, holdings);
+    }
+}
