--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -13,7 +13,7 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
-import org.chervillift.bench.limits.SoakBenchmark;
+import org.chervillift.bench.internal.SoakBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
--- a/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeEntryVm.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeEntryVm.java
@@ -215,12 +215,12 @@
             agent.end(permit, RunEnd.OVER, now());
             return;
         }
-        int knownHere = known.known(permit.team());
+        long knownHere = known.version(permit.team());
         sending++;
         later(LONGEST_SEND_MS, () -> send(permit, knownHere));
     }
 
-    private void send(Permit permit, int knownHere) {
+    private void send(Permit permit, long knownHere) {
         sending--;
         boolean loses = parts.random().nextInt(100) < LOST_CONNECTION_PERCENT;
         Duration length = parts.load().runLength();
--- a/chervillift-bench/src/main/java/org/chervillift/bench/limits/LimitSoak.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/limits/LimitSoak.java
@@ -14,9 +14,9 @@
 /**
  * A long randomised run of the upper limits under faults, with the invariants asserted inside.
  *
- * <p>At each start at an upstream, no more of the team may run than the newest limit, or than the
- * limit that the sender knew when it checked its permit. Afterwards, with all faults over and no
- * lease left of the dead, one entry VM alone can use each limit but for the reserve.
+ * <p>At each start at an upstream, no more of the team may run than the limit that the sender knew
+ * when it checked its permit, or a later one. Afterwards, with all faults over and no lease left of
+ * the dead, one entry VM alone can use each limit but for the reserve.
  */
 public final class LimitSoak {
 
