--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -8,25 +8,34 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.chervillift.api.Checks;
+import org.chervillift.api.fleet.VmRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
 import org.chervillift.core.keys.FreshnessRules;
 import org.chervillift.core.keys.KeyFreshness;
 import org.chervillift.core.keys.KeyGate;
+import org.chervillift.daemon.internal.config.ConfigRows;
 import org.chervillift.daemon.internal.config.ConfigStore;
 import org.chervillift.daemon.internal.keys.KeyOperations;
+import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
+import org.chervillift.daemon.internal.operator.WaveRoutes;
 import org.chervillift.daemon.internal.report.ReportRoutes;
 import org.chervillift.daemon.internal.report.UsageReporter;
+import org.chervillift.daemon.waves.Maintenance;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
+import org.chervillift.platform.ChangedReads;
+import org.chervillift.platform.HttpMaintenanceControl;
 import org.chervillift.platform.HttpPlatform;
+import org.chervillift.platform.StampingPlatform;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 import org.chervillift.runtime.supervision.RestartPolicy;
@@ -40,6 +49,8 @@
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
     private static final ApplyRules APPLY_RULES = new ApplyRules(10);
     private static final FreshnessRules KEY_RULES = FreshnessRules.WITHOUT_VOUCHING;
+    private static final Set<String> FOLLOWED =
+            Set.of(ConfigRows.HEAD.table(), KeyRows.RING.table(), VmRow.TABLE);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
 
     private final DaemonSettings settings;
@@ -49,6 +60,7 @@
     private final RequestHandler handler;
     private final UpstreamClient upstreamClient;
     private final UsageReporter usage;
+    private final Maintenance maintenance;
     private final Supervisor supervisor;
     private boolean started;
     private boolean stopping;
@@ -64,10 +76,12 @@
                         settings.platformAddress(),
                         settings.platformTimeout(),
                         Optional.empty());
-        Platform platform = new HttpPlatform(platformClient);
+        Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
-        follower = new FleetFollower(platform, scheduler, settings, keyGate, freshness);
+        follower =
+                new FleetFollower(
+                        new ChangedReads(platform), scheduler, settings, keyGate, freshness);
         upstreamClient = new UpstreamClient(reactor, settings);
         handler =
                 new RequestHandler(
@@ -77,6 +91,15 @@
                         settings,
                         new RequestMetrics(registry));
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
+        maintenance =
+                Maintenance.of(
+                        platform,
+                        new HttpMaintenanceControl(platformClient),
+                        settings.vmId(),
+                        settings.dataCentre(),
+                        settings.waves(),
+                        scheduler,
+                        follower::dataCentres);
         CallerServer callers = new CallerServer(reactor, settings, handler, usage);
         ControlServer control =
                 new ControlServer(
@@ -87,7 +110,10 @@
                         operatorRoutes(reactor, platform, keyGate));
         supervisor =
                 new Supervisor(
-                        "daemon", List.of(control, follower, usage, callers), RESTARTS, scheduler);
+                        "daemon",
+                        List.of(control, follower, usage, callers, maintenance.part()),
+                        RESTARTS,
+                        scheduler);
     }
 
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
@@ -99,7 +125,8 @@
                 List.of(
                         new ConfigRoutes(configs, follower),
                         new KeyRoutes(keys, follower, scheduler, KEY_RULES),
-                        new ReportRoutes(platform, scheduler, follower, usage));
+                        new ReportRoutes(platform, scheduler, follower, usage),
+                        new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
         return new OperatorGate(settings.operators(), routes.build());
