--- /dev/null
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements and long randomised runs of membership in virtual time. */
+package org.chervillift.bench.internal.membership;
