Send requests through claims, routes and retries in the daemon

Cause: the daemon sent requests by a thin path: no claim on an identifier, close-delimited answers passed as whole, late answers on connections that stayed open, headers and queries of callers lost. Change: RequestPath puts claim desk, router, relays, retries and HttpSender together; each attempt has a connection of its own, which is closed when its time is over; answers need a length or chunks; bodies and answers stay within 24 MiB each; headers, query and deadline of the caller go on; an answer says what is known of earlier calls with the identifier. UpstreamClient, UpstreamChooser and UpstreamResult are gone. Red on the way: bad input was answered 500 by an exception outside the promise; a body over the bound was 400 without a verdict; bodies were recycled twice; a late answer kept its connection (the client's socket inspector is told of the other kind of socket).

--- a/chervillift-bench/src/main/java/org/chervillift/bench/soak/SoakWorld.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/soak/SoakWorld.java
@@ -151,7 +151,14 @@
         Header tag = new Header(TAG, Long.toString(call.tag));
         Outgoing out =
                 new Outgoing(
-                        call.idempotent ? "GET" : "POST", "q", "/", List.of(tag), "", new byte[0]);
+                        call.idempotent ? "GET" : "POST",
+                        "q",
+                        "/",
+                        List.of(tag),
+                        "team",
+                        Optional.empty(),
+                        "",
+                        new byte[0]);
         vm.take(call.tag, f, out, a -> answered(vm, call, a, onAnswer));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerAnswers.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import org.chervillift.api.ErrorCode;
 import org.chervillift.api.Verdict;
+import org.chervillift.daemon.requests.CallerAnswer;
+import org.chervillift.daemon.requests.Reply;
 import org.chervillift.http.Json;
 
 /** Turns verdicts into the answers that callers get. */
@@ -19,33 +21,66 @@
     /** Carries the number of the error where there is no answer of an upstream. */
     public static final HttpHeader CODE = HttpHeaders.of("Chervillift-Code");
 
+    private static final String NOT_ASKED = CallerAnswer.EarlierCalls.NOT_ASKED.word();
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private CallerAnswers() {}
 
-    /** Returns the whole answer of an upstream. */
-    public static HttpResponse completed(UpstreamResult.Answered answer) {
+    /** Returns the one answer to a caller. */
+    public static HttpResponse of(CallerAnswer answer) {
+        return switch (answer) {
+            case CallerAnswer.Passed p -> completed(p.reply());
+            case CallerAnswer.Said s ->
+                    build(
+                            s.verdict(),
+                            s.code(),
+                            detail(s.verdict()),
+                            s.retryAfter(),
+                            s.earlier().word());
+        };
+    }
+
+    private static HttpResponse completed(Reply reply) {
         HttpResponse.Builder builder =
-                HttpResponse.ofCode(answer.status())
+                HttpResponse.ofCode(reply.status())
                         .withHeader(VERDICT, new Verdict.Completed().word());
-        if (!answer.contentType().isBlank()) {
-            builder.withHeader(HttpHeaders.CONTENT_TYPE, answer.contentType());
+        reply.headers().forEach(h -> builder.withHeader(HttpHeaders.of(h.name()), h.value()));
+        if (reply.body().length == 0) {
+            reply.release();
+            return builder.build();
         }
-        return builder.withBody(answer.body()).build();
+        return builder.withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(reply.body().length))
+                .withBodyStream(reply.stream())
+                .build();
+    }
+
+    private static String detail(Verdict verdict) {
+        return switch (verdict) {
+            case Verdict.Completed c -> "";
+            case Verdict.NotRun n -> n.detail();
+            case Verdict.MayHaveRun m -> m.detail();
+        };
     }
 
     /** Returns the answer for a request that has no answer of an upstream. */
     public static HttpResponse of(Verdict verdict) {
         return switch (verdict) {
             case Verdict.Completed c -> throw new IllegalArgumentException("needs an answer");
-            case Verdict.NotRun n -> build(n, n.code(), n.detail(), n.retryAfter());
-            case Verdict.MayHaveRun m -> build(m, m.code(), m.detail(), Optional.empty());
+            case Verdict.NotRun n -> build(n, n.code(), n.detail(), n.retryAfter(), NOT_ASKED);
+            case Verdict.MayHaveRun m ->
+                    build(m, m.code(), m.detail(), Optional.empty(), NOT_ASKED);
         };
     }
 
     private static HttpResponse build(
-            Verdict verdict, ErrorCode code, String detail, Optional<Duration> retryAfter) {
-        VerdictBody body = new VerdictBody(verdict.word(), code.number(), code.sentence(), detail);
+            Verdict verdict,
+            ErrorCode code,
+            String detail,
+            Optional<Duration> retryAfter,
+            String earlierCalls) {
+        VerdictBody body =
+                new VerdictBody(
+                        verdict.word(), code.number(), code.sentence(), detail, earlierCalls);
         HttpResponse.Builder builder =
                 HttpResponse.ofCode(code.httpStatus())
                         .withHeader(VERDICT, verdict.word())
@@ -62,5 +97,6 @@
     }
 
     /** The body of an answer without an answer of an upstream. */
-    private record VerdictBody(String verdict, int code, String sentence, String detail) {}
+    private record VerdictBody(
+            String verdict, int code, String sentence, String detail, String earlierCalls) {}
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
@@ -20,7 +20,6 @@
 /** Takes callers' requests over HTTP. */
 public final class CallerServer implements Part {
 
-    private static final int KIB = 1024;
     private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
 
@@ -62,7 +61,6 @@
         server =
                 HttpServer.builder(reactor, routes)
                         .withListenAddress(settings.callerAddress().toSocketAddress())
-                        .withMaxBodySize(settings.mostBodyKib() * KIB)
                         .withReadWriteTimeout(READ_WRITE_TIMEOUT)
                         .withKeepAliveTimeout(KEEP_ALIVE)
                         .build();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -47,7 +47,7 @@
     private final KeyFreshness freshness;
     private final FleetFollower follower;
     private final RequestHandler handler;
-    private final UpstreamClient upstreamClient;
+    private final RequestPath requestPath;
     private final UsageReporter usage;
     private final Supervisor supervisor;
     private boolean started;
@@ -68,12 +68,13 @@
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
         follower = new FleetFollower(platform, scheduler, settings, keyGate, freshness);
-        upstreamClient = new UpstreamClient(reactor, settings);
+        requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
         handler =
                 new RequestHandler(
                         follower::view,
                         (key, open) -> keyGate.decide(key, open, scheduler.now()),
-                        upstreamClient,
+                        requestPath,
+                        scheduler::now,
                         settings,
                         new RequestMetrics(registry));
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
@@ -87,7 +88,10 @@
                         operatorRoutes(reactor, platform, keyGate));
         supervisor =
                 new Supervisor(
-                        "daemon", List.of(control, follower, usage, callers), RESTARTS, scheduler);
+                        "daemon",
+                        List.of(control, follower, usage, requestPath, callers),
+                        RESTARTS,
+                        scheduler);
     }
 
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
@@ -137,7 +141,7 @@
                     awaitDrain(bound, drained);
                 });
         return drained.thenCompose(ignored -> supervisor.stop())
-                .thenCompose(ignored -> upstreamClient.stop().toCompletableFuture())
+                .thenCompose(ignored -> requestPath.closeConnections().toCompletableFuture())
                 .thenRun(() -> EventLog.log(DaemonEvent.STOPPED));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
@@ -3,11 +3,9 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
 import org.chervillift.api.ChervilliftException;
 import org.chervillift.api.ErrorCode;
@@ -161,12 +159,7 @@
 
     private Void adoptVms(List<Row> rows, List<ListedVm> listed) {
         List<VmRow> vms = rows.stream().map(r -> Json.decode(r.value(), VmRow.class)).toList();
-        Set<String> leaving =
-                listed.stream()
-                        .filter(ListedVm::leaving)
-                        .map(ListedVm::id)
-                        .collect(Collectors.toUnmodifiableSet());
-        view = view.withVms(vms, leaving);
+        view = view.withVms(vms, listed);
         return null;
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
@@ -1,13 +1,15 @@
 package org.chervillift.daemon.internal;
 
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.time.Duration;
-import java.util.HashSet;
+import java.time.Instant;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.ChervilliftException;
@@ -15,22 +17,26 @@
 import org.chervillift.api.Verdict;
 import org.chervillift.api.config.Queue;
 import org.chervillift.api.config.Team;
-import org.chervillift.api.fleet.VmRow;
+import org.chervillift.core.claims.ClaimKey;
 import org.chervillift.core.keys.KeyDecision;
+import org.chervillift.core.requests.RequestFacts;
+import org.chervillift.daemon.requests.MemoryBudget;
+import org.chervillift.daemon.requests.Outgoing;
 
 /** Takes a caller's request from its first line to its one answer. */
 public final class RequestHandler {
 
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-    private static final int MOST_TRIES = 3;
     private static final int KIB = 1024;
+    private static final long BODY_BYTES = 24L * KIB * KIB;
     private static final Team ANYONE = new Team("anyone", 1, 1_000_000);
 
     private final Supplier<FleetView> fleet;
     private final BiFunction<Optional<String>, Boolean, KeyDecision> keys;
     private final TeamAdmission admission;
-    private final UpstreamChooser chooser;
-    private final UpstreamClient client;
+    private final RequestPath path;
+    private final Supplier<Instant> now;
+    private final MemoryBudget bodies = new MemoryBudget(BODY_BYTES);
     private final DaemonSettings settings;
     private final RequestMetrics metrics;
     private boolean stopping;
@@ -40,20 +46,23 @@
      * Creates a handler.
      *
      * @param keys decides, for the key of a request and whether its queue is open, whose work it is
+     * @param path carries out the course of each request
+     * @param now gives the present time
      */
     public RequestHandler(
             Supplier<FleetView> fleet,
             BiFunction<Optional<String>, Boolean, KeyDecision> keys,
-            UpstreamClient client,
+            RequestPath path,
+            Supplier<Instant> now,
             DaemonSettings settings,
             RequestMetrics metrics) {
         this.fleet = Checks.notNull("fleet", fleet);
         this.keys = Checks.notNull("keys", keys);
-        this.client = Checks.notNull("client", client);
+        this.path = Checks.notNull("path", path);
+        this.now = Checks.notNull("now", now);
         this.settings = Checks.notNull("settings", settings);
         this.metrics = Checks.notNull("metrics", metrics);
         this.admission = new TeamAdmission();
-        this.chooser = new UpstreamChooser(settings.dataCentre());
     }
 
     /** Returns the number of requests that have no answer yet. */
@@ -70,12 +79,20 @@
     public Promise<HttpResponse> handle(HttpRequest request) {
         running++;
         long start = System.nanoTime();
-        return answer(request)
+        return answerOrFault(request)
                 .then((r, fault) -> Promise.of(fault == null ? r : ofFault(fault)))
                 .whenResult(r -> metrics.answered(r, System.nanoTime() - start))
                 .whenComplete(() -> running--);
     }
 
+    private Promise<HttpResponse> answerOrFault(HttpRequest request) {
+        try {
+            return answer(request);
+        } catch (ChervilliftException e) {
+            return Promise.ofException(e);
+        }
+    }
+
     private Promise<HttpResponse> answer(HttpRequest request) {
         if (stopping) {
             return refuse(ErrorCode.SHUTTING_DOWN, "Another entry VM takes the request.");
@@ -90,8 +107,35 @@
         if (!(early instanceof KeyDecision.OfTeam || early instanceof KeyDecision.OfAnyone)) {
             return refuseKey(early);
         }
-        return request.loadBody(settings.mostBodyKib() * KIB)
-                .then(body -> admit(parsed, body.getArray(), queue.get()));
+        return withBody(request, body -> admit(parsed, body, queue.get()));
+    }
+
+    private Promise<HttpResponse> withBody(
+            HttpRequest request, Function<byte[], Promise<HttpResponse>> then) {
+        int most = settings.mostBodyKib() * KIB;
+        long bytes = bodyBytes(request, most);
+        if (bytes > most) {
+            return refuse(ErrorCode.TOO_LARGE, "A body may have " + most + " bytes.");
+        }
+        if (!bodies.tryTake(bytes)) {
+            return refuse(ErrorCode.NO_ROOM, "Too many bodies are on their way.");
+        }
+        return request.loadBody(most)
+                .then(
+                        (body, fault) ->
+                                fault == null
+                                        ? then.apply(body.getArray())
+                                        : refuse(ErrorCode.TOO_LARGE, "The body cannot be read."))
+                .whenComplete(() -> bodies.giveBack(bytes));
+    }
+
+    /** Returns the length that the caller tells, or the most where it tells none. */
+    private static long bodyBytes(HttpRequest request, int most) {
+        String told = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        if (told != null) {
+            return told.strip().matches("[0-9]{1,9}") ? Long.parseLong(told.strip()) : most + 1L;
+        }
+        return request.getHeader(HttpHeaders.TRANSFER_ENCODING) == null ? 0 : most;
     }
 
     /**
@@ -126,43 +170,43 @@
         if (!admission.tryStart(team)) {
             return refuse(ErrorCode.TEAM_LIMIT, "The limit is " + team.limit() + ".");
         }
-        return tryUpstreams(request, body, queue, team, new HashSet<>())
-                .whenComplete(() -> admission.end(team));
-    }
-
-    private Promise<HttpResponse> tryUpstreams(
-            CallerRequest request, byte[] body, Queue queue, Team team, Set<String> tried) {
-        Optional<VmRow> chosen = chooser.choose(fleet.get(), queue.pool(), tried);
-        if (chosen.isEmpty() || tried.size() == MOST_TRIES) {
-            return refuse(ErrorCode.NO_ROOM, "The pool is " + queue.pool() + ".");
-        }
-        VmRow upstream = chosen.get();
-        chooser.started(upstream);
-        return client.send(request, body, team.name(), upstream)
-                .whenComplete(() -> chooser.ended(upstream))
-                .then(
-                        result -> {
-                            if (mayTryAgain(request, result)) {
-                                tried.add(upstream.id());
-                                return tryUpstreams(request, body, queue, team, tried);
-                            }
-                            return Promise.of(toAnswer(result));
-                        });
+        SettablePromise<HttpResponse> answered = new SettablePromise<>();
+        path.run(
+                facts(request, body, queue, team),
+                outgoing(request, body, team),
+                answer -> answered.set(CallerAnswers.of(answer)));
+        return answered.whenComplete(() -> admission.end(team));
     }
 
-    private static boolean mayTryAgain(CallerRequest request, UpstreamResult result) {
-        return switch (result) {
-            case UpstreamResult.Answered a -> false;
-            case UpstreamResult.Failed f ->
-                    request.isIdempotent() || f.verdict() instanceof Verdict.NotRun;
-        };
+    private RequestFacts facts(CallerRequest request, byte[] body, Queue queue, Team team) {
+        boolean anyone = team.name().equals(ANYONE.name());
+        Optional<ClaimKey> claimKey =
+                request.identifier()
+                        .filter(i -> !request.isIdempotent())
+                        .map(
+                                i ->
+                                        anyone
+                                                ? ClaimKey.ofOpenQueue(queue.name(), i)
+                                                : ClaimKey.ofTeam(team.name(), i));
+        return new RequestFacts(
+                queue.pool(),
+                request.isIdempotent(),
+                claimKey,
+                claimKey.isEmpty() ? "" : RequestDigests.of(request, body),
+                request.relayed(),
+                now.get().plus(request.deadline().orElse(settings.upstreamTimeout())));
     }
 
-    private static HttpResponse toAnswer(UpstreamResult result) {
-        return switch (result) {
-            case UpstreamResult.Answered a -> CallerAnswers.completed(a);
-            case UpstreamResult.Failed f -> CallerAnswers.of(f.verdict());
-        };
+    private static Outgoing outgoing(CallerRequest request, byte[] body, Team team) {
+        return new Outgoing(
+                request.method().name(),
+                request.queue(),
+                request.path(),
+                request.headers(),
+                team.name(),
+                request.identifier(),
+                request.authorization(),
+                body);
     }
 
     private static HttpResponse ofFault(Exception fault) {
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/Attempt.java
@@ -0,0 +1,59 @@
+package org.chervillift.daemon.requests;
+
+import io.activej.net.socket.tcp.TcpSocket;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.chervillift.api.ErrorCode;
+
+/**
+ * One attempt on a connection of its own.
+ *
+ * <p>Until the connection is made, nothing has left and the request cannot have run. Afterwards it
+ * may have run, unless the other side says that it did not. Confined to one thread.
+ */
+final class Attempt {
+
+    private final Consumer<SendResult> onResult;
+    private TcpSocket socket;
+    private boolean expired;
+    private boolean mayHaveLeft;
+    private boolean ended;
+
+    Attempt(Consumer<SendResult> onResult) {
+        this.onResult = onResult;
+    }
+
+    /** Takes in that the connection is made; no byte has been written yet. */
+    void connected(TcpSocket made) {
+        if (expired) {
+            made.closeEx(new TimeoutException("The time was over before the connection was made."));
+            return;
+        }
+        socket = made;
+        mayHaveLeft = true;
+    }
+
+    /** Ends the attempt for want of time; the connection is closed and never used again. */
+    void expire() {
+        expired = true;
+        if (socket != null && !ended) {
+            end(new SendResult.Lost(ErrorCode.UPSTREAM_TIMEOUT));
+            socket.closeEx(new TimeoutException("No whole answer came in time."));
+        }
+    }
+
+    void fail() {
+        if (mayHaveLeft) {
+            end(new SendResult.Lost(ErrorCode.UPSTREAM_FAILED));
+        } else {
+            end(new SendResult.NotRun(SendResult.Reason.UNREACHABLE, ErrorCode.NO_UPSTREAM));
+        }
+    }
+
+    void end(SendResult result) {
+        if (!ended) {
+            ended = true;
+            onResult.accept(result);
+        }
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/CountedBody.java
@@ -0,0 +1,31 @@
+package org.chervillift.daemon.requests;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.AbstractChannelSupplier;
+import io.activej.promise.Promise;
+
+/** A body that gives its bytes back to a budget when it is written, or will never be. */
+final class CountedBody extends AbstractChannelSupplier<ByteBuf> {
+
+    private final Reply reply;
+    private boolean supplied;
+
+    CountedBody(Reply reply) {
+        this.reply = reply;
+    }
+
+    @Override
+    protected Promise<ByteBuf> doGet() {
+        if (supplied) {
+            reply.release();
+            return Promise.of(null);
+        }
+        supplied = true;
+        return Promise.of(ByteBuf.wrapForReading(reply.body()));
+    }
+
+    @Override
+    protected void onClosed(Exception fault) {
+        reply.release();
+    }
+}
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/HttpSender.java
@@ -0,0 +1,228 @@
+package org.chervillift.daemon.requests;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.common.MemSize;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.chervillift.api.Checks;
+import org.chervillift.api.ErrorCode;
+import org.chervillift.core.routing.Choice;
+import org.chervillift.http.IpNumberResolver;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/**
+ * Sends attempts over HTTP, each on a connection of its own.
+ *
+ * <p>A new connection shows that the way is open just before the request leaves, no answer can come
+ * that belongs to another request, and a connection whose answer is late is closed.
+ */
+public final class HttpSender implements Sender {
+
+    /** Says in a 503 answer that the request has not run, and why. */
+    public static final HttpHeader NOT_RUN = HttpHeaders.of("Chervillift-Not-Run");
+
+    /** Carries the time that the caller still waits, in milliseconds. */
+    public static final HttpHeader DEADLINE = HttpHeaders.of("Chervillift-Deadline-Ms");
+
+    /** Names the entry VM that sends a request on to another one. */
+    public static final HttpHeader RELAYED = HttpHeaders.of("Chervillift-Relayed");
+
+    private static final HttpHeader VERDICT = HttpHeaders.of("Chervillift-Verdict");
+    private static final HttpHeader TEAM = HttpHeaders.of("Chervillift-Team");
+    private static final HttpHeader IDENTIFIER = HttpHeaders.of("Idempotency-Key");
+    private static final String HEAD = "HEAD";
+    private static final String LEAVING = "leaving";
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration LONGEST_ANSWER = Duration.ofHours(1);
+    private static final int UNAVAILABLE = 503;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final HttpClient client;
+    private final Scheduler scheduler;
+    private final String entryVm;
+    private final MemSize mostBody;
+    private final MemoryBudget memory;
+
+    /**
+     * Creates a sender on an event loop.
+     *
+     * @param mostBodyBytes the largest body of an answer
+     * @param memory the bytes that all answers may take up; a body is read when there is room
+     */
+    public HttpSender(
+            NioReactor reactor,
+            Scheduler scheduler,
+            String entryVm,
+            int mostBodyBytes,
+            MemoryBudget memory) {
+        this.memory = Checks.notNull("memory", memory);
+        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.entryVm = Checks.notBlank("entryVm", entryVm);
+        this.mostBody = MemSize.of(mostBodyBytes);
+        SocketWatch sockets = new SocketWatch();
+        client =
+                HttpClient.builder(reactor, new IpNumberResolver())
+                        .withNoKeepAlive()
+                        .withConnectTimeout(CONNECT_TIMEOUT)
+                        .withReadWriteTimeout(LONGEST_ANSWER)
+                        .withMaxBodySize(mostBody)
+                        .withInspector(new ConnectionWatch(sockets))
+                        .withSocketInspector(sockets)
+                        .withSocketSslInspector(sockets)
+                        .build();
+    }
+
+    /** Closes all connections. */
+    public Promise<?> stop() {
+        return client.stop();
+    }
+
+    @Override
+    public void send(
+            Choice target,
+            Outgoing request,
+            boolean freshConnection,
+            Instant until,
+            Consumer<SendResult> onResult) {
+        Attempt attempt = new Attempt(onResult);
+        HttpRequest http = build(target, request, until);
+        http.attach(Attempt.class, attempt);
+        Scheduler.Cancellation timer = scheduler.schedule(timeLeft(until), attempt::expire);
+        client.request(http)
+                .then(r -> readWhenThereIsRoom(target, request, r))
+                .whenResult(attempt::end)
+                .whenException(e -> attempt.fail())
+                .whenComplete(timer::cancel);
+    }
+
+    private Promise<SendResult> readWhenThereIsRoom(
+            Choice target, Outgoing request, HttpResponse response) {
+        long bytes = bytesOf(request, response);
+        SettablePromise<Void> room = new SettablePromise<>();
+        memory.take(bytes, () -> room.set(null));
+        return room.then(() -> response.loadBody(mostBody))
+                .map(b -> result(target, request, response, b, () -> memory.giveBack(bytes)))
+                .whenException(e -> memory.giveBack(bytes));
+    }
+
+    /** Returns the room that a body needs; one that tells no good length may be the largest. */
+    private long bytesOf(Outgoing request, HttpResponse response) {
+        String told = response.getHeader(HttpHeaders.CONTENT_LENGTH);
+        if (request.method().equals(HEAD)) {
+            return 0;
+        }
+        if (told == null || !told.strip().matches("[0-9]{1,9}")) {
+            return mostBody.toLong();
+        }
+        return Math.min(mostBody.toLong(), Long.parseLong(told.strip()));
+    }
+
+    private Duration timeLeft(Instant until) {
+        Duration left = Duration.between(scheduler.now(), until);
+        return left.isNegative() ? Duration.ZERO : left;
+    }
+
+    private HttpRequest build(Choice target, Outgoing request, Instant until) {
+        HttpMethod method = HttpMethod.valueOf(request.method());
+        HttpRequest.Builder builder = HttpRequest.builder(method, url(target, request));
+        request.headers().forEach(h -> builder.withHeader(HttpHeaders.of(h.name()), h.value()));
+        builder.withHeader(DEADLINE, Long.toString(Math.max(1, timeLeft(until).toMillis())));
+        if (target instanceof Choice.ToEntryVm) {
+            builder.withHeader(RELAYED, entryVm);
+            if (!request.authorization().isBlank()) {
+                builder.withHeader(HttpHeaders.AUTHORIZATION, request.authorization());
+            }
+        } else {
+            builder.withHeader(TEAM, request.team());
+            request.identifier().ifPresent(i -> builder.withHeader(IDENTIFIER, i));
+        }
+        if (request.body().length > 0) {
+            builder.withBody(request.body());
+        }
+        return builder.build();
+    }
+
+    private static String url(Choice target, Outgoing request) {
+        return switch (target) {
+            case Choice.ToUpstream u -> "http://" + u.upstream().address() + request.path();
+            case Choice.ToEntryVm e ->
+                    "http://"
+                            + e.entryVm().address()
+                            + "/queues/"
+                            + request.queue()
+                            + request.path();
+            case Choice.NoRoom n -> throw new IllegalArgumentException("no target");
+            case Choice.NoUpstream n -> throw new IllegalArgumentException("no target");
+        };
+    }
+
+    private static SendResult result(
+            Choice target,
+            Outgoing request,
+            HttpResponse response,
+            ByteBuf body,
+            Runnable onRelease) {
+        byte[] bytes = body.getArray();
+        if (!isWhole(request, response, bytes.length)) {
+            onRelease.run();
+            return new SendResult.Lost(ErrorCode.UPSTREAM_FAILED);
+        }
+        Reply reply =
+                new Reply(response.getCode(), HeaderRules.toCaller(response), bytes, onRelease);
+        return target instanceof Choice.ToEntryVm
+                ? relayed(response, reply)
+                : answered(response, reply);
+    }
+
+    /** An answer that ends with its connection may be cut, so it needs a length or chunks. */
+    private static boolean isWhole(Outgoing request, HttpResponse response, int length) {
+        int status = response.getCode();
+        if (request.method().equals(HEAD) || status == NO_CONTENT || status == NOT_MODIFIED) {
+            return true;
+        }
+        String coding = response.getHeader(HttpHeaders.TRANSFER_ENCODING);
+        if (coding != null && coding.toLowerCase(Locale.ROOT).contains("chunked")) {
+            return true;
+        }
+        String told = response.getHeader(HttpHeaders.CONTENT_LENGTH);
+        boolean compressed = response.getHeader(HttpHeaders.CONTENT_ENCODING) != null;
+        return told != null && (compressed || told.strip().equals(Integer.toString(length)));
+    }
+
+    private static SendResult answered(HttpResponse response, Reply reply) {
+        String notRun = response.getHeader(NOT_RUN);
+        if (response.getCode() != UNAVAILABLE || notRun == null) {
+            return new SendResult.Replied(reply);
+        }
+        reply.release();
+        SendResult.Reason reason =
+                notRun.equalsIgnoreCase(LEAVING)
+                        ? SendResult.Reason.LEAVING
+                        : SendResult.Reason.BUSY;
+        return new SendResult.NotRun(reason, ErrorCode.NO_ROOM);
+    }
+
+    private static SendResult relayed(HttpResponse response, Reply reply) {
+        String verdict = response.getHeader(VERDICT);
+        if ("completed".equals(verdict)) {
+            return new SendResult.Replied(reply);
+        }
+        reply.release();
+        return switch (verdict) {
+            case "not-run" -> new SendResult.NotRun(SendResult.Reason.BUSY, ErrorCode.NO_ROOM);
+            case null, default -> new SendResult.Lost(ErrorCode.UPSTREAM_FAILED);
+        };
+    }
+}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/Outgoing.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/Outgoing.java
@@ -1,6 +1,7 @@
 package org.chervillift.daemon.requests;
 
 import java.util.List;
+import java.util.Optional;
 import org.chervillift.api.Checks;
 
 /** What is sent to an upstream, or to another entry VM. */
@@ -10,6 +11,8 @@
     private final String queue;
     private final String path;
     private final List<Header> headers;
+    private final String team;
+    private final Optional<String> identifier;
     private final String authorization;
     private final byte[] body;
 
@@ -20,6 +23,8 @@
      * @param queue the queue that the caller named
      * @param path what follows the queue, with its query, starting with a slash
      * @param headers headers of the caller that go on to the upstream
+     * @param team the team that it runs for
+     * @param identifier the request identifier, if one came
      * @param authorization the caller's credential, for another entry VM only; blank without one
      * @param body the whole body
      */
@@ -28,12 +33,16 @@
             String queue,
             String path,
             List<Header> headers,
+            String team,
+            Optional<String> identifier,
             String authorization,
             byte[] body) {
         this.method = Checks.notBlank("method", method);
         this.queue = Checks.notBlank("queue", queue);
         this.path = Checks.notBlank("path", path);
         this.headers = List.copyOf(headers);
+        this.team = Checks.notBlank("team", team);
+        this.identifier = Checks.notNull("identifier", identifier);
         this.authorization = Checks.notNull("authorization", authorization);
         this.body = Checks.notNull("body", body);
     }
@@ -58,6 +67,16 @@
         return headers;
     }
 
+    /** Returns the team that it runs for. */
+    public String team() {
+        return team;
+    }
+
+    /** Returns the request identifier, if one came. */
+    public Optional<String> identifier() {
+        return identifier;
+    }
+
     /** Returns the caller's credential, blank without one. */
     public String authorization() {
         return authorization;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/Reply.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/Reply.java
@@ -1,9 +1,11 @@
 package org.chervillift.daemon.requests;
 
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSupplier;
 import java.util.List;
 import org.chervillift.api.Checks;
 
-/** A whole answer of an upstream. Immutable as long as nobody writes to the body. */
+/** A whole answer of an upstream, until its body is released. */
 public final class Reply {
 
     private static final int FIRST_SERVER_FAILURE = 500;
@@ -11,6 +13,7 @@
     private final int status;
     private final List<Header> headers;
     private final byte[] body;
+    private Runnable onRelease;
 
     /**
      * Creates an answer; the array is not copied.
@@ -20,9 +23,22 @@
      * @param body the whole body
      */
     public Reply(int status, List<Header> headers, byte[] body) {
+        this(status, headers, body, () -> {});
+    }
+
+    /**
+     * Creates an answer whose bytes are counted; the array is not copied.
+     *
+     * @param status the HTTP status
+     * @param headers the headers that go on to the caller
+     * @param body the whole body
+     * @param onRelease run once when the body is no longer kept
+     */
+    public Reply(int status, List<Header> headers, byte[] body, Runnable onRelease) {
         this.status = status;
         this.headers = List.copyOf(headers);
         this.body = Checks.notNull("body", body);
+        this.onRelease = Checks.notNull("onRelease", onRelease);
     }
 
     /** Returns the HTTP status. */
@@ -40,6 +56,18 @@
         return body;
     }
 
+    /** Returns the body as a stream that releases it when it is written or will never be. */
+    public ChannelSupplier<ByteBuf> stream() {
+        return new CountedBody(this);
+    }
+
+    /** Says that the body is no longer kept; only the first call counts. */
+    public void release() {
+        Runnable once = onRelease;
+        onRelease = () -> {};
+        once.run();
+    }
+
     /** Returns whether the server failed. */
     public boolean isServerFailure() {
         return status >= FIRST_SERVER_FAILURE;
