--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/SoakBenchmark.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/SoakBenchmark.java
@@ -1,10 +1,13 @@
 package org.chervillift.bench.internal;
 
 import java.time.Duration;
+import org.chervillift.bench.limits.InvariantBrokenException;
+import org.chervillift.bench.limits.LimitSoak;
+import org.chervillift.bench.limits.Variant;
 import org.chervillift.bench.soak.RequestSoak;
 import org.chervillift.bench.soak.SoakFault;
 
-/** A randomised run of the request path over faults, in virtual time. */
+/** Randomised runs of the request path and of the upper limits over faults, in virtual time. */
 public final class SoakBenchmark implements Benchmark {
 
     @Override
@@ -14,7 +17,7 @@
 
     @Override
     public String summary() {
-        return "A randomised run of the request path over faults, with its invariants asserted.";
+        return "Randomised runs of requests and limits over faults, with invariants asserted.";
     }
 
     @Override
@@ -22,7 +25,9 @@
         try {
             RequestSoak.run(context.seed(), Duration.ofMinutes(context.minutes()))
                     .forEach((what, count) -> context.figure(what, count, "times"));
-        } catch (SoakFault e) {
+            LimitSoak.run(context.seed(), context.minutes(), Variant.RIGHT)
+                    .forEach((what, count) -> context.figure("limits_" + what, count, "times"));
+        } catch (SoakFault | InvariantBrokenException e) {
             throw new ConditionBrokenException(e.getMessage(), context.seed());
         }
     }
--- a/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
@@ -1,6 +1,7 @@
 package org.chervillift.standin.platform;
 
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -8,11 +9,13 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
-import io.activej.reactor.Reactor;
+import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.chervillift.api.platform.CommitResult;
 import org.chervillift.api.platform.ListedVm;
 import org.chervillift.api.platform.Transaction;
@@ -31,10 +34,11 @@
     private static final int UNAVAILABLE = 503;
     private static final int CONFLICT = 409;
     private static final int NOT_FOUND = 404;
+    private static final int NOT_MODIFIED = 304;
 
     private final PlatformState state = new PlatformState();
     private final LaggingList list = new LaggingList();
-    private final Reactor reactor;
+    private final NioReactor reactor;
     private final Scheduler scheduler;
     private PlatformFaults faults = PlatformFaults.NONE;
     private long reads;
@@ -42,15 +46,16 @@
     private long lists;
 
     /** Creates the interface on an event loop. */
-    public PlatformServlet(Reactor reactor, Scheduler scheduler) {
+    public PlatformServlet(NioReactor reactor, Scheduler scheduler) {
         this.reactor = reactor;
         this.scheduler = scheduler;
     }
 
     /** Returns the servlet with all routes. */
     public AsyncServlet routes() {
-        return RoutingServlet.builder(reactor)
-                .with(HttpMethod.POST, "/v1/rows", r -> reading(r, this::read))
+        RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
+        new MaintenanceServlet(reactor, scheduler, list).addTo(routes, this::underWriteFaults);
+        return routes.with(HttpMethod.POST, "/v1/rows", r -> reading(r, this::read))
                 .with(HttpMethod.GET, "/v1/tables/:table", r -> reading(r, this::scan))
                 .with(HttpMethod.POST, "/v1/transactions", r -> writing(r, this::commit))
                 .with(HttpMethod.GET, "/v1/objects/*", r -> reading(r, this::getObject))
@@ -76,18 +81,33 @@
     private Promise<HttpResponse> writing(
             HttpRequest request, Function<HttpRequest, Promise<HttpResponse>> answer) {
         writes++;
-        return underFaults(() -> request.loadBody().then(b -> answer.apply(request)))
+        return underWriteFaults(() -> request.loadBody().then(b -> answer.apply(request)));
+    }
+
+    private Promise<HttpResponse> underWriteFaults(Supplier<Promise<HttpResponse>> answer) {
+        return underFaults(answer)
                 .then(r -> faults.loseReplies() ? new SettablePromise<>() : Promise.of(r));
     }
 
     private Promise<HttpResponse> listing(HttpRequest request) {
         lists++;
         Duration lag = Duration.ofMillis(faults.listLagMillis());
-        return underFaults(() -> Answers.json(new VmsAnswer(list.show(scheduler.now(), lag))));
+        return underFaults(() -> listed(request, list.show(scheduler.now(), lag)));
+    }
+
+    /** The hash of the list is its entity tag; equal lists have equal tags. */
+    private static Promise<HttpResponse> listed(HttpRequest request, List<ListedVm> vms) {
+        String tag = '"' + Integer.toHexString(vms.hashCode()) + "-" + vms.size() + '"';
+        if (tag.equals(request.getHeader(HttpHeaders.IF_NONE_MATCH))) {
+            return HttpResponse.ofCode(NOT_MODIFIED).toPromise();
+        }
+        return HttpResponse.ok200()
+                .withHeader(HttpHeaders.ETAG, tag)
+                .withJson(Json.encode(new VmsAnswer(vms)))
+                .toPromise();
     }
 
-    private Promise<HttpResponse> underFaults(
-            java.util.function.Supplier<Promise<HttpResponse>> answer) {
+    private Promise<HttpResponse> underFaults(Supplier<Promise<HttpResponse>> answer) {
         if (faults.down()) {
             return Answers.text(UNAVAILABLE, "down");
         }
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import org.chervillift.api.Checks;
 import org.chervillift.http.Answers;
 import org.chervillift.http.Json;
@@ -37,6 +38,7 @@
     private final Reactor reactor;
     private final String id;
     private final int slots;
+    private final UpstreamMaintenance maintenance;
     private final RunLedger ledger;
     private UpstreamFaults faults = UpstreamFaults.NONE;
     private long runs;
@@ -55,12 +57,16 @@
         this.reactor = reactor;
         this.id = Checks.notBlank("id", id);
         this.slots = (int) Checks.inRange("slots", slots, 1, 10_000);
+        this.maintenance =
+                new UpstreamMaintenance(
+                        id, () -> running, () -> Instant.ofEpochMilli(reactor.currentTimeMillis()));
     }
 
     /** Returns the servlet with all routes. */
     public AsyncServlet routes() {
-        return RoutingServlet.builder(reactor)
-                .with(HttpMethod.GET, "/admin/stats", r -> Answers.json(stats()))
+        RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
+        maintenance.addTo(routes);
+        return routes.with(HttpMethod.GET, "/admin/stats", r -> Answers.json(stats()))
                 .with(HttpMethod.GET, "/admin/ledger", r -> Answers.json(ledger.counts()))
                 .with(HttpMethod.PUT, "/admin/faults", this::setFaults)
                 .with("/*", this::work)
@@ -77,7 +83,8 @@
                 busyAnswers,
                 counts.runningByTeam(),
                 counts.mostRunningByTeam(),
-                counts.repeatedIdentifiers());
+                counts.repeatedIdentifiers(),
+                maintenance.cut());
     }
 
     private Promise<HttpResponse> setFaults(HttpRequest request) {
@@ -94,7 +101,7 @@
         if (faults.failAll()) {
             return Answers.text(FAILED, "failed");
         }
-        if (running >= slots) {
+        if (running >= slots || !maintenance.takesWork()) {
             busyAnswers++;
             return HttpResponse.ofCode(BUSY).withHeader(NOT_RUN, "true").toPromise();
         }
