--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -75,13 +75,7 @@
         this.settings = Checks.notNull("settings", settings);
         scheduler = new ReactorScheduler(reactor);
         PrometheusRegistry registry = new PrometheusRegistry();
-        JsonClient platformClient =
-                new JsonClient(
-                        reactor,
-                        settings.platformAddress(),
-                        settings.platformTimeout(),
-                        Optional.empty());
-        Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
+        Platform platform = platform(reactor);
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
         follower =
@@ -89,14 +83,7 @@
                         new ChangedReads(platform), scheduler, settings, keyGate, freshness);
         peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
         requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
-        handler =
-                new RequestHandler(
-                        follower::view,
-                        (key, open) -> keyGate.decide(key, open, scheduler.now()),
-                        requestPath,
-                        scheduler::now,
-                        settings,
-                        new RequestMetrics(registry));
+        handler = requestHandler(keyGate, registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
                 Maintenance.of(
@@ -130,6 +117,26 @@
         supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
     }
 
+    private Platform platform(Eventloop reactor) {
+        JsonClient client =
+                new JsonClient(
+                        reactor,
+                        settings.platformAddress(),
+                        settings.platformTimeout(),
+                        Optional.empty());
+        return new StampingPlatform(new HttpPlatform(client), FOLLOWED);
+    }
+
+    private RequestHandler requestHandler(KeyGate keyGate, PrometheusRegistry registry) {
+        return new RequestHandler(
+                follower::view,
+                (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                requestPath,
+                scheduler::now,
+                settings,
+                new RequestMetrics(registry));
+    }
+
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
