--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -75,7 +75,8 @@
         this.settings = Checks.notNull("settings", settings);
         scheduler = new ReactorScheduler(reactor);
         PrometheusRegistry registry = new PrometheusRegistry();
-        Platform platform = platform(reactor);
+        JsonClient platformClient = platformClient(reactor);
+        Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
         follower =
@@ -117,14 +118,9 @@
         supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
     }
 
-    private Platform platform(Eventloop reactor) {
-        JsonClient client =
-                new JsonClient(
-                        reactor,
-                        settings.platformAddress(),
-                        settings.platformTimeout(),
-                        Optional.empty());
-        return new StampingPlatform(new HttpPlatform(client), FOLLOWED);
+    private JsonClient platformClient(Eventloop reactor) {
+        return new JsonClient(
+                reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
     }
 
     private RequestHandler requestHandler(KeyGate keyGate, PrometheusRegistry registry) {
