--- a/bin/cluster.sh
+++ b/bin/cluster.sh
@@ -117,3 +117,11 @@
 json_text() { # name of a text field; JSON from standard input
   sed -n "s/.*\"$1\":\"\([^\"]*\)\".*/\1/p"
 }
+
+resident() { # label; resident memory of each entry VM's process
+  local n kib
+  for n in 1 2 3 4; do
+    kib=$(sed -n 's/^VmRSS:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${pids[entry-$n]}/status")
+    echo "resident_$1_entry_$n=$((kib / 1024)) MiB"
+  done
+}
