--- a/bin/cluster.sh
+++ b/bin/cluster.sh
@@ -4,7 +4,8 @@
 
 run=$(mktemp -d)
 declare -A pids=()
-platform=127.0.0.1:18000
+platform=127.0.0.1:18000    # the way of the entry VMs in dc-a
+platform_b=127.0.0.1:18001  # the way of the entry VMs in dc-b, cut off on its own
 export CHERVILLIFT_CREDENTIAL=demo-credential
 export CHERVILLIFT_SERVER=127.0.0.1:18301
 credential_sha256=$(printf %s "$CHERVILLIFT_CREDENTIAL" | sha256sum | cut -d' ' -f1)
@@ -49,7 +50,7 @@
 }
 
 start_platform() {
-  start platform bin/chervillift-standin platform --listen $platform
+  start platform bin/chervillift-standin platform --listen $platform,$platform_b
   wait_for platform listening
 }
 
@@ -65,6 +66,8 @@
 }
 
 write_settings() { # number, data centre
+  local way=$platform
+  [ "$2" = dc-b ] && way=$platform_b
   cat > "$run/entry-$1.ini" <<INI
 [vm]
 id = entry-$1
@@ -75,7 +78,7 @@
 address = 127.0.0.1:1830$1
 operators = demo:$credential_sha256
 [platform]
-address = $platform
+address = $way
 refresh-ms = 250
 [report]
 save-ms = 1000
@@ -104,9 +107,14 @@
   for n in "$@"; do wait_http "127.0.0.1:1830$n" /health/ready; done
 }
 
+way_faults() { # way, down, slow in ms, lose replies, lag of the list in ms
+  curl -fsS -o /dev/null -X PUT "http://$1/admin/faults" \
+    -d "{\"down\":$2,\"slowMillis\":$3,\"loseReplies\":$4,\"listLagMillis\":$5}"
+}
+
 platform_faults() { # down, slow in ms, lose replies, lag of the list in ms
-  curl -fsS -o /dev/null -X PUT "http://$platform/admin/faults" \
-    -d "{\"down\":$1,\"slowMillis\":$2,\"loseReplies\":$3,\"listLagMillis\":$4}"
+  way_faults $platform "$@"
+  way_faults $platform_b "$@"
 }
 
 upstream_faults() { # port, silent, fail all, cut answers, late in ms
--- a/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
@@ -32,7 +32,7 @@
 
     private static final String USAGE =
             """
-            usage: chervillift-standin platform --listen ADDRESS
+            usage: chervillift-standin platform --listen ADDRESSES
                    chervillift-standin upstream --listen ADDRESSES --id IDS [--slots N]
                    chervillift-standin list-vm --target ADDRESS --vm JSON
                    chervillift-standin fault --target ADDRESS --faults JSON
@@ -111,10 +111,13 @@
         return value;
     }
 
+    /** Serves one platform, which is reached by several ways, one an address. */
     private static void servePlatform(CommandLine line) throws IOException, ParseException {
         Eventloop reactor = Reactors.create("platform", Throwable::printStackTrace);
         PlatformServlet servlet = new PlatformServlet(reactor, new ReactorScheduler(reactor));
-        listen(reactor, servlet.routes(), value(line, "listen"));
+        for (String address : value(line, "listen").split(",")) {
+            listen(reactor, servlet.otherWay().routes(), address);
+        }
         run(reactor);
     }
 
--- a/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/platform/PlatformServlet.java
@@ -36,8 +36,8 @@
     private static final int NOT_FOUND = 404;
     private static final int NOT_MODIFIED = 304;
 
-    private final PlatformState state = new PlatformState();
-    private final LaggingList list = new LaggingList();
+    private final PlatformState state;
+    private final LaggingList list;
     private final NioReactor reactor;
     private final Scheduler scheduler;
     private PlatformFaults faults = PlatformFaults.NONE;
@@ -47,8 +47,24 @@
 
     /** Creates the interface on an event loop. */
     public PlatformServlet(NioReactor reactor, Scheduler scheduler) {
+        this(reactor, scheduler, new PlatformState(), new LaggingList());
+    }
+
+    private PlatformServlet(
+            NioReactor reactor, Scheduler scheduler, PlatformState state, LaggingList list) {
         this.reactor = reactor;
         this.scheduler = scheduler;
+        this.state = state;
+        this.list = list;
+    }
+
+    /**
+     * Returns another way to the same platform, with faults of its own.
+     *
+     * <p>Processes that reach the platform by it can be cut off while others are not.
+     */
+    public PlatformServlet otherWay() {
+        return new PlatformServlet(reactor, scheduler, state, list);
     }
 
     /** Returns the servlet with all routes. */
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/RunLedger.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/RunLedger.java
@@ -1,5 +1,6 @@
 package org.chervillift.standin.upstream;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -14,9 +15,11 @@
     private final Map<String, Integer> runningByTeam = new HashMap<>();
     private final Map<String, Integer> mostRunningByTeam = new HashMap<>();
     private final Map<String, Integer> runsByIdentifier = new HashMap<>();
+    private final Map<String, Long> lastStartByTeam = new HashMap<>();
 
     /** Notes that a request starts for a team. */
-    void begin(String team) {
+    void begin(String team, Instant now) {
+        lastStartByTeam.put(team, now.toEpochMilli());
         int ofTeam = runningByTeam.merge(team, 1, Integer::sum);
         mostRunningByTeam.merge(team, ofTeam, Math::max);
     }
@@ -33,7 +36,8 @@
 
     /** Returns the counts. */
     public LedgerCounts counts() {
-        return new LedgerCounts(runningByTeam, mostRunningByTeam, runsByIdentifier);
+        return new LedgerCounts(
+                runningByTeam, mostRunningByTeam, runsByIdentifier, lastStartByTeam);
     }
 
     /**
@@ -42,15 +46,18 @@
      * @param runningByTeam requests running now, by team
      * @param mostRunningByTeam the most requests that ran at once, by team
      * @param runsByIdentifier runs of non-idempotent requests, by identifier
+     * @param lastStartByTeam when a request last started, in milliseconds since 1970 UTC, by team
      */
     public record LedgerCounts(
             Map<String, Integer> runningByTeam,
             Map<String, Integer> mostRunningByTeam,
-            Map<String, Integer> runsByIdentifier) {
+            Map<String, Integer> runsByIdentifier,
+            Map<String, Long> lastStartByTeam) {
         public LedgerCounts {
             runningByTeam = Map.copyOf(runningByTeam);
             mostRunningByTeam = Map.copyOf(mostRunningByTeam);
             runsByIdentifier = Map.copyOf(runsByIdentifier);
+            lastStartByTeam = Map.copyOf(lastStartByTeam);
         }
 
         /** Returns the number of identifiers that ran more than once. */
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
@@ -123,7 +123,7 @@
         runs++;
         running++;
         mostRunning = Math.max(mostRunning, running);
-        ledger.begin(team);
+        ledger.begin(team, Instant.now());
     }
 
     private void end(String team) {
