--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,8 +26,10 @@
 import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
+import org.chervillift.daemon.internal.operator.MemberRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
 import org.chervillift.daemon.internal.operator.WaveRoutes;
+import org.chervillift.daemon.internal.peers.PeersPart;
 import org.chervillift.daemon.internal.report.ReportRoutes;
 import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.daemon.waves.Maintenance;
@@ -38,6 +41,7 @@
 import org.chervillift.platform.StampingPlatform;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
+import org.chervillift.runtime.supervision.Part;
 import org.chervillift.runtime.supervision.RestartPolicy;
 import org.chervillift.runtime.supervision.Scheduler;
 import org.chervillift.runtime.supervision.Supervisor;
@@ -60,6 +64,7 @@
     private final RequestHandler handler;
     private final UpstreamClient upstreamClient;
     private final UsageReporter usage;
+    private final PeersPart peers;
     private final Maintenance maintenance;
     private final Supervisor supervisor;
     private boolean started;
@@ -82,6 +87,7 @@
         follower =
                 new FleetFollower(
                         new ChangedReads(platform), scheduler, settings, keyGate, freshness);
+        peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
         upstreamClient = new UpstreamClient(reactor, settings);
         handler =
                 new RequestHandler(
@@ -108,12 +114,12 @@
                         this::isReady,
                         registry,
                         operatorRoutes(reactor, platform, keyGate));
-        supervisor =
-                new Supervisor(
-                        "daemon",
-                        List.of(control, follower, usage, callers, maintenance.part()),
-                        RESTARTS,
-                        scheduler);
+        List<Part> parts =
+                new ArrayList<>(List.of(control, follower, usage, callers, maintenance.part()));
+        if (settings.peers().hasPeers()) {
+            parts.addFirst(peers);
+        }
+        supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
     }
 
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
@@ -126,6 +132,7 @@
                         new ConfigRoutes(configs, follower),
                         new KeyRoutes(keys, follower, scheduler, KEY_RULES),
                         new ReportRoutes(platform, scheduler, follower, usage),
+                        new MemberRoutes(peers.membership(), scheduler),
                         new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
@@ -154,6 +161,7 @@
     /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
     public CompletionStage<Void> shutdown() {
         stopping = true;
+        peers.leave();
         EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
         CompletableFuture<Void> drained = new CompletableFuture<>();
         Instant bound = scheduler.now().plus(settings.drainDelay()).plus(settings.drainBound());
