--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/VirtualNode.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/VirtualNode.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +18,7 @@
 import org.chervillift.core.membership.MembershipEvent;
 import org.chervillift.core.membership.MembershipSettings;
 import org.chervillift.core.membership.NodeIdentity;
+import org.chervillift.core.membership.UpstreamLoad;
 import org.chervillift.core.membership.Versions;
 import org.chervillift.daemon.internal.peers.HeartbeatCodec;
 import org.chervillift.runtime.supervision.ManualScheduler;
@@ -26,6 +29,7 @@
     /** Length, tag, and the headers of IP and TCP with time stamps, of one frame. */
     static final int FRAME_OVERHEAD_BYTES = 20 + 52;
 
+    private static final int LOADED_UPSTREAMS = 200;
     private static final PeerFreshness FRESHNESS =
             new PeerFreshness(
                     500,
@@ -95,6 +99,11 @@
     }
 
     void start() {
+        List<UpstreamLoad> loads = new ArrayList<>();
+        for (int i = 0; i < LOADED_UPSTREAMS; i++) {
+            loads.add(UpstreamLoad.of("worker-" + i, i));
+        }
+        on(new MembershipEvent.LoadsChanged(loads));
         scheduler.schedule(jittered(Duration.ofSeconds(1), 0, 1), this::beat);
         scheduler.schedule(jittered(Duration.ofSeconds(1), 0, 1), this::poll);
     }
