Give each cell of the cut-off table a test

Change: own reads and a replaced VM while cut from peers; all members alive and versions kept while cut from the platform; own reads again after that cut.

--- a/chervillift-bench/src/test/java/org/chervillift/bench/internal/membership/CutOffTest.java
+++ b/chervillift-bench/src/test/java/org/chervillift/bench/internal/membership/CutOffTest.java
@@ -20,6 +20,8 @@
     private static final Versions BEFORE = new Versions(5, 5);
     private static final Versions AFTER = new Versions(6, 6);
     private static final Duration BOUND = Duration.ofSeconds(14);
+    private static final Duration FRESH = Duration.ofSeconds(3);
+    private static final Duration PASSED_ON = Duration.ofSeconds(8);
     private static final Duration LONG = Duration.ofMinutes(3);
 
     private final VirtualFleet fleet = new VirtualFleet(DATA_CENTRES, PROCESSES, 21);
@@ -50,6 +52,27 @@
         }
     }
 
+    @Test
+    void cutFromPeersOwnReadsStayFreshAndAReplacedVmLearnsFromThePlatform() {
+        cutPeers();
+        fleet.run(LONG);
+        VirtualNode later = fleet.replace(inside().getFirst(), "later");
+        fleet.run(BOUND);
+        assertThat(later.held()).isEqualTo(BEFORE);
+        assertThat(inside()).allMatch(n -> readAge(n).compareTo(FRESH) < 0);
+    }
+
+    @Test
+    void cutFromThePlatformAllMembersStayAliveAndVersionsAreKept() {
+        fleet.store().cut(CUT);
+        fleet.run(LONG);
+        for (VirtualNode n : fleet.nodes()) {
+            assertThat(n.held()).isEqualTo(BEFORE);
+            assertThat(n.membership().members()).hasSize(PROCESSES - 1);
+            assertThat(n.membership().members()).allMatch(m -> m.state() == MemberState.ALIVE);
+        }
+    }
+
     @Test
     void cutFromThePlatformNewVersionsComeFromPeers() {
         fleet.store().cut(CUT);
@@ -62,9 +85,10 @@
     void cutFromThePlatformTheFreshnessOfOthersIsPassedOn() {
         fleet.store().cut(CUT);
         fleet.run(LONG);
-        for (VirtualNode n : inside()) {
-            assertThat(readAge(n)).isLessThan(Duration.ofSeconds(8));
-        }
+        assertThat(inside()).allMatch(n -> readAge(n).compareTo(PASSED_ON) < 0);
+        fleet.store().healAll();
+        fleet.run(FRESH);
+        assertThat(inside()).allMatch(n -> readAge(n).compareTo(FRESH) < 0);
     }
 
     @Test
