Bound what is passed on about keys, and soak configuration and keys

Cause: Between data centres only a few pairs of entry VMs are linked, so no process hears all members. And a process that was the only member passed on 15 minutes of freshness, which outlived the joining of others. Change: Heartbeats carry what is known of the members of each data centre. What is passed on reaches no further than a promise of the moment, and a new member waits that long.

--- a/chervillift-api/src/main/java/org/chervillift/api/config/KeyMembers.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/config/KeyMembers.java
@@ -24,12 +24,14 @@
     /**
      * One member.
      *
+     * @param dataCentre the data centre that it stands in
      * @param joinedVersion the version of the members at which it joined last
      * @param renewedAtMillis when it last said that it is there, by its own clock, in milliseconds
      *     since 1970 UTC
      */
-    public record Member(long joinedVersion, long renewedAtMillis) {
+    public record Member(String dataCentre, long joinedVersion, long renewedAtMillis) {
         public Member {
+            Checks.notBlank("dataCentre", dataCentre);
             Checks.notNegative("joinedVersion", joinedVersion);
             Checks.notNegative("renewedAtMillis", renewedAtMillis);
         }
--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.chervillift.bench.config.ConfigSoak;
 import org.chervillift.bench.internal.BenchContext;
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
@@ -17,7 +18,8 @@
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
 
-    private static final List<Benchmark> BENCHMARKS = List.of(new PathBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(new PathBenchmark(), new ConfigSoak());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
--- /dev/null
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/config/package-info.java
@@ -0,0 +1,2 @@
+/** Randomised runs in virtual time over configuration versions and keys. */
+package org.chervillift.bench.config;
--- a/chervillift-core/src/main/java/org/chervillift/core/keys/KeyFreshness.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/keys/KeyFreshness.java
@@ -19,24 +19,23 @@
  * answer a withdrawal has promised not to, for some seconds. A withdrawal is answered only when no
  * promise of the answering process is left.
  *
- * <p>All times but {@code wallNow} come from the clock of this process that never goes back. The
- * class is for one thread.
+ * <p>Times come from the clock of this process, which starts from the wall clock and never goes
+ * back. The class is for one thread.
  */
 public final class KeyFreshness {
 
-    private final String self;
     private final FreshnessRules rules;
+    private final String self;
     private final Instant startedAt;
+    private final Vouchers vouchers;
     private final Map<String, Horizon> passedOn = new HashMap<>();
-    private final Map<String, Horizon> promised = new HashMap<>();
-    private final Map<String, Long> seenMembers = new HashMap<>();
     private Horizon store = Horizon.NONE;
     private Instant lastContact = Instant.MIN;
     private Instant renewedAt = Instant.MIN;
     private Instant ownPromiseEnd = Instant.MIN;
+    private Optional<Instant> knownSince = Optional.empty();
     private long ringVersion;
     private long joinedVersion;
-    private KeyMembers members = KeyMembers.EMPTY;
     private int pendingWithdrawals;
     private boolean resigned;
 
@@ -45,6 +44,7 @@
         this.self = Checks.notBlank("self", self);
         this.rules = Checks.notNull("rules", rules);
         this.startedAt = Checks.notNull("startedAt", startedAt);
+        this.vouchers = new Vouchers(self, rules);
     }
 
     /** Whether this process may answer a withdrawal. */
@@ -53,7 +53,7 @@
     /**
      * It may, from a moment on.
      *
-     * @param answerFrom when the last promise of this process has ended
+     * @param answerFrom when the last promise that could leave this process out has ended
      */
     public record Ready(Instant answerFrom) implements Readiness {}
 
@@ -74,23 +74,20 @@
             lastContact = readStartedAt;
             store = new Horizon(storeRingVersion, readStartedAt.plus(rules.lease()));
         }
-        if (read.version() > members.version()) {
-            forgetPromisesOfEarlierLives(read);
-            members = read;
-        }
+        vouchers.read(read);
     }
 
     /** Notes that this process has joined the members in this life. */
-    public void joined(long version, Instant writeStartedAt) {
-        joinedVersion = version;
-        renewed(writeStartedAt);
+    public void joined(KeyMembers written, Instant writeStartedAt) {
+        joinedVersion = written.version();
+        knownSince = Optional.empty();
+        renewed(written, writeStartedAt);
     }
 
     /** Notes that this process has renewed its place among the members. */
-    public void renewed(Instant writeStartedAt) {
-        if (writeStartedAt.isAfter(renewedAt)) {
-            renewedAt = writeStartedAt;
-        }
+    public void renewed(KeyMembers written, Instant writeStartedAt) {
+        vouchers.read(written);
+        renewedAt = Horizon.later(renewedAt, writeStartedAt);
     }
 
     /** Notes the ring that this process holds from now on. */
@@ -104,18 +101,27 @@
      * @param stampSentAt when this process sent the stamp that the times count from
      */
     public void heard(String peer, PeerFreshness told, Instant stampSentAt) {
-        seenMembers.merge(peer, told.membersVersion(), Math::max);
+        vouchers.hasSeen(peer, told.membersVersion());
+        told.groups().forEach(g -> vouchers.groupHasSeen(g.dataCentre(), g.membersVersion()));
         if (told.ringVersion() > ringVersion) {
             return;
         }
+        long ring = told.ringVersion();
         if (told.fresh().isPositive()) {
-            keepLatest(passedOn, peer, told.ringVersion(), stampSentAt.plus(told.fresh()));
+            Horizon horizon = new Horizon(ring, stampSentAt.plus(told.fresh()));
+            passedOn.merge(peer, horizon, Horizon::latest);
         }
         if (told.resigned()) {
-            keepLatest(promised, peer, told.ringVersion(), Instant.MAX);
+            vouchers.hasPromised(peer, new Horizon(ring, Instant.MAX));
         } else if (told.promise().isPresent()) {
-            Instant end = stampSentAt.plus(told.promise().get());
-            keepLatest(promised, peer, told.ringVersion(), end.plus(rules.lease()));
+            Instant end = stampSentAt.plus(told.promise().get()).plus(rules.lease());
+            vouchers.hasPromised(peer, new Horizon(ring, end));
+        }
+        for (PeerFreshness.Group g : told.groups()) {
+            if (g.vouched().isPositive()) {
+                Horizon horizon = new Horizon(ring, stampSentAt.plus(g.vouched()));
+                vouchers.groupHasPromised(g.dataCentre(), horizon);
+            }
         }
     }
 
@@ -125,16 +131,20 @@
      * @param stampReceivedAt when this process received the latest stamp of that peer
      */
     public PeerFreshness tell(Instant stampReceivedAt, Instant now) {
+        noteWhetherKnown(now);
         Optional<Duration> promise = Optional.empty();
         if (mayPromise(now)) {
             Instant end = now.plus(rules.promise());
-            ownPromiseEnd = later(ownPromiseEnd, end);
+            ownPromiseEnd = Horizon.later(ownPromiseEnd, end);
             promise = Optional.of(Duration.between(stampReceivedAt, end));
         }
-        Instant until = earlier(keyedUntil(), now.plus(rules.longestVouching()));
-        Duration fresh =
-                until.isAfter(now) ? Duration.between(stampReceivedAt, until) : Duration.ZERO;
-        return new PeerFreshness(ringVersion, members.version(), fresh, promise, resigned);
+        return new PeerFreshness(
+                ringVersion,
+                vouchers.members().version(),
+                span(keyedUntil(), stampReceivedAt, now),
+                promise,
+                resigned,
+                holdsPlace(now) ? groups(stampReceivedAt, now) : List.of());
     }
 
     /** Returns whether keyed work may be taken now. */
@@ -146,9 +156,9 @@
     public Instant keyedUntil() {
         Instant until = store.under(ringVersion);
         for (Horizon h : passedOn.values()) {
-            until = later(until, h.under(ringVersion));
+            until = Horizon.later(until, h.under(ringVersion));
         }
-        return later(until, vouchedUntil());
+        return Horizon.later(until, vouchedUntil());
     }
 
     /** Notes that an operator wants a withdrawal, so that no new promise is given. */
@@ -167,34 +177,39 @@
     }
 
     /** Returns whether a withdrawal may be answered by this process, and from when on. */
-    public Readiness withdrawalReadiness(Instant wallNow) {
+    public Readiness withdrawalReadiness(Instant now) {
         if (!rules.vouching()) {
             return resigned ? new NotReady(List.of()) : new Ready(startedAt);
         }
-        KeyMembers.Member own = members.members().get(self);
-        if (resigned || joinedVersion == 0 || own == null || own.joinedVersion() != joinedVersion) {
+        if (resigned || !isMember()) {
             return new NotReady(List.of());
         }
-        List<String> missing = new ArrayList<>();
-        members.members()
-                .forEach(
-                        (id, member) -> {
-                            if (!id.equals(self) && !knowsUs(id) && !expired(member, wallNow)) {
-                                missing.add(id);
-                            }
-                        });
-        if (!missing.isEmpty()) {
-            return new NotReady(missing);
+        noteWhetherKnown(now);
+        if (knownSince.isEmpty()) {
+            return new NotReady(vouchers.missing(joinedVersion, now));
+        }
+        // Promises that were given before all knew this process may still be relied on.
+        Instant known = knownSince.get().plus(rules.promise());
+        Instant started = startedAt.plus(rules.promise());
+        return new Ready(Horizon.later(ownPromiseEnd, Horizon.later(known, started)));
+    }
+
+    private void noteWhetherKnown(Instant now) {
+        if (knownSince.isEmpty() && isMember() && vouchers.missing(joinedVersion, now).isEmpty()) {
+            knownSince = Optional.of(now);
         }
-        return new Ready(later(ownPromiseEnd, startedAt.plus(rules.promise())));
     }
 
-    private boolean knowsUs(String member) {
-        return seenMembers.getOrDefault(member, 0L) >= joinedVersion;
+    private boolean isMember() {
+        KeyMembers.Member own = vouchers.members().members().get(self);
+        return own != null && joinedVersion > 0 && own.joinedVersion() == joinedVersion;
     }
 
-    private boolean expired(KeyMembers.Member member, Instant wallNow) {
-        return KeyMembership.expired(member, rules, wallNow);
+    private boolean holdsPlace(Instant now) {
+        return rules.vouching()
+                && isMember()
+                && !renewedAt.equals(Instant.MIN)
+                && now.isBefore(renewedAt.plus(rules.longestVouching()));
     }
 
     private boolean mayPromise(Instant now) {
@@ -205,63 +220,41 @@
     }
 
     private Instant vouchedUntil() {
-        KeyMembers.Member own = members.members().get(self);
-        if (!rules.vouching()
-                || own == null
-                || own.joinedVersion() != joinedVersion
-                || renewedAt.equals(Instant.MIN)) {
+        if (!rules.vouching() || !isMember() || renewedAt.equals(Instant.MIN)) {
             return Instant.MIN;
         }
         Instant until = renewedAt.plus(rules.longestVouching());
-        for (String member : members.members().keySet()) {
-            if (!member.equals(self)) {
-                Horizon h = promised.getOrDefault(member, Horizon.NONE);
-                until = earlier(until, h.under(ringVersion));
-            }
+        for (String dataCentre : vouchers.dataCentres()) {
+            Instant promised = vouchers.promisedByAll(dataCentre, Instant.MAX, ringVersion);
+            until = Horizon.earlier(until, promised);
         }
         return until;
     }
 
-    private void forgetPromisesOfEarlierLives(KeyMembers read) {
-        read.members()
-                .forEach(
-                        (id, member) -> {
-                            KeyMembers.Member before = members.members().get(id);
-                            if (before == null
-                                    || before.joinedVersion() != member.joinedVersion()) {
-                                promised.remove(id);
-                            }
-                        });
-    }
-
-    private static void keepLatest(
-            Map<String, Horizon> horizons, String peer, long version, Instant until) {
-        Horizon held = horizons.getOrDefault(peer, Horizon.NONE);
-        if (until.isAfter(held.until())) {
-            horizons.put(peer, new Horizon(version, until));
+    private List<PeerFreshness.Group> groups(Instant stampReceivedAt, Instant now) {
+        Instant own = resigned ? Instant.MAX : ownPromiseUntil();
+        List<PeerFreshness.Group> groups = new ArrayList<>();
+        for (String dataCentre : vouchers.dataCentres()) {
+            long seen = vouchers.seenByAll(dataCentre, vouchers.members().version(), now);
+            Instant until = vouchers.promisedByAll(dataCentre, own, ringVersion);
+            Duration vouched = span(until, stampReceivedAt, now);
+            groups.add(new PeerFreshness.Group(dataCentre, seen, vouched));
         }
+        return groups;
     }
 
-    private static Instant later(Instant a, Instant b) {
-        return a.isAfter(b) ? a : b;
-    }
-
-    private static Instant earlier(Instant a, Instant b) {
-        return a.isBefore(b) ? a : b;
+    private Instant ownPromiseUntil() {
+        return ownPromiseEnd.equals(Instant.MIN) ? Instant.MIN : ownPromiseEnd.plus(rules.lease());
     }
 
     /**
-     * The end of the time for which a ring counts as fresh.
+     * Returns the time from a stamp to an end that lies ahead, else zero.
      *
-     * @param ringVersion a process that holds this ring or a later one may rely on it
-     * @param until the end
+     * <p>What is passed on outlives the list of members that it rests on, so it never reaches
+     * further than a promise of this moment would. A new member waits that long.
      */
-    private record Horizon(long ringVersion, Instant until) {
-
-        static final Horizon NONE = new Horizon(0, Instant.MIN);
-
-        Instant under(long heldVersion) {
-            return ringVersion <= heldVersion ? until : Instant.MIN;
-        }
+    private Duration span(Instant end, Instant stampReceivedAt, Instant now) {
+        Instant bounded = Horizon.earlier(end, now.plus(rules.promise()).plus(rules.lease()));
+        return bounded.isAfter(now) ? Duration.between(stampReceivedAt, bounded) : Duration.ZERO;
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/keys/KeyMembership.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/keys/KeyMembership.java
@@ -12,10 +12,14 @@
 
     /** Returns the members after a process has joined; a process joins in each of its lives. */
     public static KeyMembers join(
-            KeyMembers members, String self, FreshnessRules rules, Instant wallNow) {
+            KeyMembers members,
+            String self,
+            String dataCentre,
+            FreshnessRules rules,
+            Instant wallNow) {
         long next = members.version() + 1;
         Map<String, KeyMembers.Member> kept = withoutExpired(members, rules, wallNow);
-        kept.put(self, new KeyMembers.Member(next, wallNow.toEpochMilli()));
+        kept.put(self, new KeyMembers.Member(dataCentre, next, wallNow.toEpochMilli()));
         return new KeyMembers(next, kept);
     }
 
@@ -25,7 +29,10 @@
         Map<String, KeyMembers.Member> kept = withoutExpired(members, rules, wallNow);
         KeyMembers.Member own = members.members().get(self);
         if (own != null) {
-            kept.put(self, new KeyMembers.Member(own.joinedVersion(), wallNow.toEpochMilli()));
+            KeyMembers.Member renewed =
+                    new KeyMembers.Member(
+                            own.dataCentre(), own.joinedVersion(), wallNow.toEpochMilli());
+            kept.put(self, renewed);
         }
         return new KeyMembers(members.version() + 1, kept);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -93,8 +93,7 @@
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
-        KeyOperations keys =
-                new KeyOperations(platform, scheduler, freshness, keyGate, scheduler::now);
+        KeyOperations keys = new KeyOperations(platform, scheduler, freshness, keyGate);
         List<OperatorRoutes> kinds =
                 List.of(
                         new ConfigRoutes(configs, follower),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/KeyOperations.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/KeyOperations.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.config.KeyGrant;
 import org.chervillift.api.config.KeyRing;
@@ -34,20 +33,14 @@
     private final Scheduler scheduler;
     private final KeyFreshness freshness;
     private final KeyGate gate;
-    private final Supplier<Instant> wallClock;
 
     /** Creates the operations of one process. */
     public KeyOperations(
-            Platform platform,
-            Scheduler scheduler,
-            KeyFreshness freshness,
-            KeyGate gate,
-            Supplier<Instant> wallClock) {
+            Platform platform, Scheduler scheduler, KeyFreshness freshness, KeyGate gate) {
         this.platform = Checks.notNull("platform", platform);
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.freshness = Checks.notNull("freshness", freshness);
         this.gate = Checks.notNull("gate", gate);
-        this.wallClock = Checks.notNull("wallClock", wallClock);
     }
 
     /** Grants a key. */
@@ -92,7 +85,7 @@
     private CompletionStage<KeyOutcome> decide(
             Change change, KeyRows read, int round, boolean unsure) {
         if (change.withdraws()
-                && freshness.withdrawalReadiness(wallClock.get())
+                && freshness.withdrawalReadiness(scheduler.now())
                         instanceof KeyFreshness.NotReady notReady) {
             return done(new KeyOutcome.NotReady(notReady.members()));
         }
@@ -140,7 +133,7 @@
         if (!(outcome instanceof KeyOutcome.Done)) {
             return done(outcome);
         }
-        return switch (freshness.withdrawalReadiness(wallClock.get())) {
+        return switch (freshness.withdrawalReadiness(scheduler.now())) {
             case KeyFreshness.NotReady n ->
                     done(
                             new KeyOutcome.Unavailable(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/MembershipKeeper.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/MembershipKeeper.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.chervillift.api.Checks;
 import org.chervillift.api.config.KeyMembers;
@@ -32,11 +31,11 @@
     private static final int RENEWALS_PER_VOUCHING = 4;
 
     private final String self;
+    private final String dataCentre;
     private final Platform platform;
     private final Scheduler scheduler;
     private final KeyFreshness freshness;
     private final FreshnessRules rules;
-    private final Supplier<Instant> wallClock;
     private final RandomGenerator random;
     private long joinedVersion;
     private boolean running;
@@ -44,18 +43,18 @@
     /** Creates a keeper; nothing is written yet. */
     public MembershipKeeper(
             String self,
+            String dataCentre,
             Platform platform,
             Scheduler scheduler,
             KeyFreshness freshness,
             FreshnessRules rules,
-            Supplier<Instant> wallClock,
             RandomGenerator random) {
         this.self = Checks.notBlank("self", self);
+        this.dataCentre = Checks.notBlank("dataCentre", dataCentre);
         this.platform = Checks.notNull("platform", platform);
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.freshness = Checks.notNull("freshness", freshness);
         this.rules = Checks.notNull("rules", rules);
-        this.wallClock = Checks.notNull("wallClock", wallClock);
         this.random = Checks.notNull("random", random);
     }
 
@@ -100,21 +99,21 @@
     }
 
     private CompletionStage<Boolean> joinOrRenew(KeyRows read, Instant startedAt) {
-        Instant wallNow = wallClock.get();
+        Instant now = scheduler.now();
         KeyMembers.Member own = read.members().members().get(self);
         boolean renews = own != null && joinedVersion > 0 && own.joinedVersion() == joinedVersion;
         KeyMembers next =
                 renews
-                        ? KeyMembership.renew(read.members(), self, rules, wallNow)
-                        : KeyMembership.join(read.members(), self, rules, wallNow);
+                        ? KeyMembership.renew(read.members(), self, rules, now)
+                        : KeyMembership.join(read.members(), self, dataCentre, rules, now);
         return write(read, next)
                 .thenApply(
                         committed -> {
                             if (committed && renews) {
-                                freshness.renewed(startedAt);
+                                freshness.renewed(next, startedAt);
                             } else if (committed) {
                                 joinedVersion = next.version();
-                                freshness.joined(joinedVersion, startedAt);
+                                freshness.joined(next, startedAt);
                             }
                             return committed;
                         });
