--- a/bin/cluster.sh
+++ b/bin/cluster.sh
@@ -79,11 +79,30 @@
 refresh-ms = 250
 [report]
 save-ms = 1000
+[peers]
+address = 127.0.0.1:1840$1
+secret = the demo secret that all daemons of the demo share
 [shutdown]
 delay-ms = 200
 INI
 }
 
+list_entry() { # number, data centre
+  local vm="{\"id\":\"entry-$1\",\"role\":\"ENTRY\",\"dataCentre\":\"$2\",\"leaving\":false,"
+  vm+="\"address\":\"127.0.0.1:1820$1\",\"peerAddress\":\"127.0.0.1:1840$1\"}"
+  curl -fsS -o /dev/null -X PUT "http://$platform/admin/vms" -d "$vm"
+}
+
+wait_members() { # how many must be alive, as the first entry VM knows them
+  local _
+  for _ in $(seq 1 100); do
+    [ "$(bin/chervillift members | grep -c ' alive ')" = "$1" ] && return 0
+    sleep 0.2
+  done
+  bin/chervillift members
+  fail "not all entry VMs hear each other"
+}
+
 start_entry() { # number
   start "entry-$1" bin/chervilliftd "$run/entry-$1.ini"
 }
@@ -94,6 +113,7 @@
     write_settings $n $dc
     bin/chervilliftd --check "$run/entry-$n.ini" > /dev/null || fail "settings of entry-$n"
     start_entry $n
+    list_entry $n $dc
     n=$((n + 1))
   done
   for n in 1 2 3 4; do wait_http "127.0.0.1:1830$n" /health/live; done
--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -20,6 +20,7 @@
 import org.chervillift.cli.internal.GetCommand;
 import org.chervillift.cli.internal.GrantKeyCommand;
 import org.chervillift.cli.internal.HistoryCommand;
+import org.chervillift.cli.internal.MembersCommand;
 import org.chervillift.cli.internal.OperatorClient;
 import org.chervillift.cli.internal.Outcome;
 import org.chervillift.cli.internal.PlanCommand;
@@ -43,6 +44,7 @@
                     new GrantKeyCommand(),
                     new WithdrawKeyCommand(),
                     new ReportCommand(),
+                    new MembersCommand(),
                     new WaveCommand(),
                     VmCommand.drain(),
                     VmCommand.restore());
