Carry promises about withdrawals between entry VMs, and watch a version

Cause: An entry VM depended on its own read of the store alone, so that an outage of the store stopped all keyed work after 4.5 s. Change: Heartbeats carry ring, promise and groups. MembershipKeeper joins the processes that may answer a withdrawal. A process that leaves vouches no more. chervillift watch VERSION waits and names who is behind.

--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -27,6 +27,7 @@
 import org.chervillift.cli.internal.Progress;
 import org.chervillift.cli.internal.ReportCommand;
 import org.chervillift.cli.internal.VmCommand;
+import org.chervillift.cli.internal.WatchCommand;
 import org.chervillift.cli.internal.WaveCommand;
 import org.chervillift.cli.internal.WithdrawKeyCommand;
 import org.chervillift.http.ReactorThread;
@@ -39,6 +40,7 @@
             List.of(
                     new PlanCommand(),
                     new ApplyCommand(),
+                    new WatchCommand(),
                     new GetCommand(),
                     new HistoryCommand(),
                     new GrantKeyCommand(),
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/Outcome.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/Outcome.java
@@ -23,6 +23,9 @@
     /** No daemon answered; the request may have taken effect. */
     public static final int UNKNOWN = 3;
 
+    /** A version is not in force everywhere yet. */
+    public static final int NOT_EVERYWHERE = 4;
+
     public Outcome {
         Checks.notNull("text", text);
         Checks.notNull("json", json);
--- a/chervillift-core/src/main/java/org/chervillift/core/keys/KeyFreshness.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/keys/KeyFreshness.java
@@ -179,7 +179,7 @@
     /** Returns whether a withdrawal may be answered by this process, and from when on. */
     public Readiness withdrawalReadiness(Instant now) {
         if (!rules.vouching()) {
-            return resigned ? new NotReady(List.of()) : new Ready(startedAt);
+            return withoutVouching();
         }
         if (resigned || !isMember()) {
             return new NotReady(List.of());
@@ -194,6 +194,12 @@
         return new Ready(Horizon.later(ownPromiseEnd, Horizon.later(known, started)));
     }
 
+    /** Others may rely on promises even if this process gives none, and then it may not answer. */
+    private Readiness withoutVouching() {
+        List<String> others = List.copyOf(vouchers.members().members().keySet());
+        return resigned || !others.isEmpty() ? new NotReady(others) : new Ready(startedAt);
+    }
+
     private void noteWhetherKnown(Instant now) {
         if (knownSince.isEmpty() && isMember() && vouchers.missing(joinedVersion, now).isEmpty()) {
             knownSince = Optional.of(now);
@@ -207,6 +213,7 @@
 
     private boolean holdsPlace(Instant now) {
         return rules.vouching()
+                && !resigned
                 && isMember()
                 && !renewedAt.equals(Instant.MIN)
                 && now.isBefore(renewedAt.plus(rules.longestVouching()));
@@ -220,7 +227,9 @@
     }
 
     private Instant vouchedUntil() {
-        if (!rules.vouching() || !isMember() || renewedAt.equals(Instant.MIN)) {
+        // Whoever joins after this process has left does not ask whether it knows him.
+        boolean mayVouch = rules.vouching() && !resigned && isMember();
+        if (!mayVouch || renewedAt.equals(Instant.MIN)) {
             return Instant.MIN;
         }
         Instant until = renewedAt.plus(rules.longestVouching());
@@ -232,7 +241,7 @@
     }
 
     private List<PeerFreshness.Group> groups(Instant stampReceivedAt, Instant now) {
-        Instant own = resigned ? Instant.MAX : ownPromiseUntil();
+        Instant own = ownPromiseUntil();
         List<PeerFreshness.Group> groups = new ArrayList<>();
         for (String dataCentre : vouchers.dataCentres()) {
             long seen = vouchers.seenByAll(dataCentre, vouchers.members().version(), now);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -17,12 +17,8 @@
 import org.chervillift.api.fleet.VmRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
-import org.chervillift.core.keys.FreshnessRules;
-import org.chervillift.core.keys.KeyFreshness;
-import org.chervillift.core.keys.KeyGate;
 import org.chervillift.daemon.internal.config.ConfigRows;
 import org.chervillift.daemon.internal.config.ConfigStore;
-import org.chervillift.daemon.internal.keys.KeyOperations;
 import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
@@ -52,14 +48,13 @@
     private static final RestartPolicy RESTARTS =
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
     private static final ApplyRules APPLY_RULES = new ApplyRules(10);
-    private static final FreshnessRules KEY_RULES = FreshnessRules.WITHOUT_VOUCHING;
     private static final Set<String> FOLLOWED =
             Set.of(ConfigRows.HEAD.table(), KeyRows.RING.table(), VmRow.TABLE);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
 
     private final DaemonSettings settings;
     private final Scheduler scheduler;
-    private final KeyFreshness freshness;
+    private final KeyAssembly keys;
     private final FleetFollower follower;
     private final RequestHandler handler;
     private final UpstreamClient upstreamClient;
@@ -82,17 +77,22 @@
                         settings.platformTimeout(),
                         Optional.empty());
         Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
-        freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
-        KeyGate keyGate = new KeyGate(freshness);
+        keys = KeyAssembly.create(settings, platform, scheduler);
         follower =
                 new FleetFollower(
-                        new ChangedReads(platform), scheduler, settings, keyGate, freshness);
-        peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
+                        new ChangedReads(platform),
+                        scheduler,
+                        settings,
+                        keys.gate(),
+                        keys.freshness());
+        peers =
+                PeerAssembly.create(
+                        reactor, scheduler, settings, follower, keys.freshness(), registry);
         upstreamClient = new UpstreamClient(reactor, settings);
         handler =
                 new RequestHandler(
                         follower::view,
-                        (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                        (key, open) -> keys.gate().decide(key, open, scheduler.now()),
                         upstreamClient,
                         settings,
                         new RequestMetrics(registry));
@@ -113,23 +113,27 @@
                         settings.controlAddress(),
                         this::isReady,
                         registry,
-                        operatorRoutes(reactor, platform, keyGate));
+                        operatorRoutes(reactor, platform));
+        supervisor = new Supervisor("daemon", parts(control, callers), RESTARTS, scheduler);
+    }
+
+    private List<Part> parts(Part control, Part callers) {
         List<Part> parts =
                 new ArrayList<>(List.of(control, follower, usage, callers, maintenance.part()));
         if (settings.peers().hasPeers()) {
             parts.addFirst(peers);
+            parts.addLast(keys.keeper());
         }
-        supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
+        return parts;
     }
 
-    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
+    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
-        KeyOperations keys = new KeyOperations(platform, scheduler, freshness, keyGate);
         List<OperatorRoutes> kinds =
                 List.of(
                         new ConfigRoutes(configs, follower),
-                        new KeyRoutes(keys, follower, scheduler, KEY_RULES),
+                        new KeyRoutes(keys.operations(), follower, scheduler, keys.rules()),
                         new ReportRoutes(platform, scheduler, follower, usage),
                         new MemberRoutes(peers.membership(), scheduler),
                         new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
@@ -160,6 +164,9 @@
     /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
     public CompletionStage<Void> shutdown() {
         stopping = true;
+        if (settings.peers().hasPeers()) {
+            keys.keeper().stop();
+        }
         peers.leave();
         EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
         CompletableFuture<Void> drained = new CompletableFuture<>();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
@@ -69,6 +69,7 @@
 
     /** Returns what this process knows now. */
     public FleetView view() {
+        takeRingOfGate();
         return view;
     }
 
@@ -139,7 +140,14 @@
 
     /** Takes a ring from the store or a peer, unless it is not newer. */
     public void adopt(KeyRing ring) {
-        if (keyGate.adopt(ring)) {
+        keyGate.adopt(ring);
+        takeRingOfGate();
+    }
+
+    /** An operator's change reaches the gate before this process reads it back. */
+    private void takeRingOfGate() {
+        KeyRing ring = keyGate.ring();
+        if (ring.version() > view.keys().version()) {
             view = view.adopt(ring);
             EventLog.log(DaemonEvent.KEYS_ADOPTED, Field.of("version", ring.version()));
         }
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/KeyAssembly.java
@@ -0,0 +1,48 @@
+package org.chervillift.daemon.internal;
+
+import java.security.SecureRandom;
+import org.chervillift.api.platform.Platform;
+import org.chervillift.core.keys.FreshnessRules;
+import org.chervillift.core.keys.KeyFreshness;
+import org.chervillift.core.keys.KeyGate;
+import org.chervillift.daemon.internal.keys.KeyOperations;
+import org.chervillift.daemon.internal.keys.MembershipKeeper;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/**
+ * The parts that check and change keys.
+ *
+ * @param rules the times that they go by
+ * @param freshness whether the ring is fresh enough
+ * @param gate whose work a request is
+ * @param keeper the place among the processes that may answer a withdrawal
+ * @param operations grants and withdrawals
+ */
+record KeyAssembly(
+        FreshnessRules rules,
+        KeyFreshness freshness,
+        KeyGate gate,
+        MembershipKeeper keeper,
+        KeyOperations operations) {
+
+    /** Puts the parts together; without peers nobody can promise anything. */
+    static KeyAssembly create(DaemonSettings settings, Platform platform, Scheduler scheduler) {
+        FreshnessRules rules =
+                settings.peers().hasPeers()
+                        ? FreshnessRules.STANDARD
+                        : FreshnessRules.WITHOUT_VOUCHING;
+        KeyFreshness freshness = new KeyFreshness(settings.vmId(), rules, scheduler.now());
+        KeyGate gate = new KeyGate(freshness);
+        MembershipKeeper keeper =
+                new MembershipKeeper(
+                        settings.vmId(),
+                        settings.dataCentre(),
+                        platform,
+                        scheduler,
+                        freshness,
+                        rules,
+                        new SecureRandom());
+        KeyOperations operations = new KeyOperations(platform, scheduler, freshness, gate);
+        return new KeyAssembly(rules, freshness, gate, keeper, operations);
+    }
+}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/MembershipKeeper.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/MembershipKeeper.java
@@ -79,7 +79,10 @@
                 .thenCompose(
                         rows -> {
                             KeyRows read = KeyRows.of(rows);
-                            return write(read, KeyMembership.leave(read.members(), self));
+                            boolean member = read.members().members().containsKey(self);
+                            return member
+                                    ? write(read, KeyMembership.leave(read.members(), self))
+                                    : CompletableFuture.completedFuture(true);
                         })
                 .handle((ignored, fault) -> null);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/HeartbeatCodec.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/HeartbeatCodec.java
@@ -12,6 +12,7 @@
 import org.chervillift.core.membership.UpstreamLoad;
 import org.chervillift.core.membership.Versions;
 import org.chervillift.wire.generated.KeyFreshness;
+import org.chervillift.wire.generated.KeyGroup;
 import org.chervillift.wire.generated.PeerMessage;
 
 /** Turns heartbeats into messages and back. */
@@ -78,20 +79,45 @@
                         : Optional.empty();
         return Optional.of(
                 new PeerFreshness(
-                        message.getKeyRingVersion(),
+                        told.getRingVersion(),
                         told.getMembersVersion(),
                         millis(told.getFreshMillis()),
                         promise,
-                        told.getResigned()));
+                        told.getResigned(),
+                        groups(told)));
+    }
+
+    private static List<PeerFreshness.Group> groups(KeyFreshness told) {
+        if (told.getGroupsCount() > MOST_ENTRIES) {
+            throw new IllegalArgumentException("the heartbeat has too many entries");
+        }
+        return told.getGroupsList().stream()
+                .map(
+                        g ->
+                                new PeerFreshness.Group(
+                                        g.getDataCentre(),
+                                        g.getMembersVersion(),
+                                        millis(g.getVouchedMillis())))
+                .toList();
+    }
+
+    private static KeyGroup encode(PeerFreshness.Group group) {
+        return KeyGroup.newBuilder()
+                .setDataCentre(group.dataCentre())
+                .setMembersVersion(group.membersVersion())
+                .setVouchedMillis(millisDown(group.vouched()))
+                .build();
     }
 
     private static KeyFreshness encode(PeerFreshness freshness) {
         KeyFreshness.Builder message =
                 KeyFreshness.newBuilder()
+                        .setRingVersion(freshness.ringVersion())
                         .setMembersVersion(freshness.membersVersion())
                         .setFreshMillis(millisDown(freshness.fresh()))
                         .setResigned(freshness.resigned());
         freshness.promise().ifPresent(p -> message.setPromiseMillis(millisDown(p)));
+        freshness.groups().forEach(g -> message.addGroups(encode(g)));
         return message.build();
     }
 
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/internal/peers/HeartbeatCodecTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/internal/peers/HeartbeatCodecTest.java
@@ -36,7 +36,12 @@
                                         Duration.ofMillis(30))));
         PeerFreshness freshness =
                 new PeerFreshness(
-                        8, 3, Duration.ofMillis(900), Optional.of(Duration.ofMillis(800)), false);
+                        8,
+                        3,
+                        Duration.ofMillis(900),
+                        Optional.of(Duration.ofMillis(800)),
+                        false,
+                        List.of(new PeerFreshness.Group("dc2", 3, Duration.ofMillis(70))));
         PeerMessage message = HeartbeatCodec.encode(heartbeat, Optional.of(freshness));
         assertThat(HeartbeatCodec.decode(message.getHeartbeat())).isEqualTo(heartbeat);
         assertThat(HeartbeatCodec.freshness(message.getHeartbeat())).hasValue(freshness);
@@ -54,7 +59,8 @@
                         List.of(),
                         List.of());
         PeerFreshness freshness =
-                new PeerFreshness(0, 0, Duration.ofNanos(1_999_999), Optional.empty(), false);
+                new PeerFreshness(
+                        0, 0, Duration.ofNanos(1_999_999), Optional.empty(), false, List.of());
         PeerMessage message = HeartbeatCodec.encode(heartbeat, Optional.of(freshness));
         assertThat(message.getHeartbeat().getReadAgeMillis()).isEqualTo(2);
         assertThat(message.getHeartbeat().getKeyFreshness().getFreshMillis()).isEqualTo(1);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/internal/peers/PeersPartTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/internal/peers/PeersPartTest.java
@@ -117,7 +117,7 @@
 
         @Override
         public PeerFreshness tell(Instant echoReceivedAt, Instant now) {
-            return new PeerFreshness(0, 0, Duration.ZERO, Optional.empty(), false);
+            return new PeerFreshness(0, 0, Duration.ZERO, Optional.empty(), false, List.of());
         }
 
         @Override
