--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -57,7 +57,7 @@
     private final KeyAssembly keys;
     private final FleetFollower follower;
     private final RequestHandler handler;
-    private final UpstreamClient upstreamClient;
+    private final RequestPath requestPath;
     private final UsageReporter usage;
     private final PeersPart peers;
     private final Maintenance maintenance;
@@ -70,12 +70,7 @@
         this.settings = Checks.notNull("settings", settings);
         scheduler = new ReactorScheduler(reactor);
         PrometheusRegistry registry = new PrometheusRegistry();
-        JsonClient platformClient =
-                new JsonClient(
-                        reactor,
-                        settings.platformAddress(),
-                        settings.platformTimeout(),
-                        Optional.empty());
+        JsonClient platformClient = platformClient(reactor);
         Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
         keys = KeyAssembly.create(settings, platform, scheduler);
         follower =
@@ -88,14 +83,8 @@
         peers =
                 PeerAssembly.create(
                         reactor, scheduler, settings, follower, keys.freshness(), registry);
-        upstreamClient = new UpstreamClient(reactor, settings);
-        handler =
-                new RequestHandler(
-                        follower::view,
-                        (key, open) -> keys.gate().decide(key, open, scheduler.now()),
-                        upstreamClient,
-                        settings,
-                        new RequestMetrics(registry));
+        requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
+        handler = requestHandler(registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
                 Maintenance.of(
@@ -119,7 +108,14 @@
 
     private List<Part> parts(Part control, Part callers) {
         List<Part> parts =
-                new ArrayList<>(List.of(control, follower, usage, callers, maintenance.part()));
+                new ArrayList<>(
+                        List.of(
+                                control,
+                                follower,
+                                usage,
+                                requestPath,
+                                callers,
+                                maintenance.part()));
         if (settings.peers().hasPeers()) {
             parts.addFirst(peers);
             parts.addLast(keys.keeper());
@@ -127,6 +123,21 @@
         return parts;
     }
 
+    private JsonClient platformClient(Eventloop reactor) {
+        return new JsonClient(
+                reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
+    }
+
+    private RequestHandler requestHandler(PrometheusRegistry registry) {
+        return new RequestHandler(
+                follower::view,
+                (key, open) -> keys.gate().decide(key, open, scheduler.now()),
+                requestPath,
+                scheduler::now,
+                settings,
+                new RequestMetrics(registry));
+    }
+
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
@@ -178,7 +189,7 @@
                     awaitDrain(bound, drained);
                 });
         return drained.thenCompose(ignored -> supervisor.stop())
-                .thenCompose(ignored -> upstreamClient.stop().toCompletableFuture())
+                .thenCompose(ignored -> requestPath.closeConnections().toCompletableFuture())
                 .thenRun(() -> EventLog.log(DaemonEvent.STOPPED));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
@@ -184,12 +184,7 @@
         listener.listRead(listed, asked);
         List<VmRow> vms = rows.equals(vmRows) ? view.vms() : decodeVms(rows);
         vmRows = rows;
-        Set<String> leaving =
-                listed.stream()
-                        .filter(ListedVm::leaving)
-                        .map(ListedVm::id)
-                        .collect(Collectors.toUnmodifiableSet());
-        view = view.withVms(vms, leaving);
+        view = view.withVms(vms, listed);
         return null;
     }
 
