--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.chervillift.bench.config.ConfigSoak;
 import org.chervillift.bench.internal.BenchContext;
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
@@ -25,6 +26,7 @@
             List.of(
                     new PathBenchmark(),
                     new SoakBenchmark(),
+                    new ConfigSoak(),
                     new MembershipBenchmark(),
                     new ConfigBenchmark(),
                     new CapacityBenchmark());
