--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/LoopbackFleet.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/LoopbackFleet.java
@@ -183,8 +183,7 @@
 
         @Override
         public PeerFreshness tell(Instant echoReceivedAt, Instant now) {
-            Duration span = Duration.ofSeconds(4);
-            return new PeerFreshness(500, 4_000, span, Optional.of(span), false);
+            return TypicalFreshness.create();
         }
 
         @Override
--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/VirtualNode.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/VirtualNode.java
@@ -30,13 +30,7 @@
     static final int FRAME_OVERHEAD_BYTES = 20 + 52;
 
     private static final int LOADED_UPSTREAMS = 200;
-    private static final PeerFreshness FRESHNESS =
-            new PeerFreshness(
-                    500,
-                    4_000,
-                    Duration.ofMillis(4_200),
-                    Optional.of(Duration.ofSeconds(3)),
-                    false);
+    private static final PeerFreshness FRESHNESS = TypicalFreshness.create();
 
     private final VirtualFleet fleet;
     private final ManualScheduler scheduler;
