--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -27,8 +28,10 @@
 import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
+import org.chervillift.daemon.internal.operator.MemberRoutes;
 import org.chervillift.daemon.internal.operator.OperatorRoutes;
 import org.chervillift.daemon.internal.operator.WaveRoutes;
+import org.chervillift.daemon.internal.peers.PeersPart;
 import org.chervillift.daemon.internal.report.ReportRoutes;
 import org.chervillift.daemon.internal.report.UsageReporter;
 import org.chervillift.daemon.waves.Maintenance;
@@ -40,6 +43,7 @@
 import org.chervillift.platform.StampingPlatform;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
+import org.chervillift.runtime.supervision.Part;
 import org.chervillift.runtime.supervision.RestartPolicy;
 import org.chervillift.runtime.supervision.Scheduler;
 import org.chervillift.runtime.supervision.Supervisor;
@@ -65,8 +69,9 @@
     private final KeyFreshness freshness;
     private final FleetFollower follower;
     private final RequestHandler handler;
-    private final UpstreamClient upstreamClient;
+    private final RequestPath requestPath;
     private final UsageReporter usage;
+    private final PeersPart peers;
     private final Maintenance maintenance;
     private final Supervisor supervisor;
     private boolean started;
@@ -77,26 +82,16 @@
         this.settings = Checks.notNull("settings", settings);
         scheduler = new ReactorScheduler(reactor);
         PrometheusRegistry registry = new PrometheusRegistry();
-        JsonClient platformClient =
-                new JsonClient(
-                        reactor,
-                        settings.platformAddress(),
-                        settings.platformTimeout(),
-                        Optional.empty());
+        JsonClient platformClient = platformClient(reactor);
         Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
         follower =
                 new FleetFollower(
                         new ChangedReads(platform), scheduler, settings, keyGate, freshness);
-        upstreamClient = new UpstreamClient(reactor, settings);
-        handler =
-                new RequestHandler(
-                        follower::view,
-                        (key, open) -> keyGate.decide(key, open, scheduler.now()),
-                        upstreamClient,
-                        settings,
-                        new RequestMetrics(registry));
+        peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
+        requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
+        handler = requestHandler(keyGate, registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
                 Maintenance.of(
@@ -115,12 +110,34 @@
                         this::isReady,
                         registry,
                         operatorRoutes(reactor, platform, keyGate));
-        supervisor =
-                new Supervisor(
-                        "daemon",
-                        List.of(control, follower, usage, callers, maintenance.part()),
-                        RESTARTS,
-                        scheduler);
+        List<Part> parts =
+                new ArrayList<>(
+                        List.of(
+                                control,
+                                follower,
+                                usage,
+                                requestPath,
+                                callers,
+                                maintenance.part()));
+        if (settings.peers().hasPeers()) {
+            parts.addFirst(peers);
+        }
+        supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
+    }
+
+    private JsonClient platformClient(Eventloop reactor) {
+        return new JsonClient(
+                reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
+    }
+
+    private RequestHandler requestHandler(KeyGate keyGate, PrometheusRegistry registry) {
+        return new RequestHandler(
+                follower::view,
+                (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                requestPath,
+                scheduler::now,
+                settings,
+                new RequestMetrics(registry));
     }
 
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
@@ -133,6 +150,7 @@
                         new ConfigRoutes(configs, follower),
                         new KeyRoutes(keys, follower, scheduler, KEY_RULES),
                         new ReportRoutes(platform, scheduler, follower, usage),
+                        new MemberRoutes(peers.membership(), scheduler),
                         new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
         RoutingServlet.Builder routes = RoutingServlet.builder(reactor);
         kinds.forEach(k -> k.addTo(routes));
@@ -161,6 +179,7 @@
     /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
     public CompletionStage<Void> shutdown() {
         stopping = true;
+        peers.leave();
         EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
         CompletableFuture<Void> drained = new CompletableFuture<>();
         Instant bound = scheduler.now().plus(settings.drainDelay()).plus(settings.drainBound());
@@ -171,7 +190,7 @@
                     awaitDrain(bound, drained);
                 });
         return drained.thenCompose(ignored -> supervisor.stop())
-                .thenCompose(ignored -> upstreamClient.stop().toCompletableFuture())
+                .thenCompose(ignored -> requestPath.closeConnections().toCompletableFuture())
                 .thenRun(() -> EventLog.log(DaemonEvent.STOPPED));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.chervillift.core.waves.WaveSettings;
+import org.chervillift.daemon.internal.peers.PeerSettings;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.settings.Setting;
 import org.chervillift.runtime.settings.SettingType;
@@ -27,6 +28,7 @@
  * @param reportSave the time between two saves of the counts for the report
  * @param waves the settings of maintenance waves
  * @param operators who may act as an operator
+ * @param peers how this daemon meets its peers
  */
 public record DaemonSettings(
         String vmId,
@@ -42,7 +44,8 @@
         int mostBodyKib,
         Duration reportSave,
         WaveSettings waves,
-        OperatorCredentials operators) {
+        OperatorCredentials operators,
+        PeerSettings peers) {
 
     private static final Duration ONE_MILLI = Duration.ofMillis(1);
     private static final Duration ONE_MINUTE = Duration.ofMinutes(1);
@@ -128,7 +131,9 @@
     /** All settings, with what is allowed. */
     public static final SettingsSchema SCHEMA =
             new SettingsSchema(
-                    Stream.concat(FRAME.stream(), WaveSettingsSchema.SETTINGS.stream()).toList());
+                    Stream.of(FRAME, WaveSettingsSchema.SETTINGS, PeerSettings.SCHEMA)
+                            .flatMap(List::stream)
+                            .toList());
 
     /** Returns the settings of the daemon from checked values. */
     public static DaemonSettings from(Settings s) {
@@ -146,6 +151,7 @@
                 s.number("callers.most-body-kib"),
                 s.duration("report.save-ms"),
                 WaveSettingsSchema.read(s),
-                OperatorCredentials.parse(s.text("control.operators")));
+                OperatorCredentials.parse(s.text("control.operators")),
+                PeerSettings.from(s));
     }
 }
