--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.chervillift.bench.config.ConfigSoak;
 import org.chervillift.bench.internal.BenchContext;
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
@@ -20,7 +21,11 @@
 public final class BenchMain {
 
     private static final List<Benchmark> BENCHMARKS =
-            List.of(new PathBenchmark(), new WavesBenchmark(), new SoakBenchmark());
+            List.of(
+                    new PathBenchmark(),
+                    new WavesBenchmark(),
+                    new SoakBenchmark(),
+                    new ConfigSoak());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -19,12 +19,8 @@
 import org.chervillift.api.fleet.WaveRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
-import org.chervillift.core.keys.FreshnessRules;
-import org.chervillift.core.keys.KeyFreshness;
-import org.chervillift.core.keys.KeyGate;
 import org.chervillift.daemon.internal.config.ConfigRows;
 import org.chervillift.daemon.internal.config.ConfigStore;
-import org.chervillift.daemon.internal.keys.KeyOperations;
 import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
@@ -54,7 +50,6 @@
     private static final RestartPolicy RESTARTS =
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
     private static final ApplyRules APPLY_RULES = new ApplyRules(10);
-    private static final FreshnessRules KEY_RULES = FreshnessRules.WITHOUT_VOUCHING;
     private static final Set<String> FOLLOWED =
             Set.of(
                     ConfigRows.HEAD.table(),
@@ -66,7 +61,7 @@
 
     private final DaemonSettings settings;
     private final Scheduler scheduler;
-    private final KeyFreshness freshness;
+    private final KeyAssembly keys;
     private final FleetFollower follower;
     private final RequestHandler handler;
     private final RequestPath requestPath;
@@ -84,14 +79,19 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         JsonClient platformClient = platformClient(reactor);
         Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
-        freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
-        KeyGate keyGate = new KeyGate(freshness);
+        keys = KeyAssembly.create(settings, platform, scheduler);
         follower =
                 new FleetFollower(
-                        new ChangedReads(platform), scheduler, settings, keyGate, freshness);
-        peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
+                        new ChangedReads(platform),
+                        scheduler,
+                        settings,
+                        keys.gate(),
+                        keys.freshness());
+        peers =
+                PeerAssembly.create(
+                        reactor, scheduler, settings, follower, keys.freshness(), registry);
         requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
-        handler = requestHandler(keyGate, registry);
+        handler = requestHandler(registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
                 Maintenance.of(
@@ -109,7 +109,11 @@
                         settings.controlAddress(),
                         this::isReady,
                         registry,
-                        operatorRoutes(reactor, platform, keyGate));
+                        operatorRoutes(reactor, platform));
+        supervisor = new Supervisor("daemon", parts(control, callers), RESTARTS, scheduler);
+    }
+
+    private List<Part> parts(Part control, Part callers) {
         List<Part> parts =
                 new ArrayList<>(
                         List.of(
@@ -121,8 +125,9 @@
                                 maintenance.part()));
         if (settings.peers().hasPeers()) {
             parts.addFirst(peers);
+            parts.addLast(keys.keeper());
         }
-        supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
+        return parts;
     }
 
     private JsonClient platformClient(Eventloop reactor) {
@@ -130,25 +135,23 @@
                 reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
     }
 
-    private RequestHandler requestHandler(KeyGate keyGate, PrometheusRegistry registry) {
+    private RequestHandler requestHandler(PrometheusRegistry registry) {
         return new RequestHandler(
                 follower::view,
-                (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                (key, open) -> keys.gate().decide(key, open, scheduler.now()),
                 requestPath,
                 scheduler::now,
                 settings,
                 new RequestMetrics(registry));
     }
 
-    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
+    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
-        KeyOperations keys =
-                new KeyOperations(platform, scheduler, freshness, keyGate, scheduler::now);
         List<OperatorRoutes> kinds =
                 List.of(
                         new ConfigRoutes(configs, follower),
-                        new KeyRoutes(keys, follower, scheduler, KEY_RULES),
+                        new KeyRoutes(keys.operations(), follower, scheduler, keys.rules()),
                         new ReportRoutes(platform, scheduler, follower, usage),
                         new MemberRoutes(peers.membership(), scheduler),
                         new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
@@ -179,6 +182,9 @@
     /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
     public CompletionStage<Void> shutdown() {
         stopping = true;
+        if (settings.peers().hasPeers()) {
+            keys.keeper().stop();
+        }
         peers.leave();
         EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
         CompletableFuture<Void> drained = new CompletableFuture<>();
