--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -15,9 +15,8 @@
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
-import org.chervillift.bench.internal.capacity.CapacityBenchmark;
-import org.chervillift.bench.internal.membership.ConfigBenchmark;
-import org.chervillift.bench.internal.membership.MembershipBenchmark;
+            List.of(
+                    );
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
@@ -25,11 +24,17 @@
     private static final List<Benchmark> BENCHMARKS =
             List.of(
                     new PathBenchmark(),
+<<<<<<< HEAD
                     new SoakBenchmark(),
                     new ConfigSoak(),
                     new MembershipBenchmark(),
                     new ConfigBenchmark(),
                     new CapacityBenchmark());
+=======
+                    new WavesBenchmark(),
+                    new SoakBenchmark(),
+                    new ConfigSoak());
+>>>>>>> main
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
