--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -15,8 +15,10 @@
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
-            List.of(
-                    );
+import org.chervillift.bench.internal.capacity.CapacityBenchmark;
+import org.chervillift.bench.internal.membership.ConfigBenchmark;
+import org.chervillift.bench.internal.membership.MembershipBenchmark;
+import org.chervillift.bench.waves.WavesBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
@@ -24,17 +26,12 @@
     private static final List<Benchmark> BENCHMARKS =
             List.of(
                     new PathBenchmark(),
-<<<<<<< HEAD
+                    new WavesBenchmark(),
                     new SoakBenchmark(),
                     new ConfigSoak(),
                     new MembershipBenchmark(),
                     new ConfigBenchmark(),
                     new CapacityBenchmark());
-=======
-                    new WavesBenchmark(),
-                    new SoakBenchmark(),
-                    new ConfigSoak());
->>>>>>> main
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
