--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -13,13 +13,19 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
+import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
+import org.chervillift.bench.internal.SurgeBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
 
     private static final List<Benchmark> BENCHMARKS =
-            List.of(new PathBenchmark(), new SoakBenchmark());
+            List.of(
+                    new PathBenchmark(),
+                    new SoakBenchmark(),
+                    new SurgeBenchmark(),
+                    new RoutingBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/PathBenchmark.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/PathBenchmark.java
@@ -7,6 +7,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
@@ -223,20 +224,34 @@
             return nanos;
         }
 
+        /** Completes one promise at the end, since a chain of promises is as deep as it is long. */
         private Promise<Void> chain(HttpMethod method, String url, int left, Histogram nanos) {
+            SettablePromise<Void> done = new SettablePromise<>();
+            step(method, url, left, nanos, done);
+            return done;
+        }
+
+        private void step(
+                HttpMethod method,
+                String url,
+                int left,
+                Histogram nanos,
+                SettablePromise<Void> done) {
             if (left == 0) {
-                return Promise.complete();
+                done.set(null);
+                return;
             }
             long start = System.nanoTime();
             HttpRequest request =
                     HttpRequest.builder(method, url)
                             .withHeader(HttpHeaders.CONNECTION, "keep-alive")
                             .build();
-            return client.request(request)
+            client.request(request)
                     .then(r -> r.loadBody().map(b -> new HttpAnswer(r.getCode(), b.toString())))
                     .whenResult(a -> note(a, System.nanoTime() - start, nanos))
                     .async()
-                    .then(ignored -> chain(method, url, left - 1, nanos));
+                    .whenResult(a -> step(method, url, left - 1, nanos, done))
+                    .whenException(done::setException);
         }
 
         private void note(HttpAnswer answer, long nanos, Histogram histogram) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestPath.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestPath.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -28,6 +27,7 @@
 import org.chervillift.core.routing.RoutingSettings;
 import org.chervillift.core.routing.Upstream;
 import org.chervillift.daemon.requests.CallerAnswer;
+import org.chervillift.daemon.requests.ClaimCleaner;
 import org.chervillift.daemon.requests.ClaimDesk;
 import org.chervillift.daemon.requests.ClaimStore;
 import org.chervillift.daemon.requests.HttpSender;
@@ -50,6 +50,7 @@
     private final Supplier<FleetView> fleet;
     private final HttpSender sender;
     private final RequestTools tools;
+    private final ClaimCleaner cleaner;
     private Optional<Instant> readAt = Optional.empty();
     private boolean running;
 
@@ -64,6 +65,9 @@
         this.fleet = Checks.notNull("fleet", fleet);
         String vm = settings.vmId();
         String dataCentre = settings.dataCentre();
+        String incarnation = vm + "/" + UUID.randomUUID();
+        RandomGenerator random = RandomGenerator.getDefault();
+        cleaner = new ClaimCleaner(platform, scheduler, incarnation, random);
         sender =
                 new HttpSender(
                         reactor,
@@ -75,7 +79,7 @@
                 new RequestTools(
                         new ClaimDesk(
                                 new ClaimBook(ClaimSettings.DEFAULT, vm),
-                                new ClaimStore(vm + "/" + UUID.randomUUID()),
+                                new ClaimStore(incarnation),
                                 platform,
                                 scheduler,
                                 Runnable::run),
@@ -84,7 +88,7 @@
                         new RetryTools(
                                 RetryPolicy.DEFAULT,
                                 new RetryBudget(RETRIES_PER_REQUEST, MOST_RETRIES),
-                                RandomGenerator.getDefault()),
+                                random),
                         sender,
                         scheduler);
     }
@@ -109,13 +113,13 @@
     public CompletionStage<Void> start(Consumer<Throwable> onFailure) {
         running = true;
         tick();
-        return CompletableFuture.completedFuture(null);
+        return cleaner.start(onFailure);
     }
 
     @Override
     public CompletionStage<Void> stop() {
         running = false;
-        return CompletableFuture.completedFuture(null);
+        return cleaner.stop();
     }
 
     private void tick() {
