--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -16,7 +16,8 @@
 import org.chervillift.bench.internal.PathBenchmark;
 import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
-import org.chervillift.bench.internal.SurgeBenchmark;
+            List.of(
+);
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
@@ -24,9 +25,14 @@
     private static final List<Benchmark> BENCHMARKS =
             List.of(
                     new PathBenchmark(),
+<<<<<<< HEAD
                     new SoakBenchmark(),
                     new SurgeBenchmark(),
                     new RoutingBenchmark(),
+=======
+                    new WavesBenchmark(),
+                    new SoakBenchmark(),
+>>>>>>> main
                     new ConfigSoak());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
