--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -16,8 +16,8 @@
 import org.chervillift.bench.internal.PathBenchmark;
 import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
-            List.of(
-);
+import org.chervillift.bench.internal.SurgeBenchmark;
+import org.chervillift.bench.waves.WavesBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
@@ -25,15 +25,11 @@
     private static final List<Benchmark> BENCHMARKS =
             List.of(
                     new PathBenchmark(),
-<<<<<<< HEAD
-                    new SoakBenchmark(),
-                    new SurgeBenchmark(),
-                    new RoutingBenchmark(),
-=======
                     new WavesBenchmark(),
                     new SoakBenchmark(),
->>>>>>> main
-                    new ConfigSoak());
+                    new ConfigSoak(),
+                    new SurgeBenchmark(),
+                    new RoutingBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
