--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -14,7 +14,9 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
+import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
+import org.chervillift.bench.internal.SurgeBenchmark;
 import org.chervillift.bench.internal.capacity.CapacityBenchmark;
 import org.chervillift.bench.internal.membership.ConfigBenchmark;
 import org.chervillift.bench.internal.membership.MembershipBenchmark;
@@ -31,7 +33,9 @@
                     new ConfigSoak(),
                     new MembershipBenchmark(),
                     new ConfigBenchmark(),
-                    new CapacityBenchmark());
+                    new CapacityBenchmark(),
+                    new SurgeBenchmark(),
+                    new RoutingBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
