--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/VirtualNode.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/membership/VirtualNode.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.chervillift.api.config.PeerFreshness;
 import org.chervillift.core.membership.ContentKind;
@@ -36,8 +36,8 @@
     private final ManualScheduler scheduler;
     private final RandomGenerator random;
     private final Membership membership;
-    private final Map<String, VirtualNetwork.Link> links = new HashMap<>();
-    private final Set<String> dialling = new HashSet<>();
+    private final Map<String, VirtualNetwork.Link> links = new TreeMap<>();
+    private final Set<String> dialling = new TreeSet<>();
     private Set<String> wanted = Set.of();
     private Versions held = Versions.NONE;
     private boolean up = true;
@@ -104,7 +104,7 @@
 
     void stop() {
         up = false;
-        for (VirtualNetwork.Link link : Map.copyOf(links).values()) {
+        for (VirtualNetwork.Link link : List.copyOf(links.values())) {
             fleet.network().close(this, link);
         }
     }
@@ -195,8 +195,8 @@
     }
 
     private void wanted(Set<String> addresses) {
-        wanted = addresses;
-        for (VirtualNetwork.Link link : Map.copyOf(links).values()) {
+        wanted = new TreeSet<>(addresses);
+        for (VirtualNetwork.Link link : List.copyOf(links.values())) {
             String address = link.other(this).identity().address();
             if (link.dialler() == this && !wanted.contains(address)) {
                 fleet.network().close(this, link);
--- a/chervillift-core/src/main/java/org/chervillift/core/membership/Member.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/Member.java
@@ -8,6 +8,7 @@
  * What this process knows of another one. Instants are of the clock of this process.
  *
  * @param node the node; incarnation 0 while only the list has shown it
+ * @param knownAt when this life of it became known to this process
  * @param state what is known of its life
  * @param since when it came into that state
  * @param heardAt the latest moment at which it certainly lived, if any is known
@@ -19,6 +20,7 @@
  */
 public record Member(
         NodeIdentity node,
+        Instant knownAt,
         MemberState state,
         Instant since,
         Optional<Instant> heardAt,
@@ -30,6 +32,7 @@
 
     public Member {
         Checks.notNull("node", node);
+        Checks.notNull("knownAt", knownAt);
         Checks.notNull("state", state);
         Checks.notNull("since", since);
         Checks.notNull("heardAt", heardAt);
@@ -55,6 +58,7 @@
     public static Member named(NodeIdentity node, Listing listing, Instant now) {
         return new Member(
                 node,
+                now,
                 MemberState.SUSPECTED,
                 now,
                 Optional.empty(),
@@ -83,25 +87,43 @@
     /** Returns the same member under another address or life. */
     public Member withNode(NodeIdentity other) {
         return new Member(
-                other, state, since, heardAt, route, listing, saidLeaving, versions, receipt);
+                other,
+                knownAt,
+                state,
+                since,
+                heardAt,
+                route,
+                listing,
+                saidLeaving,
+                versions,
+                receipt);
     }
 
     /** Returns the same member in another state. */
     public Member withState(MemberState other, Instant now) {
         return new Member(
-                node, other, now, heardAt, route, listing, saidLeaving, versions, receipt);
+                node, knownAt, other, now, heardAt, route, listing, saidLeaving, versions, receipt);
     }
 
     /** Returns the same member with what another list says. */
     public Member withListing(Listing other) {
         return new Member(
-                node, state, since, heardAt, route, other, saidLeaving, versions, receipt);
+                node, knownAt, state, since, heardAt, route, other, saidLeaving, versions, receipt);
     }
 
     /** Returns the same member, heard of in another way. */
     public Member withRoute(Route other) {
         return new Member(
-                node, state, since, heardAt, other, listing, saidLeaving, versions, receipt);
+                node,
+                knownAt,
+                state,
+                since,
+                heardAt,
+                other,
+                listing,
+                saidLeaving,
+                versions,
+                receipt);
     }
 
     /** Returns the same member, heard at a moment unless it was heard later. */
@@ -109,6 +131,7 @@
         Instant latest = heardAt.filter(h -> h.isAfter(at)).orElse(at);
         return new Member(
                 node,
+                knownAt,
                 state,
                 since,
                 Optional.of(latest),
@@ -123,13 +146,23 @@
     public Member holding(Versions told) {
         Versions highest = versions.max(told);
         return new Member(
-                node, state, since, heardAt, route, listing, saidLeaving, highest, receipt);
+                node,
+                knownAt,
+                state,
+                since,
+                heardAt,
+                route,
+                listing,
+                saidLeaving,
+                highest,
+                receipt);
     }
 
     /** Returns the same member after a heartbeat. */
     public Member received(Heartbeat heartbeat, Instant now) {
         return new Member(
                 node,
+                knownAt,
                 state,
                 since,
                 heardAt,
@@ -142,6 +175,7 @@
 
     /** Returns the same member, which is said to leave. */
     public Member leaving() {
-        return new Member(node, state, since, heardAt, route, listing, true, versions, receipt);
+        return new Member(
+                node, knownAt, state, since, heardAt, route, listing, true, versions, receipt);
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/membership/internal/Liveness.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/membership/internal/Liveness.java
@@ -48,13 +48,18 @@
         return left || listSaysGone(member, listReadAt);
     }
 
-    /** A list says so only if its content is surely later than the last sign of life. */
+    /**
+     * A list says so only if its content is surely later than the last sign of life, and than the
+     * moment at which this life became known. The second counts since ages are upper bounds: a sign
+     * of life may be dated before the life began.
+     */
     private boolean listSaysGone(Member member, Optional<Instant> listReadAt) {
         if (member.listing() != Listing.ABSENT || listReadAt.isEmpty()) {
             return false;
         }
         Instant content = listReadAt.get().minus(settings.listLag());
-        return member.heardAt().map(h -> h.isBefore(content)).orElse(true);
+        boolean heardBefore = member.heardAt().map(h -> h.isBefore(content)).orElse(true);
+        return heardBefore && member.knownAt().isBefore(content);
     }
 
     private static boolean heardSince(Member member, Instant moment) {
--- a/chervillift-core/src/test/java/org/chervillift/core/membership/MembershipTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/membership/MembershipTest.java
@@ -122,6 +122,22 @@
         assertThat(state("b")).isEqualTo(MemberState.GONE);
     }
 
+    @Test
+    void aNewMemberThatIsToldWithALargeAgeIsNotEndedByAListFromBeforeItsTime() {
+        link(PEER);
+        long echo = tick();
+        pass(Duration.ofSeconds(50));
+        on(new MembershipEvent.ListRead(List.of(), now));
+        NodeIdentity third = new NodeIdentity("c", 1, "dc2", "10.0.2.1:7");
+        MemberSummary told =
+                new MemberSummary(third, MemberState.ALIVE, Versions.NONE, Duration.ofSeconds(1));
+        Heartbeat late =
+                new Heartbeat(
+                        99, echo, Versions.NONE, Optional.empty(), false, List.of(), List.of(told));
+        on(new MembershipEvent.HeartbeatReceived("b", 5, late));
+        assertThat(state("c")).isEqualTo(MemberState.SUSPECTED);
+    }
+
     @Test
     void seedsAreDialledUntilTheListNamesTheOthers() {
         tick();
