--- a/bin/cluster.sh
+++ b/bin/cluster.sh
@@ -63,6 +63,7 @@
   done
   start upstreams bin/chervillift-standin upstream --listen "${addresses%,}" --id "${ids%,}"
   wait_for upstreams listening
+  list_upstreams
 }
 
 write_settings() { # number, data centre
@@ -87,6 +88,9 @@
 secret = the demo secret that all daemons of the demo share
 [shutdown]
 delay-ms = 200
+[waves]
+settle-ms = 1000
+probation-ms = 2000
 INI
 }
 
@@ -96,6 +100,15 @@
   curl -fsS -o /dev/null -X PUT "http://$platform/admin/vms" -d "$vm"
 }
 
+list_upstreams() { # shows the eight upstreams in the platform's list
+  local port=18101 id
+  for id in vm-a1 vm-a2 vm-a3 vm-a4 vm-b1 vm-b2 vm-b3 vm-b4; do
+    curl -fsS -o /dev/null -X PUT "http://$platform/admin/vms" -d "{\"id\":\"$id\",\"role\":\"UPSTREAM\",
+      \"dataCentre\":\"dc-${id:3:1}\",\"leaving\":false,\"address\":\"127.0.0.1:$port\",\"peerAddress\":\"\"}"
+    port=$((port + 1))
+  done
+}
+
 wait_members() { # how many must be alive, as the first entry VM knows them
   local _
   for _ in $(seq 1 100); do
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamMaintenance.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamMaintenance.java
@@ -27,13 +27,15 @@
     private final String id;
     private final IntSupplier running;
     private final Supplier<Instant> clock;
+    private final RunLedger ledger;
     private boolean accepting = true;
     private long fence;
     private long rebootFence;
     private long cut;
     private Instant backAt = Instant.EPOCH;
 
-    UpstreamMaintenance(String id, IntSupplier running, Supplier<Instant> clock) {
+    UpstreamMaintenance(String id, IntSupplier running, Supplier<Instant> clock, RunLedger ledger) {
+        this.ledger = ledger;
         this.id = Checks.notBlank("id", id);
         this.running = running;
         this.clock = clock;
@@ -81,22 +83,28 @@
     }
 
     private boolean drain(long newFence) {
-        accepting = false;
+        setAccepting(false);
         return true;
     }
 
+    private void setAccepting(boolean now) {
+        accepting = now;
+        ledger.setAway(id, !now);
+    }
+
     private boolean reboot(long newFence) {
         if (rebootFence != newFence) {
             rebootFence = newFence;
             cut += running.getAsInt();
-            accepting = false;
+            setAccepting(false);
+            ledger.noteReboot(id);
             backAt = clock.get().plus(REBOOT_TIME);
         }
         return true;
     }
 
     private boolean restore(long newFence) {
-        accepting = isBack();
+        setAccepting(isBack());
         return accepting;
     }
 
--- a/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/upstream/UpstreamServlet.java
@@ -59,7 +59,10 @@
         this.slots = (int) Checks.inRange("slots", slots, 1, 10_000);
         this.maintenance =
                 new UpstreamMaintenance(
-                        id, () -> running, () -> Instant.ofEpochMilli(reactor.currentTimeMillis()));
+                        id,
+                        () -> running,
+                        () -> Instant.ofEpochMilli(reactor.currentTimeMillis()),
+                        ledger);
     }
 
     /** Returns the servlet with all routes. */
