--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -62,7 +62,7 @@
     private final KeyFreshness freshness;
     private final FleetFollower follower;
     private final RequestHandler handler;
-    private final UpstreamClient upstreamClient;
+    private final RequestPath requestPath;
     private final UsageReporter usage;
     private final PeersPart peers;
     private final Maintenance maintenance;
@@ -75,12 +75,7 @@
         this.settings = Checks.notNull("settings", settings);
         scheduler = new ReactorScheduler(reactor);
         PrometheusRegistry registry = new PrometheusRegistry();
-        JsonClient platformClient =
-                new JsonClient(
-                        reactor,
-                        settings.platformAddress(),
-                        settings.platformTimeout(),
-                        Optional.empty());
+        JsonClient platformClient = platformClient(reactor);
         Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
         freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
         KeyGate keyGate = new KeyGate(freshness);
@@ -88,14 +83,8 @@
                 new FleetFollower(
                         new ChangedReads(platform), scheduler, settings, keyGate, freshness);
         peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
-        upstreamClient = new UpstreamClient(reactor, settings);
-        handler =
-                new RequestHandler(
-                        follower::view,
-                        (key, open) -> keyGate.decide(key, open, scheduler.now()),
-                        upstreamClient,
-                        settings,
-                        new RequestMetrics(registry));
+        requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
+        handler = requestHandler(keyGate, registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
                 Maintenance.of(
@@ -115,13 +104,35 @@
                         registry,
                         operatorRoutes(reactor, platform, keyGate));
         List<Part> parts =
-                new ArrayList<>(List.of(control, follower, usage, callers, maintenance.part()));
+                new ArrayList<>(
+                        List.of(
+                                control,
+                                follower,
+                                usage,
+                                requestPath,
+                                callers,
+                                maintenance.part()));
         if (settings.peers().hasPeers()) {
             parts.addFirst(peers);
         }
         supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
     }
 
+    private JsonClient platformClient(Eventloop reactor) {
+        return new JsonClient(
+                reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
+    }
+
+    private RequestHandler requestHandler(KeyGate keyGate, PrometheusRegistry registry) {
+        return new RequestHandler(
+                follower::view,
+                (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                requestPath,
+                scheduler::now,
+                settings,
+                new RequestMetrics(registry));
+    }
+
     private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
@@ -172,7 +183,7 @@
                     awaitDrain(bound, drained);
                 });
         return drained.thenCompose(ignored -> supervisor.stop())
-                .thenCompose(ignored -> upstreamClient.stop().toCompletableFuture())
+                .thenCompose(ignored -> requestPath.closeConnections().toCompletableFuture())
                 .thenRun(() -> EventLog.log(DaemonEvent.STOPPED));
     }
 
