Pass the request identifier on through a relay

Change: a relayed request carries its identifier; the entry VM that relays has claimed it, so the second one only passes it on.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
@@ -178,11 +178,12 @@
         return answered.whenComplete(() -> admission.end(team));
     }
 
+    /** The entry VM that relays a request has claimed its identifier; here it is only passed on. */
     private RequestFacts facts(CallerRequest request, byte[] body, Queue queue, Team team) {
         boolean anyone = team.name().equals(ANYONE.name());
         Optional<ClaimKey> claimKey =
                 request.identifier()
-                        .filter(i -> !request.isIdempotent())
+                        .filter(i -> !request.isIdempotent() && !request.relayed())
                         .map(
                                 i ->
                                         anyone
