--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -9,17 +9,23 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.chervillift.bench.config.ConfigSoak;
 import org.chervillift.bench.internal.BenchContext;
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
+import org.chervillift.bench.waves.WavesBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
 
     private static final List<Benchmark> BENCHMARKS =
-            List.of(new PathBenchmark(), new SoakBenchmark());
+            List.of(
+                    new PathBenchmark(),
+                    new WavesBenchmark(),
+                    new SoakBenchmark(),
+                    new ConfigSoak());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
