--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -14,7 +14,9 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
+import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
+import org.chervillift.bench.internal.SurgeBenchmark;
 import org.chervillift.bench.waves.WavesBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
@@ -25,7 +27,9 @@
                     new PathBenchmark(),
                     new WavesBenchmark(),
                     new SoakBenchmark(),
-                    new ConfigSoak());
+                    new ConfigSoak(),
+                    new SurgeBenchmark(),
+                    new RoutingBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
