Keep the identifier when a request goes on to another entry VM

Change: the identifier goes on; the second entry VM makes no claim. A test for the closing of a connection without an answer, as the old one stayed green when the connection was left open.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestHandler.java
@@ -182,7 +182,7 @@
         boolean anyone = team.name().equals(ANYONE.name());
         Optional<ClaimKey> claimKey =
                 request.identifier()
-                        .filter(i -> !request.isIdempotent())
+                        .filter(i -> !request.isIdempotent() && !request.relayed())
                         .map(
                                 i ->
                                         anyone
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/HttpSender.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/requests/HttpSender.java
@@ -146,8 +146,8 @@
             }
         } else {
             builder.withHeader(TEAM, request.team());
-            request.identifier().ifPresent(i -> builder.withHeader(IDENTIFIER, i));
         }
+        request.identifier().ifPresent(i -> builder.withHeader(IDENTIFIER, i));
         if (request.body().length > 0) {
             builder.withBody(request.body());
         }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/requests/RequestPathTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/requests/RequestPathTest.java
@@ -81,7 +81,15 @@
     }
 
     @Test
-    void aLateAnswerIsDroppedWithItsConnection() throws Exception {
+    void aConnectionWithoutAnAnswerIsClosedWhenItsTimeIsOver() throws Exception {
+        HttpResponse<String> answer = fleet.call(0, "POST", "/open/silent", "x", DEADLINE, "200");
+
+        assertThat(verdict(answer)).isEqualTo("may-have-run");
+        assertThat(fleet.upstream.closedByDaemon.await(5, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aLateAnswerIsDropped() throws Exception {
         HttpResponse<String> late = fleet.call(0, "POST", "/open/late", "x", DEADLINE, "200");
         fleet.upstream.mayAnswer.release();
         HttpResponse<String> next = fleet.call(0, "POST", "/open/next", "y");
@@ -89,7 +97,6 @@
         assertThat(late.statusCode()).isEqualTo(504);
         assertThat(verdict(late)).isEqualTo("may-have-run");
         assertThat(next.body()).isEqualTo("POST /next y");
-        assertThat(fleet.upstream.closedByDaemon.await(5, TimeUnit.SECONDS)).isTrue();
     }
 
     @Test
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/requests/ScriptedUpstream.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/requests/ScriptedUpstream.java
@@ -86,6 +86,8 @@
             case "/late" -> {
                 mayAnswer.acquire();
                 write(out, whole("late " + run));
+            }
+            case "/silent" -> {
                 if (socket.getInputStream().read() < 0) {
                     closedByDaemon.countDown();
                 }
