--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -14,7 +14,9 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.chervillift.api.Checks;
+import org.chervillift.api.fleet.PoolRow;
 import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.WaveRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
 import org.chervillift.daemon.internal.config.ConfigRows;
@@ -49,7 +51,12 @@
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
     private static final ApplyRules APPLY_RULES = new ApplyRules(10);
     private static final Set<String> FOLLOWED =
-            Set.of(ConfigRows.HEAD.table(), KeyRows.RING.table(), VmRow.TABLE);
+            Set.of(
+                    ConfigRows.HEAD.table(),
+                    KeyRows.RING.table(),
+                    VmRow.TABLE,
+                    PoolRow.TABLE,
+                    WaveRow.TABLE);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
 
     private final DaemonSettings settings;
