Carry permits through the platform's table, and measure what moving them costs

Cause: the decisions on upper limits had no part in the daemon, and what they cost was not known.

A conflict makes the leases be read again only if leases were part of it, and is tried again soon. What is left by rounding goes by chance of what each holder wants.

--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -14,12 +14,13 @@
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
+import org.chervillift.bench.limits.LimitBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
 public final class BenchMain {
 
     private static final List<Benchmark> BENCHMARKS =
-            List.of(new PathBenchmark(), new SoakBenchmark());
+            List.of(new PathBenchmark(), new SoakBenchmark(), new LimitBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
--- a/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeEntryVm.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeEntryVm.java
@@ -24,7 +24,6 @@
     private static final int LONGEST_PREPARE_MS = 200;
     private static final int LONGEST_SEND_MS = 5;
     private static final int MOST_WAITING = 100;
-    private static final int LOST_CONNECTION_PERCENT = 3;
 
     private final String vm;
     private final String dataCentre;
@@ -56,6 +55,9 @@
     interface Load extends KnownLimits.LimitHistory {
         /** Returns how long a request runs. */
         Duration runLength();
+
+        /** Returns the part of requests whose connection is lost while they run, in percent. */
+        int lostPercent();
     }
 
     FakeEntryVm(
@@ -222,7 +224,7 @@
 
     private void send(Permit permit, long knownHere) {
         sending--;
-        boolean loses = parts.random().nextInt(100) < LOST_CONNECTION_PERCENT;
+        boolean loses = parts.random().nextInt(100) < parts.load().lostPercent();
         Duration length = parts.load().runLength();
         if (loses) {
             long lostAt = parts.random().nextLong(length.toMillis() + 1);
@@ -244,13 +246,7 @@
     private void carryOut(LimitAction action) {
         long number = ++callNumber;
         String holder = agent.holder();
-        FakeTable table = parts.table();
-        Supplier<LimitEvent> work =
-                switch (action) {
-                    case LimitAction.ReadLeases r -> table::leases;
-                    case LimitAction.ReadRows r -> () -> table.read(holder, r.teams());
-                    case LimitAction.Commit c -> () -> commit(c);
-                };
+        Supplier<LimitEvent> work = () -> parts.table().carryOut(action, holder);
         parts.network().call(dataCentre, work, e -> deliver(() -> answered(number, e)));
         if (action instanceof LimitAction.Commit && parts.variant() == Variant.CREDIT_FIRST) {
             callNumber++;
@@ -258,11 +254,6 @@
         }
     }
 
-    private LimitEvent commit(LimitAction.Commit c) {
-        boolean done = parts.table().commit(c.commit());
-        return done ? new LimitEvent.Committed() : new LimitEvent.Conflicted();
-    }
-
     private void answered(long number, LimitEvent event) {
         if (number == callNumber) {
             if (event instanceof LimitEvent.RowsRead r) {
--- a/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeTable.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.chervillift.core.limits.HolderLease;
 import org.chervillift.core.limits.Holding;
+import org.chervillift.core.limits.LimitAction;
 import org.chervillift.core.limits.LimitCommit;
 import org.chervillift.core.limits.LimitCommit.Change;
 import org.chervillift.core.limits.LimitCommit.LeaseWrite;
@@ -31,7 +32,16 @@
     private long reads;
     private long bytes;
 
-    LimitEvent.RowsRead read(String holder, List<String> teams) {
+    LimitEvent carryOut(LimitAction action, String holder) {
+        return switch (action) {
+            case LimitAction.ReadLeases r -> leases();
+            case LimitAction.ReadRows r -> read(holder, r.teams());
+            case LimitAction.Commit c ->
+                    commit(c.commit()) ? new LimitEvent.Committed() : new LimitEvent.Conflicted();
+        };
+    }
+
+    private LimitEvent.RowsRead read(String holder, List<String> teams) {
         reads++;
         Map<String, Versioned<TeamRow>> found = new HashMap<>();
         teams.forEach(t -> found.put(t, row(t)));
@@ -40,7 +50,7 @@
         return new LimitEvent.RowsRead(Optional.ofNullable(leases.get(holder)), found);
     }
 
-    LimitEvent.LeasesRead leases() {
+    private LimitEvent.LeasesRead leases() {
         reads++;
         bytes += (long) LEASE_BYTES * leases.size();
         return new LimitEvent.LeasesRead(new ArrayList<>(leases.values()));
@@ -55,7 +65,7 @@
     }
 
     /** Returns whether the transaction took effect, now or at its first time. */
-    boolean commit(LimitCommit c) {
+    private boolean commit(LimitCommit c) {
         Boolean before = outcomes.get(c.token());
         if (before != null) {
             return before;
--- a/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeUpstreams.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/limits/FakeUpstreams.java
@@ -39,6 +39,10 @@
         return running.getOrDefault(team, 0);
     }
 
+    int most() {
+        return most;
+    }
+
     long starts() {
         return starts;
     }
--- a/chervillift-bench/src/main/java/org/chervillift/bench/limits/SoakFleet.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/limits/SoakFleet.java
@@ -17,6 +17,7 @@
     static final Duration CONFIG_LAG = Duration.ofSeconds(14);
 
     private static final int FAVOURITE_PERCENT = 80;
+    private static final int LOST_PERCENT = 3;
     private static final int LONG_RUN_PERCENT = 2;
     private static final int SHORT_RUN_MS = 400;
 
@@ -83,6 +84,11 @@
         return Duration.ofMillis(20 + random.nextInt(SHORT_RUN_MS));
     }
 
+    @Override
+    public int lostPercent() {
+        return LOST_PERCENT;
+    }
+
     @Override
     public int limitAt(String team, long version) {
         return version == 0 ? 0 : versions.get(Math.toIntExact(version - 1)).get(team);
--- a/chervillift-core/src/main/java/org/chervillift/core/limits/LimitAgent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/limits/LimitAgent.java
@@ -368,9 +368,12 @@
             for (RowWrite w : c.commit().rows()) {
                 teams.get(w.team()).waitUntil(now);
             }
-            lease.listAgain();
+            if (c.commit().leases().size() > 1) {
+                lease.listAgain();
+            }
             batch = Math.max(1, batch / 2);
             answered(now);
+            nextUse = now.plus(settings.spacing().multipliedBy(random.nextInt(50)).dividedBy(100));
         }
         return next(now);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/limits/internal/Division.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/limits/internal/Division.java
@@ -12,14 +12,16 @@
     /** There is enough for all. */
     public static final int NO_CAP = Integer.MAX_VALUE;
 
+    private static final int DOUBLE_BITS = 53;
+
     private Division() {}
 
     /**
      * Returns the most permits that a holder should have now.
      *
      * <p>Parts are in proportion to what each holder wants. What is left by rounding goes to
-     * different holders at different turns, so that a limit smaller than the number of holders
-     * reaches each of them.
+     * different holders at different turns, more often to those that want more, so that a limit
+     * smaller than the number of holders reaches each of them.
      *
      * @param row the division so far
      * @param holder the holder
@@ -45,19 +47,28 @@
         return Math.toIntExact((long) limit * wanted / all);
     }
 
+    /** Orders holders at random, the same way at each of them, and by chance of what they want. */
     private static List<String> orderedByTurn(TeamRow row, long turn) {
         return row.holdings().entrySet().stream()
                 .filter(e -> e.getValue().wantedAt(turn) > 0)
-                .map(Map.Entry::getKey)
                 .sorted(
-                        Comparator.comparingLong((String h) -> mix(h.hashCode(), turn))
-                                .thenComparing(Comparator.naturalOrder()))
+                        Comparator.comparingDouble((Map.Entry<String, Holding> e) -> rank(e, turn))
+                                .thenComparing(Map.Entry::getKey))
+                .map(Map.Entry::getKey)
                 .toList();
     }
 
+    /** Returns an exponential deviate whose rate is what the holder wants. */
+    private static double rank(Map.Entry<String, Holding> e, long turn) {
+        long bits = mix(e.getKey().hashCode(), turn) >>> (Long.SIZE - DOUBLE_BITS);
+        double uniform = (bits + 1) * 0x1.0p-53;
+        return -StrictMath.log(uniform) / e.getValue().wantedAt(turn);
+    }
+
     private static long mix(int hash, long turn) {
         long x = hash * 0x9E3779B97F4A7C15L + turn * 0xC2B2AE3D27D4EB4FL;
         x = (x ^ (x >>> 32)) * 0xD6E8FEB86659FD93L;
+        x = (x ^ (x >>> 29)) * 0xBF58476D1CE4E5B9L;
         return x ^ (x >>> 32);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.Stream;
+import org.chervillift.core.limits.LimitSettings;
 import org.chervillift.core.waves.WaveSettings;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.settings.Setting;
@@ -26,6 +27,7 @@
  * @param mostBodyKib the largest body of a request or an answer, in KiB
  * @param reportSave the time between two saves of the counts for the report
  * @param waves the settings of maintenance waves
+ * @param limits the settings of the upper limits of teams
  * @param operators who may act as an operator
  */
 public record DaemonSettings(
@@ -42,6 +44,7 @@
         int mostBodyKib,
         Duration reportSave,
         WaveSettings waves,
+        LimitSettings limits,
         OperatorCredentials operators) {
 
     private static final Duration ONE_MILLI = Duration.ofMillis(1);
@@ -128,7 +131,9 @@
     /** All settings, with what is allowed. */
     public static final SettingsSchema SCHEMA =
             new SettingsSchema(
-                    Stream.concat(FRAME.stream(), WaveSettingsSchema.SETTINGS.stream()).toList());
+                    Stream.of(FRAME, WaveSettingsSchema.SETTINGS, LimitSettingsSchema.SETTINGS)
+                            .flatMap(List::stream)
+                            .toList());
 
     /** Returns the settings of the daemon from checked values. */
     public static DaemonSettings from(Settings s) {
@@ -146,6 +151,7 @@
                 s.number("callers.most-body-kib"),
                 s.duration("report.save-ms"),
                 WaveSettingsSchema.read(s),
+                LimitSettingsSchema.read(s),
                 OperatorCredentials.parse(s.text("control.operators")));
     }
 }
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/limits/LimitsEvent.java
@@ -0,0 +1,42 @@
+package org.chervillift.daemon.limits;
+
+import org.apache.logging.log4j.Level;
+import org.chervillift.runtime.events.Event;
+
+/** The events of upper limits. */
+public enum LimitsEvent implements Event {
+    /** The lease is in force. */
+    LEASE_TAKEN(2001, Level.INFO, "The lease of this process on its permits is in force."),
+    /** The lease has ended. */
+    LEASE_ENDED(2002, Level.ERROR, "The lease on permits has ended; no team's work starts here."),
+    /** All permits were given back. */
+    HANDED_OVER(2003, Level.INFO, "All permits were given back."),
+    /** Some permits were not given back. */
+    NOT_HANDED_OVER(
+            2004, Level.WARN, "Some permits were not given back; they are reclaimed later.");
+
+    private final int number;
+    private final Level level;
+    private final String meaning;
+
+    LimitsEvent(int number, Level level, String meaning) {
+        this.number = number;
+        this.level = level;
+        this.meaning = meaning;
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public Level level() {
+        return level;
+    }
+
+    @Override
+    public String meaning() {
+        return meaning;
+    }
+}
