--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.chervillift.core.limits.LimitSettings;
 import org.chervillift.core.waves.WaveSettings;
+import org.chervillift.daemon.internal.peers.PeerSettings;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.settings.Setting;
 import org.chervillift.runtime.settings.SettingType;
@@ -29,6 +30,7 @@
  * @param waves the settings of maintenance waves
  * @param limits the settings of the upper limits of teams
  * @param operators who may act as an operator
+ * @param peers how this daemon meets its peers
  */
 public record DaemonSettings(
         String vmId,
@@ -45,7 +47,8 @@
         Duration reportSave,
         WaveSettings waves,
         LimitSettings limits,
-        OperatorCredentials operators) {
+        OperatorCredentials operators,
+        PeerSettings peers) {
 
     private static final Duration ONE_MILLI = Duration.ofMillis(1);
     private static final Duration ONE_MINUTE = Duration.ofMinutes(1);
@@ -131,7 +134,11 @@
     /** All settings, with what is allowed. */
     public static final SettingsSchema SCHEMA =
             new SettingsSchema(
-                    Stream.of(FRAME, WaveSettingsSchema.SETTINGS, LimitSettingsSchema.SETTINGS)
+                    Stream.of(
+                                    FRAME,
+                                    WaveSettingsSchema.SETTINGS,
+                                    LimitSettingsSchema.SETTINGS,
+                                    PeerSettings.SCHEMA)
                             .flatMap(List::stream)
                             .toList());
 
@@ -152,6 +159,7 @@
                 s.duration("report.save-ms"),
                 WaveSettingsSchema.read(s),
                 LimitSettingsSchema.read(s),
-                OperatorCredentials.parse(s.text("control.operators")));
+                OperatorCredentials.parse(s.text("control.operators")),
+                PeerSettings.from(s));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/FleetFollower.java
@@ -48,6 +48,7 @@
     private final KeyFreshness freshness;
     private FleetView view = FleetView.EMPTY;
     private VersionGuard configGuard = VersionGuard.NONE;
+    private FollowerListener listener = FollowerListener.NONE;
     private List<Row> vmRows = List.of();
     private boolean platformLost;
     private boolean running;
@@ -71,6 +72,11 @@
         return view;
     }
 
+    /** Tells a listener of each answer of the platform from now on. */
+    public void listen(FollowerListener newListener) {
+        listener = Checks.notNull("newListener", newListener);
+    }
+
     /** Returns the data centres that have VMs. */
     public Set<String> dataCentres() {
         return view.vms().stream().map(VmRow::dataCentre).collect(Collectors.toSet());
@@ -110,8 +116,9 @@
         Instant asked = scheduler.now();
         return platform.read(ROWS)
                 .thenCompose(rows -> adoptRows(rows, asked))
+                .thenRun(() -> listener.storeRead(asked))
                 .thenCompose(ignored -> platform.scan(VmRow.TABLE))
-                .thenCombine(platform.listVms(), this::adoptVms)
+                .thenCombine(platform.listVms(), (rows, vms) -> adoptVms(rows, vms, asked))
                 .thenAccept(ignored -> view = view.withReadAt(asked));
     }
 
@@ -165,15 +172,11 @@
         adopt(Json.decode(text, FleetConfig.class));
     }
 
-    private Void adoptVms(List<Row> rows, List<ListedVm> listed) {
+    private Void adoptVms(List<Row> rows, List<ListedVm> listed, Instant asked) {
+        listener.listRead(listed, asked);
         List<VmRow> vms = rows.equals(vmRows) ? view.vms() : decodeVms(rows);
         vmRows = rows;
-        Set<String> leaving =
-                listed.stream()
-                        .filter(ListedVm::leaving)
-                        .map(ListedVm::id)
-                        .collect(Collectors.toUnmodifiableSet());
-        view = view.withVms(vms, leaving);
+        view = view.withVms(vms, listed);
         return null;
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/limits/TeamLimits.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/limits/TeamLimits.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
@@ -38,21 +39,26 @@
 
     private final LimitStore store;
     private final Scheduler scheduler;
-    private final LimitAgent agent;
+    private final Function<Instant, LimitAgent> newAgent;
     private final Supplier<FleetConfig> config;
+    private LimitAgent agent;
     private long adopted;
     private boolean running;
     private boolean leaseValid;
 
-    /** Creates the part around an agent that no other part uses. */
+    /**
+     * Creates the part.
+     *
+     * @param newAgent called once, when the process has bound its addresses
+     */
     public TeamLimits(
             Platform platform,
             Scheduler scheduler,
-            LimitAgent agent,
+            Function<Instant, LimitAgent> newAgent,
             Supplier<FleetConfig> config) {
         this.store = new LimitStore(platform);
         this.scheduler = Checks.notNull("scheduler", scheduler);
-        this.agent = Checks.notNull("agent", agent);
+        this.newAgent = Checks.notNull("newAgent", newAgent);
         this.config = Checks.notNull("config", config);
     }
 
@@ -109,6 +115,9 @@
     @Override
     public CompletionStage<Void> start(Consumer<Throwable> onFailure) {
         running = true;
+        if (agent == null) {
+            agent = newAgent.apply(scheduler.now());
+        }
         tick();
         return CompletableFuture.completedFuture(null);
     }
