--- a/bin/cluster.sh
+++ b/bin/cluster.sh
@@ -87,6 +87,8 @@
 secret = the demo secret that all daemons of the demo share
 [shutdown]
 delay-ms = 200
+[limits]
+longest-run-ms = 5000
 INI
 }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -16,16 +16,14 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.chervillift.api.Checks;
+import org.chervillift.api.fleet.PoolRow;
 import org.chervillift.api.fleet.VmRow;
+import org.chervillift.api.fleet.WaveRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
-import org.chervillift.core.keys.FreshnessRules;
-import org.chervillift.core.keys.KeyFreshness;
-import org.chervillift.core.keys.KeyGate;
 import org.chervillift.core.limits.LimitAgent;
 import org.chervillift.daemon.internal.config.ConfigRows;
 import org.chervillift.daemon.internal.config.ConfigStore;
-import org.chervillift.daemon.internal.keys.KeyOperations;
 import org.chervillift.daemon.internal.keys.KeyRows;
 import org.chervillift.daemon.internal.operator.ConfigRoutes;
 import org.chervillift.daemon.internal.operator.KeyRoutes;
@@ -56,19 +54,24 @@
     private static final RestartPolicy RESTARTS =
             new RestartPolicy(5, Duration.ofMinutes(1), Duration.ofMillis(200));
     private static final ApplyRules APPLY_RULES = new ApplyRules(10);
-    private static final FreshnessRules KEY_RULES = FreshnessRules.WITHOUT_VOUCHING;
     private static final Set<String> FOLLOWED =
-            Set.of(ConfigRows.HEAD.table(), KeyRows.RING.table(), VmRow.TABLE);
+            Set.of(
+                    ConfigRows.HEAD.table(),
+                    KeyRows.RING.table(),
+                    VmRow.TABLE,
+                    PoolRow.TABLE,
+                    WaveRow.TABLE);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
 
     private final DaemonSettings settings;
     private final Scheduler scheduler;
-    private final KeyFreshness freshness;
+    private final KeyAssembly keys;
     private final FleetFollower follower;
     private final RequestHandler handler;
     private final RequestPath requestPath;
     private final UsageReporter usage;
     private final PeersPart peers;
+    private final TeamLimits limits;
     private final Maintenance maintenance;
     private final Supervisor supervisor;
     private boolean started;
@@ -81,16 +84,21 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         JsonClient platformClient = platformClient(reactor);
         Platform platform = new StampingPlatform(new HttpPlatform(platformClient), FOLLOWED);
-        freshness = new KeyFreshness(settings.vmId(), KEY_RULES, scheduler.now());
-        KeyGate keyGate = new KeyGate(freshness);
+        keys = KeyAssembly.create(settings, platform, scheduler);
         follower =
                 new FleetFollower(
-                        new ChangedReads(platform), scheduler, settings, keyGate, freshness);
-        peers = PeerAssembly.create(reactor, scheduler, settings, follower, freshness, registry);
-        TeamLimits limits = teamLimits(platform);
+                        new ChangedReads(platform),
+                        scheduler,
+                        settings,
+                        keys.gate(),
+                        keys.freshness());
+        peers =
+                PeerAssembly.create(
+                        reactor, scheduler, settings, follower, keys.freshness(), registry);
+        limits = teamLimits(platform);
         requestPath =
                 new RequestPath(reactor, scheduler, platform, settings, follower::view, limits);
-        handler = requestHandler(keyGate, registry);
+        handler = requestHandler(registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
                 Maintenance.of(
@@ -108,7 +116,11 @@
                         settings.controlAddress(),
                         this::isReady,
                         registry,
-                        operatorRoutes(reactor, platform, keyGate));
+                        operatorRoutes(reactor, platform));
+        supervisor = new Supervisor("daemon", parts(control, callers), RESTARTS, scheduler);
+    }
+
+    private List<Part> parts(Part control, Part callers) {
         List<Part> parts =
                 new ArrayList<>(
                         List.of(
@@ -121,8 +133,9 @@
                                 maintenance.part()));
         if (settings.peers().hasPeers()) {
             parts.addFirst(peers);
+            parts.addLast(keys.keeper());
         }
-        supervisor = new Supervisor("daemon", parts, RESTARTS, scheduler);
+        return parts;
     }
 
     private TeamLimits teamLimits(Platform platform) {
@@ -145,25 +158,23 @@
                 reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
     }
 
-    private RequestHandler requestHandler(KeyGate keyGate, PrometheusRegistry registry) {
+    private RequestHandler requestHandler(PrometheusRegistry registry) {
         return new RequestHandler(
                 follower::view,
-                (key, open) -> keyGate.decide(key, open, scheduler.now()),
+                (key, open) -> keys.gate().decide(key, open, scheduler.now()),
                 requestPath,
                 scheduler::now,
                 settings,
                 new RequestMetrics(registry));
     }
 
-    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform, KeyGate keyGate) {
+    private AsyncServlet operatorRoutes(Eventloop reactor, Platform platform) {
         ConfigStore configs =
                 new ConfigStore(platform, APPLY_RULES, () -> scheduler.now().toEpochMilli());
-        KeyOperations keys =
-                new KeyOperations(platform, scheduler, freshness, keyGate, scheduler::now);
         List<OperatorRoutes> kinds =
                 List.of(
                         new ConfigRoutes(configs, follower),
-                        new KeyRoutes(keys, follower, scheduler, KEY_RULES),
+                        new KeyRoutes(keys.operations(), follower, scheduler, keys.rules()),
                         new ReportRoutes(platform, scheduler, follower, usage),
                         new MemberRoutes(peers.membership(), scheduler),
                         new WaveRoutes(maintenance.commands(), settings.waves(), scheduler));
@@ -194,6 +205,9 @@
     /** Stops without cutting a request: not ready, delay, running requests end, parts stop. */
     public CompletionStage<Void> shutdown() {
         stopping = true;
+        if (settings.peers().hasPeers()) {
+            keys.keeper().stop();
+        }
         peers.leave();
         EventLog.log(DaemonEvent.STOPPING, Field.of("running", handler.running()));
         CompletableFuture<Void> drained = new CompletableFuture<>();
