--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -14,7 +14,9 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
+import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
+import org.chervillift.bench.internal.SurgeBenchmark;
 import org.chervillift.bench.limits.LimitBenchmark;
 import org.chervillift.bench.waves.WavesBenchmark;
 
@@ -27,7 +29,9 @@
                     new WavesBenchmark(),
                     new SoakBenchmark(),
                     new LimitBenchmark(),
-                    new ConfigSoak());
+                    new ConfigSoak(),
+                    new SurgeBenchmark(),
+                    new RoutingBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestPath.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestPath.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -30,6 +29,7 @@
 import org.chervillift.daemon.limits.PermittedSender;
 import org.chervillift.daemon.limits.TeamLimits;
 import org.chervillift.daemon.requests.CallerAnswer;
+import org.chervillift.daemon.requests.ClaimCleaner;
 import org.chervillift.daemon.requests.ClaimDesk;
 import org.chervillift.daemon.requests.ClaimStore;
 import org.chervillift.daemon.requests.HttpSender;
@@ -52,6 +52,7 @@
     private final Supplier<FleetView> fleet;
     private final HttpSender sender;
     private final RequestTools tools;
+    private final ClaimCleaner cleaner;
     private Optional<Instant> readAt = Optional.empty();
     private boolean running;
 
@@ -67,6 +68,9 @@
         this.fleet = Checks.notNull("fleet", fleet);
         String vm = settings.vmId();
         String dataCentre = settings.dataCentre();
+        String incarnation = vm + "/" + UUID.randomUUID();
+        RandomGenerator random = RandomGenerator.getDefault();
+        cleaner = new ClaimCleaner(platform, scheduler, incarnation, random);
         sender =
                 new HttpSender(
                         reactor,
@@ -78,7 +82,7 @@
                 new RequestTools(
                         new ClaimDesk(
                                 new ClaimBook(ClaimSettings.DEFAULT, vm),
-                                new ClaimStore(vm + "/" + UUID.randomUUID()),
+                                new ClaimStore(incarnation),
                                 platform,
                                 scheduler,
                                 Runnable::run),
@@ -87,7 +91,7 @@
                         new RetryTools(
                                 RetryPolicy.DEFAULT,
                                 new RetryBudget(RETRIES_PER_REQUEST, MOST_RETRIES),
-                                RandomGenerator.getDefault()),
+                                random),
                         new PermittedSender(sender, limits),
                         scheduler);
     }
@@ -112,13 +116,13 @@
     public CompletionStage<Void> start(Consumer<Throwable> onFailure) {
         running = true;
         tick();
-        return CompletableFuture.completedFuture(null);
+        return cleaner.start(onFailure);
     }
 
     @Override
     public CompletionStage<Void> stop() {
         running = false;
-        return CompletableFuture.completedFuture(null);
+        return cleaner.stop();
     }
 
     private void tick() {
