--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -20,6 +20,7 @@
 import org.chervillift.bench.internal.capacity.CapacityBenchmark;
 import org.chervillift.bench.internal.membership.ConfigBenchmark;
 import org.chervillift.bench.internal.membership.MembershipBenchmark;
+import org.chervillift.bench.limits.LimitBenchmark;
 import org.chervillift.bench.waves.WavesBenchmark;
 
 /** The program that runs one measurement from a fixed seed. */
@@ -30,6 +31,7 @@
                     new PathBenchmark(),
                     new WavesBenchmark(),
                     new SoakBenchmark(),
+                    new LimitBenchmark(),
                     new ConfigSoak(),
                     new MembershipBenchmark(),
                     new ConfigBenchmark(),
--- a/chervillift-core/src/main/java/org/chervillift/core/requests/RequestFlow.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/requests/RequestFlow.java
@@ -129,7 +129,10 @@
         return switch (result) {
             case AttemptResult.Answered a ->
                     done(new FlowAction.PassOn(), new FlowAction.Completed());
-            case AttemptResult.NotRun n -> retry(n.code(), tools, now);
+            case AttemptResult.NotRun n ->
+                    n.code() == ErrorCode.TEAM_LIMIT
+                            ? giveUp(n.code(), tools)
+                            : retry(n.code(), tools, now);
             case AttemptResult.Lost l -> {
                 RequestFlow doubtful =
                         new RequestFlow(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/Daemon.java
@@ -10,15 +10,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.chervillift.api.Checks;
 import org.chervillift.api.fleet.PoolRow;
 import org.chervillift.api.fleet.VmRow;
 import org.chervillift.api.fleet.WaveRow;
 import org.chervillift.api.platform.Platform;
 import org.chervillift.core.config.ApplyRules;
+import org.chervillift.core.limits.LimitAgent;
 import org.chervillift.daemon.internal.config.ConfigRows;
 import org.chervillift.daemon.internal.config.ConfigStore;
 import org.chervillift.daemon.internal.keys.KeyRows;
@@ -30,6 +33,7 @@
 import org.chervillift.daemon.internal.peers.PeersPart;
 import org.chervillift.daemon.internal.report.ReportRoutes;
 import org.chervillift.daemon.internal.report.UsageReporter;
+import org.chervillift.daemon.limits.TeamLimits;
 import org.chervillift.daemon.waves.Maintenance;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
@@ -67,6 +71,7 @@
     private final RequestPath requestPath;
     private final UsageReporter usage;
     private final PeersPart peers;
+    private final TeamLimits limits;
     private final Maintenance maintenance;
     private final Supervisor supervisor;
     private boolean started;
@@ -90,7 +95,9 @@
         peers =
                 PeerAssembly.create(
                         reactor, scheduler, settings, follower, keys.freshness(), registry);
-        requestPath = new RequestPath(reactor, scheduler, platform, settings, follower::view);
+        limits = teamLimits(platform);
+        requestPath =
+                new RequestPath(reactor, scheduler, platform, settings, follower::view, limits);
         handler = requestHandler(registry);
         usage = new UsageReporter(platform, scheduler, settings, () -> follower.view().config());
         maintenance =
@@ -119,6 +126,7 @@
                         List.of(
                                 control,
                                 follower,
+                                limits,
                                 usage,
                                 requestPath,
                                 callers,
@@ -130,6 +138,21 @@
         return parts;
     }
 
+    private TeamLimits teamLimits(Platform platform) {
+        return new TeamLimits(
+                platform, scheduler, this::limitAgent, () -> follower.view().config());
+    }
+
+    private LimitAgent limitAgent(Instant now) {
+        return new LimitAgent(
+                settings.vmId(),
+                settings.dataCentre(),
+                UUID.randomUUID().toString(),
+                settings.limits(),
+                RandomGenerator.getDefault(),
+                now);
+    }
+
     private JsonClient platformClient(Eventloop reactor) {
         return new JsonClient(
                 reactor, settings.platformAddress(), settings.platformTimeout(), Optional.empty());
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.Stream;
+import org.chervillift.core.limits.LimitSettings;
 import org.chervillift.core.waves.WaveSettings;
 import org.chervillift.daemon.internal.peers.PeerSettings;
 import org.chervillift.runtime.settings.HostPort;
@@ -27,6 +28,7 @@
  * @param mostBodyKib the largest body of a request or an answer, in KiB
  * @param reportSave the time between two saves of the counts for the report
  * @param waves the settings of maintenance waves
+ * @param limits the settings of the upper limits of teams
  * @param operators who may act as an operator
  * @param peers how this daemon meets its peers
  */
@@ -44,6 +46,7 @@
         int mostBodyKib,
         Duration reportSave,
         WaveSettings waves,
+        LimitSettings limits,
         OperatorCredentials operators,
         PeerSettings peers) {
 
@@ -131,7 +134,11 @@
     /** All settings, with what is allowed. */
     public static final SettingsSchema SCHEMA =
             new SettingsSchema(
-                    Stream.of(FRAME, WaveSettingsSchema.SETTINGS, PeerSettings.SCHEMA)
+                    Stream.of(
+                                    FRAME,
+                                    WaveSettingsSchema.SETTINGS,
+                                    LimitSettingsSchema.SETTINGS,
+                                    PeerSettings.SCHEMA)
                             .flatMap(List::stream)
                             .toList());
 
@@ -151,6 +158,7 @@
                 s.number("callers.most-body-kib"),
                 s.duration("report.save-ms"),
                 WaveSettingsSchema.read(s),
+                LimitSettingsSchema.read(s),
                 OperatorCredentials.parse(s.text("control.operators")),
                 PeerSettings.from(s));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestPath.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/RequestPath.java
@@ -26,6 +26,8 @@
 import org.chervillift.core.routing.Router;
 import org.chervillift.core.routing.RoutingSettings;
 import org.chervillift.core.routing.Upstream;
+import org.chervillift.daemon.limits.PermittedSender;
+import org.chervillift.daemon.limits.TeamLimits;
 import org.chervillift.daemon.requests.CallerAnswer;
 import org.chervillift.daemon.requests.ClaimCleaner;
 import org.chervillift.daemon.requests.ClaimDesk;
@@ -60,7 +62,8 @@
             Scheduler scheduler,
             Platform platform,
             DaemonSettings settings,
-            Supplier<FleetView> fleet) {
+            Supplier<FleetView> fleet,
+            TeamLimits limits) {
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.fleet = Checks.notNull("fleet", fleet);
         String vm = settings.vmId();
@@ -89,7 +92,7 @@
                                 RetryPolicy.DEFAULT,
                                 new RetryBudget(RETRIES_PER_REQUEST, MOST_RETRIES),
                                 random),
-                        sender,
+                        new PermittedSender(sender, limits),
                         scheduler);
     }
 
