--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -50,6 +50,9 @@
                     new WaveCommand(),
                     VmCommand.drain(),
                     VmCommand.restore());
+    private static final String TEXT = "text";
+    private static final String JSON = "json";
+    private static final List<String> OUTPUTS = List.of(TEXT, JSON);
     private static final String CREDENTIAL_VARIABLE = "CHERVILLIFT_CREDENTIAL";
 
     private CliMain() {}
@@ -113,6 +116,7 @@
         if (line.getArgList().size() != wanted) {
             throw new ParseException("usage: " + command.name() + " " + command.arguments());
         }
+        checkOutput(line);
         String server = line.getOptionValue("server", environment.get("CHERVILLIFT_SERVER"));
         if (server == null) {
             throw new ParseException("--server ADDRESS is missing.");
@@ -128,11 +132,21 @@
 
     private static int print(Outcome outcome, CommandLine line, PrintStream out, PrintStream err) {
         PrintStream target = outcome.exitCode() == Outcome.DONE ? out : err;
-        boolean json = "json".equals(line.getOptionValue("output", "text"));
+        boolean json = output(line).equals(JSON);
         target.println(json ? outcome.json() : outcome.text());
         return outcome.exitCode();
     }
 
+    private static String output(CommandLine line) {
+        return line.getOptionValue("output", TEXT);
+    }
+
+    private static void checkOutput(CommandLine line) throws ParseException {
+        if (!OUTPUTS.contains(output(line))) {
+            throw new ParseException("--output must be one of: " + String.join(", ", OUTPUTS));
+        }
+    }
+
     private static Options globalOptions() {
         Options options = new Options();
         options.addOption(withArgument("server", "ADDRESS of a daemon's control port"));
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/MembersCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/MembersCommand.java
@@ -29,6 +29,11 @@
         return "Shows the daemons of the fleet, as the asked one knows them.";
     }
 
+    @Override
+    public boolean changesNothing() {
+        return true;
+    }
+
     @Override
     public Outcome run(CommandLine line, OperatorClient client) {
         HttpAnswer answer = client.send(HttpMethod.GET, "/operator/v1/members");
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/ReportCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/ReportCommand.java
@@ -45,6 +45,11 @@
         return options;
     }
 
+    @Override
+    public boolean changesNothing() {
+        return true;
+    }
+
     @Override
     public Outcome run(CommandLine line, OperatorClient client) {
         String hours = line.getOptionValue("hours", DAY_HOURS);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/CallerServer.java
@@ -6,9 +6,7 @@
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
-import java.io.IOException;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.chervillift.api.Checks;
@@ -64,12 +62,7 @@
                         .withReadWriteTimeout(READ_WRITE_TIMEOUT)
                         .withKeepAliveTimeout(KEEP_ALIVE)
                         .build();
-        try {
-            server.listen();
-            return CompletableFuture.completedFuture(null);
-        } catch (IOException e) {
-            return CompletableFuture.failedFuture(e);
-        }
+        return HttpServers.listen(server);
     }
 
     private Promise<HttpResponse> handle(HttpRequest request) {
@@ -81,6 +74,6 @@
 
     @Override
     public CompletionStage<Void> stop() {
-        return server.close().toVoid().toCompletableFuture();
+        return HttpServers.close(server);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/ControlServer.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/ControlServer.java
@@ -13,7 +13,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -76,17 +75,12 @@
                         .withListenAddress(address.toSocketAddress())
                         .withMaxBodySize(MOST_BODY)
                         .build();
-        try {
-            server.listen();
-            return CompletableFuture.completedFuture(null);
-        } catch (IOException e) {
-            return CompletableFuture.failedFuture(e);
-        }
+        return HttpServers.listen(server);
     }
 
     @Override
     public CompletionStage<Void> stop() {
-        return server.close().toVoid().toCompletableFuture();
+        return HttpServers.close(server);
     }
 
     private Promise<HttpResponse> readiness() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/DaemonEvent.java
@@ -2,6 +2,7 @@
 
 import org.apache.logging.log4j.Level;
 import org.chervillift.runtime.events.Event;
+import org.chervillift.runtime.events.EventKind;
 
 /** The events of the daemon's frame. */
 public enum DaemonEvent implements Event {
@@ -35,28 +36,14 @@
     /** An operator's request was refused. */
     OPERATOR_REFUSED(1021, Level.WARN, "An operator's request was refused.");
 
-    private final int number;
-    private final Level level;
-    private final String meaning;
+    private final EventKind kind;
 
     DaemonEvent(int number, Level level, String meaning) {
-        this.number = number;
-        this.level = level;
-        this.meaning = meaning;
+        this.kind = new EventKind(number, level, meaning);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String meaning() {
-        return meaning;
+    public EventKind kind() {
+        return kind;
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/config/ConfigStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/config/ConfigStore.java
@@ -28,6 +28,7 @@
 import org.chervillift.core.config.ConfigItem;
 import org.chervillift.core.config.ConfigState;
 import org.chervillift.http.Json;
+import org.chervillift.http.Stages;
 
 /**
  * Reads configuration versions from the platform and writes new ones.
@@ -196,7 +197,7 @@
                                 outcome.complete(new ApplyOutcome.Applied(head, write.changes()));
                             } else {
                                 Attempt next = attempt.next(fault != null, write.changes());
-                                follow(applyRound(next), outcome);
+                                Stages.follow(applyRound(next), outcome);
                             }
                         });
         return outcome;
@@ -271,26 +272,13 @@
     }
 
     private static ApplyOutcome unavailable(Throwable fault, boolean mayBeInForce) {
-        Throwable cause = fault.getCause() == null ? fault : fault.getCause();
-        return new ApplyOutcome.Unavailable(mayBeInForce, String.valueOf(cause.getMessage()));
+        return new ApplyOutcome.Unavailable(mayBeInForce, Stages.messageOf(fault));
     }
 
     private static CompletionStage<ApplyOutcome> done(ApplyOutcome outcome) {
         return CompletableFuture.completedFuture(outcome);
     }
 
-    private static void follow(
-            CompletionStage<ApplyOutcome> stage, CompletableFuture<ApplyOutcome> target) {
-        stage.whenComplete(
-                (outcome, fault) -> {
-                    if (fault != null) {
-                        target.completeExceptionally(fault);
-                    } else {
-                        target.complete(outcome);
-                    }
-                });
-    }
-
     /** The state of the store with the version of the head's row, 0 if there is no row. */
     private record Stored(long rowVersion, ConfigState state) {
         static final Stored NOTHING = new Stored(0, ConfigState.NONE);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/KeyOperations.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/keys/KeyOperations.java
@@ -17,6 +17,7 @@
 import org.chervillift.core.keys.KeyGate;
 import org.chervillift.core.keys.KeyRingChange;
 import org.chervillift.http.Json;
+import org.chervillift.http.Stages;
 import org.chervillift.runtime.supervision.Scheduler;
 
 /**
@@ -71,7 +72,7 @@
                                 outcome.complete(unavailable(fault, unsure));
                             } else {
                                 noteRead(read, startedAt);
-                                follow(decide(change, read, round, unsure), outcome);
+                                Stages.follow(decide(change, read, round, unsure), outcome);
                             }
                         });
         return outcome;
@@ -123,7 +124,7 @@
                                 outcome.complete(new KeyOutcome.Done(next.version(), true));
                             } else {
                                 boolean lost = unsure || fault != null;
-                                follow(round(change, round + 1, lost), outcome);
+                                Stages.follow(round(change, round + 1, lost), outcome);
                             }
                         });
         return outcome;
@@ -152,26 +153,13 @@
     }
 
     private static KeyOutcome unavailable(Throwable fault, boolean unsure) {
-        Throwable cause = fault.getCause() == null ? fault : fault.getCause();
-        return new KeyOutcome.Unavailable(unsure, String.valueOf(cause.getMessage()));
+        return new KeyOutcome.Unavailable(unsure, Stages.messageOf(fault));
     }
 
     private static CompletionStage<KeyOutcome> done(KeyOutcome outcome) {
         return CompletableFuture.completedFuture(outcome);
     }
 
-    private static void follow(
-            CompletionStage<KeyOutcome> stage, CompletableFuture<KeyOutcome> target) {
-        stage.whenComplete(
-                (outcome, fault) -> {
-                    if (fault != null) {
-                        target.completeExceptionally(fault);
-                    } else {
-                        target.complete(outcome);
-                    }
-                });
-    }
-
     /**
      * A change of the ring.
      *
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/PeerEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/internal/peers/PeerEvent.java
@@ -2,6 +2,7 @@
 
 import org.apache.logging.log4j.Level;
 import org.chervillift.runtime.events.Event;
+import org.chervillift.runtime.events.EventKind;
 
 /** The events of membership. */
 public enum PeerEvent implements Event {
@@ -14,28 +15,14 @@
     /** A message of a peer could not be used. */
     BAD_MESSAGE(6013, Level.WARN, "A message of a peer cannot be used.");
 
-    private final int number;
-    private final Level level;
-    private final String meaning;
+    private final EventKind kind;
 
     PeerEvent(int number, Level level, String meaning) {
-        this.number = number;
-        this.level = level;
-        this.meaning = meaning;
+        this.kind = new EventKind(number, level, meaning);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String meaning() {
-        return meaning;
+    public EventKind kind() {
+        return kind;
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/limits/LimitsEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/limits/LimitsEvent.java
@@ -2,6 +2,7 @@
 
 import org.apache.logging.log4j.Level;
 import org.chervillift.runtime.events.Event;
+import org.chervillift.runtime.events.EventKind;
 
 /** The events of upper limits. */
 public enum LimitsEvent implements Event {
@@ -15,28 +16,14 @@
     NOT_HANDED_OVER(
             2004, Level.WARN, "Some permits were not given back; they are reclaimed later.");
 
-    private final int number;
-    private final Level level;
-    private final String meaning;
+    private final EventKind kind;
 
     LimitsEvent(int number, Level level, String meaning) {
-        this.number = number;
-        this.level = level;
-        this.meaning = meaning;
+        this.kind = new EventKind(number, level, meaning);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String meaning() {
-        return meaning;
+    public EventKind kind() {
+        return kind;
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/waves/WaveEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/waves/WaveEvent.java
@@ -3,6 +3,7 @@
 import org.apache.logging.log4j.Level;
 import org.chervillift.core.waves.WaveReport;
 import org.chervillift.runtime.events.Event;
+import org.chervillift.runtime.events.EventKind;
 
 /** The events of maintenance waves. */
 public enum WaveEvent implements Event {
@@ -23,14 +24,10 @@
     /** The operator's command took effect. */
     COMMANDED(4008, Level.INFO, "An operator's maintenance command is in force.");
 
-    private final int number;
-    private final Level level;
-    private final String meaning;
+    private final EventKind kind;
 
     WaveEvent(int number, Level level, String meaning) {
-        this.number = number;
-        this.level = level;
-        this.meaning = meaning;
+        this.kind = new EventKind(number, level, meaning);
     }
 
     /** Returns the event that carries a report. */
@@ -46,17 +43,7 @@
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String meaning() {
-        return meaning;
+    public EventKind kind() {
+        return kind;
     }
 }
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/events/Event.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/events/Event.java
@@ -10,12 +10,21 @@
  */
 public interface Event {
 
+    /** Returns number, level and meaning. */
+    EventKind kind();
+
     /** Returns the number. */
-    int number();
+    default int number() {
+        return kind().number();
+    }
 
     /** Returns the level. */
-    Level level();
+    default Level level() {
+        return kind().level();
+    }
 
     /** Returns what happened, as one plain sentence. */
-    String meaning();
+    default String meaning() {
+        return kind().meaning();
+    }
 }
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/supervision/SupervisionEvent.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/supervision/SupervisionEvent.java
@@ -2,6 +2,7 @@
 
 import org.apache.logging.log4j.Level;
 import org.chervillift.runtime.events.Event;
+import org.chervillift.runtime.events.EventKind;
 
 /** The events of the supervisor tree. */
 public enum SupervisionEvent implements Event {
@@ -12,28 +13,14 @@
     /** Restarts came too often. */
     GAVE_UP(1103, Level.ERROR, "A part failed too often; its supervisor gives up.");
 
-    private final int number;
-    private final Level level;
-    private final String meaning;
+    private final EventKind kind;
 
     SupervisionEvent(int number, Level level, String meaning) {
-        this.number = number;
-        this.level = level;
-        this.meaning = meaning;
+        this.kind = new EventKind(number, level, meaning);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String meaning() {
-        return meaning;
+    public EventKind kind() {
+        return kind;
     }
 }
--- a/chervillift-wire/src/main/java/org/chervillift/wire/LinkEvent.java
+++ b/chervillift-wire/src/main/java/org/chervillift/wire/LinkEvent.java
@@ -2,6 +2,7 @@
 
 import org.apache.logging.log4j.Level;
 import org.chervillift.runtime.events.Event;
+import org.chervillift.runtime.events.EventKind;
 
 /** The events of links between daemons. */
 public enum LinkEvent implements Event {
@@ -12,28 +13,14 @@
     /** The other side did not prove its membership. */
     STRANGER_REFUSED(6003, Level.WARN, "A process that did not prove its membership was refused.");
 
-    private final int number;
-    private final Level level;
-    private final String meaning;
+    private final EventKind kind;
 
     LinkEvent(int number, Level level, String meaning) {
-        this.number = number;
-        this.level = level;
-        this.meaning = meaning;
+        this.kind = new EventKind(number, level, meaning);
     }
 
     @Override
-    public int number() {
-        return number;
-    }
-
-    @Override
-    public Level level() {
-        return level;
-    }
-
-    @Override
-    public String meaning() {
-        return meaning;
+    public EventKind kind() {
+        return kind;
     }
 }
