Say that no daemon answered when wave show gets no answer

Cause: wave show without an answer said 'not known whether it took effect'. Change: a command says by its arguments whether it only reads. Figures: CliMainTest red for wave show before, green after. Conclusion: commands that only read never claim to have changed something.

--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -79,21 +79,34 @@
         }
         try {
             String[] rest = Arrays.copyOfRange(args, 1, args.length);
-            return runCommand(command.get(), rest, environment, out, err);
+            CommandLine line = parse(command.get(), rest);
+            return runCommand(command.get(), line, environment, out, err);
         } catch (ParseException e) {
             err.println(e.getMessage());
             return Outcome.USAGE;
-        } catch (ChervilliftException e) {
-            return noAnswer(command.get(), e, err);
         }
     }
 
-    private static int noAnswer(Command command, ChervilliftException fault, PrintStream err) {
+    private static CommandLine parse(Command command, String[] args) throws ParseException {
+        Options options = globalOptions();
+        command.options().getOptions().forEach(options::addOption);
+        CommandLine line = new DefaultParser().parse(options, args);
+        long wanted =
+                Arrays.stream(command.arguments().split(" ")).filter(a -> !a.isEmpty()).count();
+        if (line.getArgList().size() != wanted) {
+            throw new ParseException("usage: " + command.name() + " " + command.arguments());
+        }
+        checkOutput(line);
+        return line;
+    }
+
+    private static int noAnswer(
+            Command command, CommandLine line, ChervilliftException fault, PrintStream err) {
         if (fault.code() == ErrorCode.BAD_SETTING) {
             err.println(fault.getMessage());
             return Outcome.USAGE;
         }
-        if (command.changesNothing()) {
+        if (command.changesNothing(line)) {
             err.println("No daemon answered: " + fault.getMessage());
             return Outcome.REFUSED;
         }
@@ -103,20 +116,11 @@
 
     private static int runCommand(
             Command command,
-            String[] args,
+            CommandLine line,
             Map<String, String> environment,
             PrintStream out,
             PrintStream err)
             throws ParseException {
-        Options options = globalOptions();
-        command.options().getOptions().forEach(options::addOption);
-        CommandLine line = new DefaultParser().parse(options, args);
-        long wanted =
-                Arrays.stream(command.arguments().split(" ")).filter(a -> !a.isEmpty()).count();
-        if (line.getArgList().size() != wanted) {
-            throw new ParseException("usage: " + command.name() + " " + command.arguments());
-        }
-        checkOutput(line);
         String server = line.getOptionValue("server", environment.get("CHERVILLIFT_SERVER"));
         if (server == null) {
             throw new ParseException("--server ADDRESS is missing.");
@@ -127,6 +131,8 @@
             OperatorClient client =
                     new OperatorClient(thread, HostPort.parse(server), credential, progress);
             return print(command.run(line, client), line, out, err);
+        } catch (ChervilliftException e) {
+            return noAnswer(command, line, e, err);
         }
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/Command.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/Command.java
@@ -22,7 +22,7 @@
     }
 
     /** Returns whether the command only reads. */
-    default boolean changesNothing() {
+    default boolean changesNothing(CommandLine line) {
         return false;
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/GetCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/GetCommand.java
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public boolean changesNothing() {
+    public boolean changesNothing(CommandLine line) {
         return true;
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/HistoryCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/HistoryCommand.java
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public boolean changesNothing() {
+    public boolean changesNothing(CommandLine line) {
         return true;
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/PlanCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/PlanCommand.java
@@ -26,7 +26,7 @@
     }
 
     @Override
-    public boolean changesNothing() {
+    public boolean changesNothing(CommandLine line) {
         return true;
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/ReportCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/ReportCommand.java
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public boolean changesNothing() {
+    public boolean changesNothing(CommandLine line) {
         return true;
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/WatchCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/WatchCommand.java
@@ -48,7 +48,7 @@
     }
 
     @Override
-    public boolean changesNothing() {
+    public boolean changesNothing(CommandLine line) {
         return true;
     }
 
--- a/chervillift-cli/src/main/java/org/chervillift/cli/internal/WaveCommand.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/internal/WaveCommand.java
@@ -15,6 +15,7 @@
 public final class WaveCommand implements Command {
 
     private static final String PATH = "/operator/v1/waves";
+    private static final String SHOW = "show";
     private static final String ALL = "all";
     private static final String DEFAULT_DAYS = "14";
 
@@ -46,6 +47,11 @@
         return Option.builder().longOpt(name).hasArg().desc(description).build();
     }
 
+    @Override
+    public boolean changesNothing(CommandLine line) {
+        return line.getArgList().get(0).equals(SHOW);
+    }
+
     @Override
     public Outcome run(CommandLine line, OperatorClient client) {
         String action = line.getArgList().get(0);
@@ -58,7 +64,7 @@
             }
             case "pause", "resume", "abandon" ->
                     command(client.send(HttpMethod.POST, PATH + "/" + wave + "/" + action));
-            case "show" -> show(client, wave);
+            case SHOW -> show(client, wave);
             default -> new Outcome(Outcome.USAGE, "usage: wave " + arguments(), "{\"code\":1001}");
         };
     }
--- a/chervillift-cli/src/test/java/org/chervillift/cli/CliMainTest.java
+++ b/chervillift-cli/src/test/java/org/chervillift/cli/CliMainTest.java
@@ -57,6 +57,8 @@
         assertThat(run("withdraw-key", "abc")).isEqualTo(Outcome.UNKNOWN);
         assertThat(run("report")).isEqualTo(Outcome.REFUSED);
         assertThat(run("members")).isEqualTo(Outcome.REFUSED);
+        assertThat(run("wave", "show", "w1")).isEqualTo(Outcome.REFUSED);
+        assertThat(run("wave", "start", "w1")).isEqualTo(Outcome.UNKNOWN);
     }
 
     @Test
