--- a/chervillift-platform/src/main/java/org/chervillift/platform/ChangedReads.java
+++ b/chervillift-platform/src/main/java/org/chervillift/platform/ChangedReads.java
@@ -27,7 +27,7 @@
 public final class ChangedReads implements Platform {
 
     /** Reads between two full reads. */
-    public static final int FULL_READ_EVERY = 30;
+    public static final int FULL_READ_EVERY = 600;
 
     private final Platform platform;
     private final Map<Object, Entry> entries = new HashMap<>();
