Keep runs that a new holder took over until the old leases end

Change: a worker's runs end, for the board, no earlier than the leases that an earlier holder may have given.

Before: TaskBoardTest#aRunTakenOverIsNotOverBeforeTheLeaseThatThe- PredecessorGave red. After: green.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
@@ -329,7 +329,7 @@
 
     private void endLeases(long now) {
         for (WorkerRecord worker : workers.values()) {
-            if (now > worker.leaseEndsAt() && !worker.runs().isEmpty()) {
+            if (now > lastLeaseEndsAt(worker) && !worker.runs().isEmpty()) {
                 notes.accept(
                         new BoardNote(
                                 BoardNote.Kind.LEASE_OVER,
@@ -340,7 +340,12 @@
                 worker.runsCopy().forEach(runs::close);
             }
         }
-        workers.values().removeIf(w -> !w.isListed() && now > w.leaseEndsAt());
+        workers.values().removeIf(w -> !w.isListed() && now > lastLeaseEndsAt(w));
+    }
+
+    /** Returns when the leases end that this holder and its predecessor gave to a worker. */
+    private long lastLeaseEndsAt(WorkerRecord worker) {
+        return Math.max(worker.leaseEndsAt(), predecessorLeasesEndAt);
     }
 
     private List<Order> stops(long now) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -99,7 +99,7 @@
         avoidedUntil = Long.MIN_VALUE;
     }
 
-    /** Returns when everything on the worker has surely ended unless the lease is renewed. */
+    /** Returns when the lease ends that this holder gave; an earlier holder may have given more. */
     long leaseEndsAt() {
         return leaseEndsAt;
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
@@ -231,6 +231,26 @@
         assertThat(f.board.workersInUse()).isEmpty();
     }
 
+    /** A new holder that cannot reach the store at once renews no lease after the first report. */
+    @Test
+    void aRunTakenOverIsNotOverBeforeTheLeaseThatThePredecessorGave() {
+        BoardFixture second = new BoardFixture(2, Resources.NONE);
+        second.board.accept(BoardFixture.job("old", step(1, 1_000)), true, 0, second.now);
+        second.worker("w1", 2_000);
+        TaskId old = new TaskId("old", 0, 0, 0);
+        second.running.put("w2", List.of(new RunningTask(old, 1, "", 50, 0)));
+        second.board.listed(BoardFixture.entry("w2", 2_000));
+        second.report("w2");
+        assertThat(second.starts()).isEmpty();
+
+        second.now += BoardFixture.LEASE;
+        second.board.leaseGranted("w1", second.now + BoardFixture.LEASE);
+        assertThat(second.starts()).isEmpty();
+
+        second.now += 1;
+        assertThat(second.starts()).extracting(Order.Start::worker).containsExactly("w1");
+    }
+
     @Test
     void aNewHolderWaitsNoLongerThanTheLeasesThatItsPredecessorGave() {
         BoardFixture second = new BoardFixture(2, Resources.NONE);
