--- a/chervillift-bench/src/main/java/org/chervillift/bench/archive/ClassArchiveMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/archive/ClassArchiveMain.java
@@ -1,37 +1,56 @@
-package org.chervillift.daemon.tasks;
+package org.chervillift.bench.archive;
 
 import java.io.File;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
+import org.chervillift.daemon.tasks.FleetDaemonMain;
+import org.chervillift.daemon.tasks.FleetSettings;
+import org.chervillift.http.ReactorThread;
 
 /**
- * Starts the program as usual, loads all of its own classes, and stops.
+ * Lets the daemon do all its kinds of work against a stand-in of the platform, and stops.
  *
- * <p>The build runs it once and lets the virtual machine keep an archive of the classes that it
- * loaded. A restarted process then reads them from there, which takes half the processor time.
+ * <p>The build runs it once and lets the virtual machine keep an archive of the classes and call
+ * sites that were used. A restarted daemon then reads them from there, which takes half the
+ * processor time.
  */
 public final class ClassArchiveMain {
 
     private static final String OWN_JARS = "chervillift-(api|core|daemon|http|platform|runtime)-.*";
     private static final String CLASS_SUFFIX = ".class";
-    private static final long SERVE_SECONDS = 2;
+    private static final int EXIT_FAILED = 1;
 
     private ClassArchiveMain() {}
 
     /**
-     * Runs the program.
+     * Runs the daemon.
      *
-     * @param args the settings file
+     * @param args the settings file, whose ports are replaced, and where the changed file goes
      */
-    public static void main(String[] args) throws InterruptedException, IOException {
-        Thread program = new Thread(() -> FleetDaemonMain.main(args), "program");
-        program.setDaemon(true);
-        program.start();
+    public static void main(String[] args) throws IOException {
+        Path file = Path.of(args[1]);
+        Files.writeString(file, FreePorts.replacedIn(Files.readString(Path.of(args[0]))));
+        FleetSettings settings = FleetSettings.read(file);
+        try (ReactorThread thread = new ReactorThread("class-archive")) {
+            TrainingDay day = new TrainingDay(thread, settings);
+            day.startPlatform();
+            Thread daemon =
+                    new Thread(
+                            () -> FleetDaemonMain.main(new String[] {file.toString()}), "daemon");
+            daemon.setDaemon(true);
+            daemon.start();
+            loadOwnClasses();
+            boolean whole = day.play();
+            System.exit(whole ? 0 : EXIT_FAILED);
+        }
+    }
+
+    private static void loadOwnClasses() throws IOException {
         String[] path = System.getProperty("java.class.path").split(File.pathSeparator);
         List<Path> jars =
                 Arrays.stream(path)
@@ -41,8 +60,6 @@
         for (Path jar : jars) {
             loadAll(jar);
         }
-        TimeUnit.SECONDS.sleep(SERVE_SECONDS);
-        System.exit(0);
     }
 
     private static void loadAll(Path jar) throws IOException {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/DeployFilesTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/DeployFilesTest.java
@@ -56,6 +56,7 @@
                 found(MAIN_CLASS, 0, read("bin/fleet-build"), read("deploy/system.toml"));
         assertThat(names)
                 .containsExactlyInAnyOrder(
-                        FleetDaemonMain.class.getName(), ClassArchiveMain.class.getName());
+                        FleetDaemonMain.class.getName(),
+                        "org.chervillift.bench.archive.ClassArchiveMain");
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
@@ -11,8 +11,7 @@
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.ChervilliftException;
 import org.chervillift.api.ErrorCode;
-import org.chervillift.api.platform.RowKey;
-import org.chervillift.api.platform.RowStore;
+import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
@@ -25,8 +24,17 @@
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
+import org.chervillift.api.tasks.WorkerEntry;
+import org.chervillift.platform.fleet.FleetRowCodec;
+import org.chervillift.platform.fleet.FleetRowWriter;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.supervision.ManualScheduler;
+import org.chervillift.standin.tasks.FleetTimes;
+import org.chervillift.standin.tasks.MemoryFleet;
+import org.chervillift.standin.tasks.MemoryStore;
+import org.chervillift.standin.tasks.MemoryWorker;
+import org.chervillift.standin.tasks.SeenMove;
+import org.chervillift.standin.tasks.StoreFault;
 import org.junit.jupiter.api.Test;
 
 class TaskNodeTest {
@@ -36,16 +44,52 @@
     private static final long TAKE_TURNS_MILLIS = 3_000;
     private static final long TURN_MARGIN_MILLIS = 1_000;
     private static final String JOB = "5c0e7a21d94b36f8";
+    private static final Duration RUN_TIME = Duration.ofMillis(500);
     private static final HostPort ANY = new HostPort("127.0.0.1", 0);
 
     private final ManualScheduler scheduler = new ManualScheduler();
-    private final FakeFleet fleet = new FakeFleet(scheduler);
+    private final MemoryStore store = new MemoryStore(scheduler);
+    private final MemoryFleet fleet =
+            new MemoryFleet(
+                    scheduler,
+                    store,
+                    FleetRowWriter::worker,
+                    new FleetTimes(RUN_TIME, Duration.ofSeconds(2), Duration.ofSeconds(2)),
+                    Set.of(STANDBY));
     private final List<TaskNode> nodes = new ArrayList<>();
 
     TaskNodeTest() {
         scheduler.advance(Duration.ofSeconds(1_000));
-        fleet.manifest = manifest(1, Set.of("key"));
-        fleet.put(RowStore.COMMON_PART, new RowKey(FakeFleet.OPERATOR, "config"), "{}");
+        configure(manifest(1, Set.of("key")));
+        fleet.holdMoves(true);
+    }
+
+    private void configure(Manifest manifest) {
+        Write write = FleetRowWriter.configuration(manifest);
+        store.put(write.key(), write.value().orElseThrow());
+    }
+
+    private MemoryWorker addWorker(String id, long milliCores) {
+        fleet.add(entry(id, "vm-" + id, POOL, milliCores));
+        return fleet.worker(id);
+    }
+
+    private void addStandby(String vm) {
+        fleet.add(entry(vm + "-worker", vm, STANDBY, 1_000));
+    }
+
+    private static WorkerEntry entry(String id, String vm, String pool, long milliCores) {
+        return new WorkerEntry(
+                id,
+                1,
+                vm,
+                pool,
+                "127.0.0.1:1",
+                "dc",
+                false,
+                0,
+                new Resources(milliCores, 100_000, 0),
+                List.of("a", "rack-1"));
     }
 
     private static Manifest manifest(long version, Set<String> keys) {
@@ -81,9 +125,9 @@
                         settings,
                         scheduler,
                         new TaskNode.Ports(
-                                fleet,
-                                fleet,
-                                w -> fleet.workers.get(w.id()).calls(),
+                                store,
+                                new FleetRowCodec(),
+                                w -> fleet.worker(w.id()),
                                 fleet,
                                 Optional.empty()),
                         vm + "/" + nodes.size());
@@ -143,7 +187,7 @@
 
     @Test
     void aJobIsAcceptedRunAndReportedByAnyProcess() {
-        fleet.addWorker("w1", POOL, 10_000);
+        addWorker("w1", 10_000);
         TaskNode a = node("a");
         TaskNode b = runningNode("b");
 
@@ -155,7 +199,7 @@
             assertThat(ask(node, JobRequest.Action.READ, JOB))
                     .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
         }
-        assertThat(fleet.starts).hasSize(3).doesNotHaveDuplicates();
+        assertThat(fleet.starts()).hasSize(3).doesNotHaveDuplicates();
     }
 
     @Test
@@ -195,44 +239,44 @@
 
     @Test
     void aRefusalWhileTheStoreIsDownIsTrueAndALostReplyIsNoRefusal() {
-        fleet.addWorker("w1", POOL, 10_000);
+        addWorker("w1", 10_000);
         TaskNode a = runningNode("a");
 
-        fleet.down = true;
+        store.setFault(StoreFault.DOWN);
         assertThat(ask(a, JobRequest.Action.SUBMIT, JOB)).isInstanceOf(JobAnswer.Unavailable.class);
-        fleet.down = false;
+        store.setFault(StoreFault.NONE);
         pass(3_000);
-        assertThat(fleet.starts).isEmpty();
+        assertThat(fleet.starts()).isEmpty();
 
-        fleet.loseReplies = true;
+        store.setFault(StoreFault.LOSE_REPLIES);
         JobAnswer lost = ask(a, JobRequest.Action.SUBMIT, JOB);
         assertThat(lost).isNotInstanceOf(JobAnswer.Unavailable.class);
-        fleet.loseReplies = false;
+        store.setFault(StoreFault.NONE);
         pass(4_000);
-        assertThat(fleet.starts).hasSize(3);
+        assertThat(fleet.starts()).hasSize(3);
     }
 
     @Test
     void aCancelledJobStopsAndStaysCancelled() {
-        FakeFleet.FakeWorker worker = fleet.addWorker("w1", POOL, 10_000);
+        MemoryWorker worker = addWorker("w1", 10_000);
         TaskNode a = node("a");
         TaskNode b = runningNode("b");
         ask(b, JobRequest.Action.SUBMIT, JOB);
         pass(100);
-        assertThat(worker.running).hasSize(3);
+        assertThat(worker.runningCount()).isEqualTo(3);
 
         assertThat(ask(b, JobRequest.Action.CANCEL, JOB)).isInstanceOf(JobAnswer.Cancelled.class);
         pass(300);
-        assertThat(worker.running).isEmpty();
+        assertThat(worker.runningCount()).isZero();
         pass(2_000);
         assertThat(ask(a, JobRequest.Action.READ, JOB))
                 .isEqualTo(new JobAnswer.State(JobState.CANCELLED));
-        assertThat(fleet.starts).hasSize(3);
+        assertThat(fleet.starts()).hasSize(3);
     }
 
     @Test
     void aNewHolderGoesOnWithoutStartingAnythingTwice() {
-        fleet.addWorker("w1", POOL, 2_000);
+        addWorker("w1", 2_000);
         TaskNode a = runningNode("a");
         TaskNode b = runningNode("b");
         ask(b, JobRequest.Action.SUBMIT, JOB);
@@ -244,121 +288,119 @@
         assertThat(ask(b, JobRequest.Action.READ, JOB))
                 .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
         Set<String> tasks = new HashSet<>();
-        fleet.starts.forEach(s -> tasks.add(s.substring(0, s.indexOf('#'))));
+        fleet.starts().forEach(s -> tasks.add(s.substring(0, s.indexOf('#'))));
         assertThat(tasks).hasSize(3);
-        assertThat(fleet.starts).hasSize(3);
+        assertThat(fleet.starts()).hasSize(3);
     }
 
     @Test
     void aNewHolderMovesVmsAtOnceButWaitsForThoseThatItsPredecessorMoved() {
-        fleet.addWorker("w1", POOL, 1_000);
-        fleet.addStandby("s1", STANDBY, 1_000);
+        addWorker("w1", 1_000);
+        addStandby("s1");
         TaskNode a = runningNode("a");
         TaskNode b = runningNode("b");
         ask(b, JobRequest.Action.SUBMIT, JOB);
         pass(400);
-        assertThat(fleet.moves).isNotEmpty().allMatch(m -> m.vm().equals("s1"));
-        long before = fleet.moves.getLast().term();
+        assertThat(fleet.moves()).isNotEmpty().allMatch(m -> m.vm().equals("s1"));
+        long before = fleet.moves().getLast().term();
 
         a.drain();
-        fleet.addStandby("s2", STANDBY, 1_000);
-        long released = fleet.now();
+        addStandby("s2");
+        long released = scheduler.now().toEpochMilli();
         for (int i = 0; i < 5; i++) {
             ask(b, JobRequest.Action.SUBMIT, "00000000000000a" + i);
         }
         pass(TAKE_TURNS_MILLIS + 1_000);
 
-        List<FakeFleet.SeenMove> after =
-                fleet.moves.stream().filter(m -> m.term() > before).toList();
+        List<SeenMove> after = fleet.moves().stream().filter(m -> m.term() > before).toList();
         assertThat(firstMove(after, "s2") - released).isLessThan(1_000);
         assertThat(firstMove(after, "s1") - released).isGreaterThanOrEqualTo(TAKE_TURNS_MILLIS);
     }
 
     @Test
     void aNewHolderDoesNotWaitForVmsThatWereMovedLongerAgo() {
-        fleet.addWorker("w1", POOL, 1_000);
-        fleet.addStandby("s1", STANDBY, 1_000);
+        addWorker("w1", 1_000);
+        addStandby("s1");
         TaskNode a = runningNode("a");
         TaskNode b = runningNode("b");
         ask(b, JobRequest.Action.SUBMIT, JOB);
         pass(2_000 + TAKE_TURNS_MILLIS + TURN_MARGIN_MILLIS);
-        long before = fleet.moves.getLast().term();
+        long before = fleet.moves().getLast().term();
 
         a.drain();
-        long released = fleet.now();
+        long released = scheduler.now().toEpochMilli();
         ask(b, JobRequest.Action.SUBMIT, "00000000000000a0");
         pass(TAKE_TURNS_MILLIS);
 
-        List<FakeFleet.SeenMove> after =
-                fleet.moves.stream().filter(m -> m.term() > before).toList();
+        List<SeenMove> after = fleet.moves().stream().filter(m -> m.term() > before).toList();
         assertThat(firstMove(after, "s1") - released).isLessThan(1_000);
     }
 
-    private static long firstMove(List<FakeFleet.SeenMove> moves, String vm) {
+    private static long firstMove(List<SeenMove> moves, String vm) {
         return moves.stream()
                 .filter(m -> m.vm().equals(vm))
-                .mapToLong(FakeFleet.SeenMove::at)
+                .mapToLong(SeenMove::atMillis)
                 .findFirst()
                 .orElseThrow();
     }
 
     @Test
     void vmsAreNotOrderedWhileTheStoreDoesNotTakeWhichOnes() {
-        fleet.addWorker("w1", POOL, 1_000);
-        fleet.addStandby("s1", STANDBY, 1_000);
+        addWorker("w1", 1_000);
+        addStandby("s1");
         TaskNode a = runningNode("a");
         ask(a, JobRequest.Action.SUBMIT, JOB);
-        fleet.down = true;
-        fleet.moves.clear();
+        store.setFault(StoreFault.DOWN);
+        int before = fleet.moves().size();
         pass(1_000);
-        assertThat(fleet.moves).isEmpty();
+        assertThat(fleet.moves()).hasSize(before);
     }
 
     @Test
     void tasksOfACrashedWorkerStartElsewhereSoon() {
-        FakeFleet.FakeWorker first = fleet.addWorker("w1", POOL, 3_000);
+        MemoryWorker first = addWorker("w1", 3_000);
         node("a");
         pass(500);
         ask(nodes.get(0), JobRequest.Action.SUBMIT, JOB);
         pass(100);
-        fleet.addWorker("w2", POOL, 3_000);
+        addWorker("w2", 3_000);
         pass(50);
         first.crash();
         pass(1_500);
 
-        assertThat(fleet.starts).filteredOn(s -> s.endsWith("@w2")).hasSize(3);
+        assertThat(fleet.starts()).filteredOn(s -> s.endsWith("@w2")).hasSize(3);
         assertThat(ask(nodes.get(0), JobRequest.Action.READ, JOB))
                 .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
     }
 
     @Test
     void aCrashIsSeenInTheListAlthoughVmsInStandbyNameNoWorker() {
-        fleet.addStandby("s1", STANDBY, 1_000);
+        addStandby("s1");
         tasksOfACrashedWorkerStartElsewhereSoon();
     }
 
     @Test
     void tasksOfASilentWorkerStartElsewhereOnlyAfterItsLease() {
-        FakeFleet.FakeWorker first = fleet.addWorker("w1", POOL, 3_000);
+        MemoryWorker first = addWorker("w1", 3_000);
         node("a");
         pass(500);
         ask(nodes.get(0), JobRequest.Action.SUBMIT, JOB);
         pass(100);
-        fleet.addWorker("w2", POOL, 3_000);
-        first.silent = true;
+        addWorker("w2", 3_000);
+        first.setSilent(true);
         pass(4_000);
-        assertThat(fleet.starts).hasSize(3);
+        assertThat(fleet.starts()).hasSize(3);
         pass(1_500);
-        assertThat(fleet.starts).hasSize(6);
+        assertThat(fleet.starts()).hasSize(6);
     }
 
     @Test
     void aForgottenHistoryIsReadWhole() {
-        fleet.addWorker("w1", POOL, 10_000);
+        addWorker("w1", 10_000);
         TaskNode a = runningNode("a");
-        fleet.forgotten = true;
+        store.setFault(StoreFault.FORGETFUL);
         pass(100);
-        fleet.forgotten = false;
+        store.setFault(StoreFault.NONE);
         ask(a, JobRequest.Action.SUBMIT, JOB);
         pass(2_000);
         assertThat(ask(a, JobRequest.Action.READ, JOB))
@@ -368,11 +410,9 @@
     @Test
     void aManifestIsNeverFollowedByAnOlderOne() {
         TaskNode a = runningNode("a");
-        fleet.manifest = manifest(5, Set.of("new"));
-        fleet.put(RowStore.COMMON_PART, new RowKey(FakeFleet.OPERATOR, "config"), "{}");
+        configure(manifest(5, Set.of("new")));
         pass(500);
-        fleet.manifest = manifest(4, Set.of("key"));
-        fleet.put(RowStore.COMMON_PART, new RowKey(FakeFleet.OPERATOR, "config"), "{}");
+        configure(manifest(4, Set.of("key")));
         pass(500);
         assertThat(ask(a, JobRequest.Action.READ, JOB)).isInstanceOf(JobAnswer.KeyRefused.class);
     }
@@ -383,10 +423,10 @@
         assertThat(a.isReady()).isFalse();
         pass(500);
         assertThat(a.isReady()).isTrue();
-        fleet.down = true;
+        store.setFault(StoreFault.DOWN);
         pass(3_000);
         assertThat(a.isReady()).isFalse();
-        fleet.down = false;
+        store.setFault(StoreFault.NONE);
         pass(2_000);
         assertThat(a.isReady()).isTrue();
         a.drain();
@@ -396,16 +436,16 @@
     @Test
     void whileTheStoreIsSilentRequestsAreRefusedAtOnce() {
         TaskNode a = runningNode("a");
-        fleet.silent = true;
+        store.setFault(StoreFault.SILENT);
         ask(a, JobRequest.Action.SUBMIT, JOB);
 
-        long start = fleet.now();
+        long start = scheduler.now().toEpochMilli();
         assertThat(ask(a, JobRequest.Action.SUBMIT, "00000000000000aa"))
                 .isInstanceOf(JobAnswer.Unavailable.class);
-        assertThat(fleet.now() - start).isLessThan(100);
+        assertThat(scheduler.now().toEpochMilli() - start).isLessThan(100);
         assertThat(a.isReady()).isFalse();
 
-        fleet.silent = false;
+        store.setFault(StoreFault.NONE);
         pass(2_000);
         assertThat(a.isReady()).isTrue();
         assertThat(ask(a, JobRequest.Action.READ, "00000000000000aa"))
--- a/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/StandinMain.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -24,6 +25,7 @@
 import org.chervillift.http.Reactors;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.standin.platform.PlatformServlet;
+import org.chervillift.standin.tasks.FleetServer;
 import org.chervillift.standin.upstream.RunLedger;
 import org.chervillift.standin.upstream.UpstreamServlet;
 
@@ -34,6 +36,7 @@
             """
             usage: chervillift-standin platform --listen ADDRESSES
                    chervillift-standin upstream --listen ADDRESSES --id IDS [--slots N]
+                   chervillift-standin fleet --listen ADDRESS --workers ADDRESSES [--run-ms N]
                    chervillift-standin list-vm --target ADDRESS --vm JSON
                    chervillift-standin fault --target ADDRESS --faults JSON
                    chervillift-standin stats --target ADDRESS
@@ -41,6 +44,8 @@
             """;
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_FAILED = 1;
+    private static final String FLEET_HOST = "jobs.example";
+    private static final String RUN_MILLIS = "500";
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private StandinMain() {}
@@ -69,7 +74,10 @@
 
     private static CommandLine parse(String[] args) throws ParseException {
         Options options = new Options();
-        for (String name : new String[] {"listen", "id", "slots", "target", "vm", "faults"}) {
+        for (String name :
+                new String[] {
+                    "listen", "id", "slots", "workers", "run-ms", "target", "vm", "faults"
+                }) {
             options.addOption(Option.builder().longOpt(name).hasArg().build());
         }
         return new DefaultParser().parse(options, args);
@@ -81,6 +89,7 @@
         switch (command) {
             case "platform" -> servePlatform(line);
             case "upstream" -> serveUpstreams(line);
+            case "fleet" -> serveFleet(line);
             case "list-vm" -> {
                 ListedVm vm = Json.decode(value(line, "vm"), ListedVm.class);
                 return ask(line, HttpMethod.PUT, "/admin/vms", Optional.of(Json.encode(vm)), out);
@@ -140,6 +149,21 @@
         run(reactor);
     }
 
+    /** Serves the users' platform, with one worker an address. */
+    private static void serveFleet(CommandLine line) throws IOException, ParseException {
+        Eventloop reactor = Reactors.create("fleet", Throwable::printStackTrace);
+        Duration runTime =
+                Duration.ofMillis(Long.parseLong(line.getOptionValue("run-ms", RUN_MILLIS)));
+        FleetServer server = new FleetServer(reactor, FLEET_HOST, runTime);
+        listen(reactor, server.routes(), value(line, "listen"));
+        List<String> addresses = List.of(value(line, "workers").split(","));
+        List<AsyncServlet> workers = server.addWorkers(addresses);
+        for (int i = 0; i < workers.size(); i++) {
+            listen(reactor, workers.get(i), addresses.get(i));
+        }
+        run(reactor);
+    }
+
     private static void listen(Eventloop reactor, AsyncServlet servlet, String address)
             throws IOException {
         HttpServer.builder(reactor, servlet)
--- /dev/null
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
@@ -0,0 +1,192 @@
+package org.chervillift.standin.tasks;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.chervillift.api.Checks;
+import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowKey;
+import org.chervillift.api.platform.RowStore;
+import org.chervillift.api.platform.StoreException;
+import org.chervillift.api.platform.Transaction.Condition;
+import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/** A store of rows in memory, with faults that can be switched on. Used by one thread. */
+public final class MemoryStore implements RowStore {
+
+    /** How long a call takes. */
+    public static final Duration LATENCY = Duration.ofMillis(4);
+
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
+    private static final int MOST_ROWS = 500;
+
+    private final Scheduler scheduler;
+    private final Later later;
+    private final Map<String, Map<RowKey, Row>> parts = new HashMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private StoreFault fault = StoreFault.NONE;
+    private long version;
+
+    /** Creates an empty store. */
+    public MemoryStore(Scheduler scheduler) {
+        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.later = new Later(scheduler);
+    }
+
+    /** Sets what ails it from now on. */
+    public void setFault(StoreFault newFault) {
+        this.fault = Checks.notNull("fault", newFault);
+    }
+
+    /** Puts a row at once, as the operator and the workers do. */
+    public void put(RowKey key, String value) {
+        apply(COMMON_PART, List.of(), List.of(Write.put(key, value)));
+    }
+
+    /** Deletes a row at once. */
+    public void delete(RowKey key) {
+        apply(COMMON_PART, List.of(), List.of(Write.delete(key)));
+    }
+
+    @Override
+    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
+        return later.complete(callTime(), () -> page(table, part, range));
+    }
+
+    private Page page(String table, String part, KeyRange range) {
+        checkUp();
+        List<Row> rows =
+                parts.getOrDefault(part, Map.of()).values().stream()
+                        .filter(r -> r.key().table().equals(table))
+                        .filter(r -> inRange(r.key().key(), range))
+                        .sorted(Comparator.comparing(r -> r.key().key()))
+                        .toList();
+        boolean hasMore = rows.size() > MOST_ROWS;
+        List<Row> first = hasMore ? rows.subList(0, MOST_ROWS) : rows;
+        return new Page(first, hasMore, version, nowMillis());
+    }
+
+    private static boolean inRange(String key, KeyRange range) {
+        return range.from().map(f -> key.compareTo(f) >= 0).orElse(true)
+                && range.until().map(u -> key.compareTo(u) < 0).orElse(true);
+    }
+
+    @Override
+    public CompletionStage<Outcome> commit(
+            String part, List<Condition> conditions, List<Write> writes) {
+        return later.complete(
+                callTime(),
+                () -> {
+                    checkUp();
+                    Outcome outcome = apply(part, conditions, writes);
+                    if (fault == StoreFault.LOSE_REPLIES) {
+                        throw unanswered();
+                    }
+                    return outcome;
+                });
+    }
+
+    private Outcome apply(String part, List<Condition> conditions, List<Write> writes) {
+        Map<RowKey, Row> rows = parts.computeIfAbsent(part, p -> new HashMap<>());
+        if (!conditions.stream().allMatch(c -> versionOf(rows.get(c.key())) == c.version())) {
+            return new Outcome.Conflict(
+                    conditions.stream()
+                            .map(c -> rows.get(c.key()))
+                            .filter(Objects::nonNull)
+                            .toList());
+        }
+        version++;
+        for (Write w : writes) {
+            w.value()
+                    .ifPresentOrElse(
+                            v -> rows.put(w.key(), new Row(w.key(), version, v)),
+                            () -> rows.remove(w.key()));
+            history.add(new Change(w.key(), version, w.value()));
+        }
+        return new Outcome.Committed(version, nowMillis());
+    }
+
+    private static long versionOf(Row row) {
+        return row == null ? 0 : row.version();
+    }
+
+    @Override
+    public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
+        CompletableFuture<Changes> future = new CompletableFuture<>();
+        long until = nowMillis() + wait.toMillis();
+        scheduler.schedule(LATENCY, () -> poll(table, afterVersion, until, future));
+        return future;
+    }
+
+    private void poll(String table, long after, long until, CompletableFuture<Changes> future) {
+        if (fault == StoreFault.SILENT) {
+            scheduler.schedule(POLL_TIMEOUT, () -> future.completeExceptionally(unanswered()));
+            return;
+        }
+        if (fault == StoreFault.DOWN) {
+            future.completeExceptionally(refused());
+            return;
+        }
+        if (fault == StoreFault.FORGETFUL) {
+            future.complete(new Changes.HistoryLost());
+            return;
+        }
+        List<Change> rows = changesAfter(table, after);
+        if (!rows.isEmpty() || nowMillis() >= until) {
+            future.complete(new Changes.Next(rows, version));
+        } else {
+            scheduler.schedule(LATENCY, () -> poll(table, after, until, future));
+        }
+    }
+
+    /** Searches from the newest change back, as followers are seldom far behind. */
+    private List<Change> changesAfter(String table, long after) {
+        int first = history.size();
+        while (first > 0 && history.get(first - 1).version() > after) {
+            first--;
+        }
+        return history.subList(first, history.size()).stream()
+                .filter(c -> c.key().table().equals(table))
+                .toList();
+    }
+
+    private Duration callTime() {
+        return fault == StoreFault.SILENT ? CALL_TIMEOUT : LATENCY;
+    }
+
+    private void checkUp() {
+        if (fault == StoreFault.SILENT) {
+            throw unanswered();
+        }
+        if (fault == StoreFault.DOWN) {
+            throw refused();
+        }
+    }
+
+    private static StoreException unanswered() {
+        return new StoreException(StoreException.Effect.UNKNOWN, "no answer", null);
+    }
+
+    private static StoreException refused() {
+        return new StoreException(StoreException.Effect.NONE, "down", null);
+    }
+
+    private long nowMillis() {
+        return scheduler.now().toEpochMilli();
+    }
+
+    /** Returns the content of a row of the common part, if there is one. */
+    public Optional<String> value(RowKey key) {
+        return Optional.ofNullable(parts.getOrDefault(COMMON_PART, Map.of()).get(key))
+                .map(Row::value);
+    }
+}
