Store that a step has begun before its first task starts

Cause: after a change of holder, every job of before waited until all workers of its pool had answered or the old leases were over, as any task of it might be running on a worker that does not answer.

Change: the holder writes into a job's progress that a step has begun and sends the first starts of the step only when that is stored (StartGate). A successor starts steps that had not begun at once. The write gathers for 5 ms while starts wait.

Found on the way: ends are read in their order, and one of a job that is not known yet stops the reading for up to 5 s. Such runs now wait for their ends. TaskBoardTest#aRunWhoseEndIsNotReadYetHasNotVanished was red before.

Tests: the load of the zone cut is replayed in aNewHolderStartsStepsThatHadNotBegunWhileAWorkerDoesNotAnswer (before: nothing starts for 4.5 s). Tests that named jobs of a predecessor by a flag now restore a step that has begun, which is what the store holds.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -15,7 +15,6 @@
 final class JobEntry {
 
     private final AcceptedJob job;
-    private final boolean predecessorMayRunIt;
     private final Map<Integer, List<StepEntry>> occurrences = new HashMap<>();
     private final long arrivedAt;
     private QueuePolicy policy;
@@ -24,13 +23,11 @@
     /**
      * Creates an entry.
      *
-     * @param predecessorMayRunIt whether an earlier holder may have started tasks of the job
      * @param arrivedAt since when the job waits, in milliseconds
      */
-    JobEntry(AcceptedJob job, QueuePolicy policy, boolean predecessorMayRunIt, long arrivedAt) {
+    JobEntry(AcceptedJob job, QueuePolicy policy, long arrivedAt) {
         this.job = job;
         this.policy = policy;
-        this.predecessorMayRunIt = predecessorMayRunIt;
         this.arrivedAt = arrivedAt;
     }
 
@@ -57,10 +54,6 @@
         policy = newest;
     }
 
-    boolean predecessorMayRunIt() {
-        return predecessorMayRunIt;
-    }
-
     JobState state() {
         return state;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -9,7 +9,7 @@
  *
  * @param term the term of the holder that wrote it
  * @param state how far the job is
- * @param steps the tasks that are done or have failed; empty once the state is final
+ * @param steps the steps of which tasks may have been started; empty once the state is final
  */
 public record JobProgress(long term, JobState state, List<StepProgress> steps) {
 
@@ -19,7 +19,7 @@
     }
 
     /**
-     * The tasks of one occurrence of a step.
+     * One occurrence of a step of which tasks may have been started.
      *
      * @param occurrence the occurrence
      * @param step the step
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Planner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Planner.java
@@ -43,24 +43,24 @@
     /**
      * Starts what finds room.
      *
-     * @param mayStart whether tasks of a job may be started now
+     * @param mayStart whether tasks of a step may be started now
      */
-    List<Order> starts(
+    List<Order.Start> starts(
             Collection<JobEntry> live,
             Collection<WorkerRecord> workers,
             Manifest manifest,
-            Predicate<JobEntry> mayStart,
+            Predicate<StepEntry> mayStart,
             long now) {
         Map<String, List<WorkerRecord>> pools =
                 workers.stream().collect(Collectors.groupingBy(WorkerRecord::pool));
         Map<String, List<Candidate>> lines =
                 live.stream()
-                        .filter(mayStart)
                         .flatMap(JobEntry::steps)
                         .filter(s -> !s.isDone() && s.isReady() && hasWaiting(s, now))
+                        .filter(mayStart)
                         .map(s -> new Candidate(s, ranking.of(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
-        List<Order> orders = new ArrayList<>();
+        List<Order.Start> orders = new ArrayList<>();
         lines.forEach(
                 (pool, line) -> {
                     line.sort(Comparator.comparing(Candidate::rank));
@@ -80,7 +80,7 @@
             List<WorkerRecord> pool,
             Manifest manifest,
             long now,
-            List<Order> orders) {
+            List<Order.Start> orders) {
         Set<WorkerRecord> reserved = new HashSet<>();
         for (Candidate candidate : line) {
             StepEntry step = candidate.step();
@@ -101,7 +101,7 @@
             Set<WorkerRecord> reserved,
             Manifest manifest,
             long now,
-            List<Order> orders) {
+            List<Order.Start> orders) {
         for (TaskEntry task : step.tasks()) {
             if (!task.isWaiting() || task.notBefore() > now) {
                 continue;
@@ -125,7 +125,7 @@
             Set<WorkerRecord> reserved,
             Manifest manifest,
             long now,
-            List<Order> orders) {
+            List<Order.Start> orders) {
         boolean allWait =
                 step.tasks().stream().allMatch(t -> t.isWaiting() && t.notBefore() <= now);
         if (!allWait || !withinLimit(step, step.tasks().size(), manifest)) {
@@ -153,11 +153,11 @@
         return true;
     }
 
-    private Order start(TaskEntry task, WorkerRecord worker, int number, long now) {
+    private Order.Start start(TaskEntry task, WorkerRecord worker, int number, long now) {
         return order(runs.open(task, worker, number, Run.Phase.STARTING, now), now);
     }
 
-    private Order order(Run run, long now) {
+    private Order.Start order(Run run, long now) {
         TaskEntry task = run.task();
         task.sawRun(run.number());
         JobEntry job = task.step().job();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -13,10 +13,7 @@
     static JobProgress of(JobEntry job, long term) {
         List<StepProgress> steps = new ArrayList<>();
         if (!job.state().isFinal()) {
-            job.steps()
-                    .map(ProgressSnapshot::step)
-                    .filter(ProgressSnapshot::says)
-                    .forEach(steps::add);
+            job.steps().filter(StepEntry::isBegun).map(ProgressSnapshot::step).forEach(steps::add);
         }
         return new JobProgress(term, job.state(), steps);
     }
@@ -31,8 +28,4 @@
                         .toList();
         return new StepProgress(step.occurrence(), step.number(), done, failures);
     }
-
-    private static boolean says(StepProgress step) {
-        return !step.done().isEmpty() || !step.failures().isEmpty();
-    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportReader.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportReader.java
@@ -1,6 +1,7 @@
 package org.chervillift.core.tasks;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -43,12 +44,7 @@
      */
     void read(WorkerRecord worker, RunReport report, long sentAt, long now) {
         checkLifetime(worker, report);
-        for (EndedRun ended : report.ended()) {
-            if (ended.number() > worker.seenEnd() && !readEnd(worker, ended, now)) {
-                break;
-            }
-        }
-        Set<Run> listed = new HashSet<>();
+        Set<Run> listed = readEnds(worker, report.ended(), now);
         for (RunningTask running : report.running()) {
             readRunning(worker, running, now).ifPresent(listed::add);
         }
@@ -59,6 +55,22 @@
         }
     }
 
+    /** Reads ends in their order; returns the runs whose ends must wait for an earlier one. */
+    private Set<Run> readEnds(WorkerRecord worker, List<EndedRun> ends, long now) {
+        Set<Run> waiting = new HashSet<>();
+        boolean stuck = false;
+        for (EndedRun ended : ends) {
+            if (ended.number() <= worker.seenEnd()) {
+                continue;
+            }
+            stuck = stuck || !readEnd(worker, ended, now);
+            if (stuck) {
+                find(ended.task()).flatMap(t -> t.run(ended.run(), worker)).ifPresent(waiting::add);
+            }
+        }
+        return waiting;
+    }
+
     private void checkLifetime(WorkerRecord worker, RunReport report) {
         if (report.bornAtMillis() == 0 || report.bornAtMillis() == worker.bornAtMillis()) {
             return;
@@ -160,6 +172,7 @@
         Run.Phase phase = wanted ? Run.Phase.RUNNING : Run.Phase.STOPPING;
         Run run = runs.open(task, worker, running.run(), phase, now);
         task.sawRun(running.run());
+        task.step().begin();
         ends.started(task.step().job());
         notes.accept(BoardNote.of(BoardNote.Kind.ADOPTED, run, "wanted=" + wanted));
         return run;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -14,6 +14,9 @@
     private final List<TaskEntry> tasks;
     private final StepAdvice advice = new StepAdvice();
     private int doneCount;
+    private boolean begun;
+    private boolean begunStored;
+    private boolean begunBefore;
 
     StepEntry(JobEntry job, int occurrence, int number, StepSpec spec) {
         this.job = job;
@@ -50,6 +53,35 @@
         return advice;
     }
 
+    /** Returns whether tasks of it may have been started. */
+    boolean isBegun() {
+        return begun;
+    }
+
+    void begin() {
+        begun = true;
+    }
+
+    /** Returns whether the store says that tasks of it may have been started. */
+    boolean isBegunStored() {
+        return begunStored;
+    }
+
+    void begunStored() {
+        begun = true;
+        begunStored = true;
+    }
+
+    /** Returns whether an earlier holder may have started tasks of it. */
+    boolean isBegunBefore() {
+        return begunBefore;
+    }
+
+    void begunBefore() {
+        begunStored();
+        begunBefore = true;
+    }
+
     long waitingCount() {
         return tasks.stream().filter(TaskEntry::isWaiting).count();
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,7 +26,8 @@
  *
  * <p>A task starts only when no run of it can exist any more: the last one ended in a worker's
  * list, or the worker's lease is over, or the worker began a new lifetime. Runs of an earlier
- * holder are known once its workers have been asked, or their leases are over.
+ * holder are known once its workers have been asked, or their leases are over; of a step that is
+ * not stored as begun there are none.
  */
 public final class TaskBoard {
 
@@ -49,6 +49,7 @@
     private final Planner planner;
     private final StandstillWatch standstill;
     private final PaceControl pace;
+    private final StartGate gate;
     private final long predecessorLeasesEndAt;
     private Manifest manifest;
 
@@ -70,6 +71,7 @@
         this.answers = new OrderAnswers(runs, notes);
         this.standstill = new StandstillWatch(notes);
         this.pace = new PaceControl(notes);
+        this.gate = new StartGate(ends, this::runOf);
         this.predecessorLeasesEndAt = now + settings.predecessorLeaseMillis();
     }
 
@@ -86,14 +88,13 @@
     /**
      * Takes a job that was accepted.
      *
-     * @param predecessorMayRunIt whether an earlier holder may have started tasks of it
      * @param waitingMillis how long it has waited
      */
-    public void accept(AcceptedJob job, boolean predecessorMayRunIt, long waitingMillis, long now) {
+    public void accept(AcceptedJob job, long waitingMillis, long now) {
         if (jobs.containsKey(job.id())) {
             return;
         }
-        JobEntry entry = new JobEntry(job, policyOf(job), predecessorMayRunIt, now - waitingMillis);
+        JobEntry entry = new JobEntry(job, policyOf(job), now - waitingMillis);
         jobs.put(job.id(), entry);
         live.add(entry);
         arrivals.arrived(entry, ranking.arrived(entry), now - waitingMillis, now);
@@ -107,6 +108,7 @@
         }
         for (JobProgress.StepProgress stored : progress.steps()) {
             StepEntry step = job.step(stored.occurrence(), stored.step());
+            step.begunBefore();
             stored.done().forEach(i -> step.markDone(step.tasks().get(i)));
             stored.failures()
                     .forEach(
@@ -265,14 +267,18 @@
 
     /** Takes the answer to an order. */
     public void answered(Order order, OrderAnswer answer, long now) {
+        runOf(order).ifPresent(run -> answers.take(order, run, answer, now));
+    }
+
+    private Optional<Run> runOf(Order order) {
         WorkerRecord worker = workers.get(order.worker());
         JobEntry job = jobs.get(order.task().job());
         if (worker == null || job == null) {
-            return;
+            return Optional.empty();
         }
         TaskId id = order.task();
         TaskEntry task = job.step(id.occurrence(), id.step()).tasks().get(id.index());
-        task.run(order.run(), worker).ifPresent(run -> answers.take(order, run, answer, now));
+        return task.run(order.run(), worker);
     }
 
     /**
@@ -287,7 +293,10 @@
         live.forEach(j -> j.openDue(wallMillis));
         List<Order> orders = new ArrayList<>(stops(now));
         orders.addAll(pace.decide(workers.values(), now));
-        orders.addAll(planner.starts(live, workers.values(), manifest, j -> mayStart(j, now), now));
+        orders.addAll(
+                gate.pass(
+                        planner.starts(
+                                live, workers.values(), manifest, s -> mayStart(s, now), now)));
         return orders;
     }
 
@@ -367,10 +376,11 @@
     }
 
     /** Returns whether no run of an earlier holder can be unknown. */
-    private boolean mayStart(JobEntry job, long now) {
-        if (!job.predecessorMayRunIt() || now > predecessorLeasesEndAt) {
+    private boolean mayStart(StepEntry step, long now) {
+        if (!step.isBegunBefore() || now > predecessorLeasesEndAt) {
             return true;
         }
+        JobEntry job = step.job();
         Collection<String> pools = predecessorWorkers.values();
         return !pools.contains(job.policy().pool()) && !pools.contains(job.job().policy().pool());
     }
@@ -420,59 +430,20 @@
         return inUse;
     }
 
+    /** Returns whether starts wait until their steps are stored. */
+    public boolean holdsStarts() {
+        return gate.isHolding();
+    }
+
     /** Returns what must be stored before the ends that caused it are acknowledged. */
     public Unstored takeUnstored() {
-        Map<String, JobProgress> progress = new LinkedHashMap<>();
-        ends.changed().forEach(j -> progress.put(j.id(), ProgressSnapshot.of(j, settings.term())));
-        Map<String, SeenEnds> seen = new HashMap<>();
-        workers.values().stream()
-                .filter(w -> w.seenEnd() > w.acknowledged())
-                .forEach(w -> seen.put(w.id(), new SeenEnds(w.bornAtMillis(), w.seenEnd())));
-        return new Unstored(progress, seen, new HashSet<>(ends.changed()));
+        return Unstored.of(ends.changed(), workers.values(), settings.term());
     }
 
     /** Notes that something is stored. */
     public void stored(Unstored stored) {
-        stored.jobs.stream()
-                .filter(j -> stored.progress.get(j.id()).equals(snapshot(j)))
-                .forEach(ends.changed()::remove);
-        stored.seen.forEach(
-                (id, ends) -> {
-                    WorkerRecord worker = workers.get(id);
-                    if (worker != null && worker.bornAtMillis() == ends.bornAtMillis()) {
-                        worker.acknowledge(ends.number());
-                    }
-                });
-    }
-
-    private JobProgress snapshot(JobEntry job) {
-        return ProgressSnapshot.of(job, settings.term());
-    }
-
-    /** The ends that a worker has told in a lifetime. */
-    private record SeenEnds(long bornAtMillis, long number) {}
-
-    /** Progress that is not stored yet. */
-    public static final class Unstored {
-        private final Map<String, JobProgress> progress;
-        private final Map<String, SeenEnds> seen;
-        private final Set<JobEntry> jobs;
-
-        private Unstored(
-                Map<String, JobProgress> progress, Map<String, SeenEnds> seen, Set<JobEntry> jobs) {
-            this.progress = progress;
-            this.seen = seen;
-            this.jobs = jobs;
-        }
-
-        /** Returns the progress to store, by job. */
-        public Map<String, JobProgress> progress() {
-            return progress;
-        }
-
-        /** Returns whether there is nothing to store or to acknowledge. */
-        public boolean isEmpty() {
-            return progress.isEmpty() && seen.isEmpty();
-        }
+        stored.unchanged(settings.term()).forEach(ends.changed()::remove);
+        stored.markBegunSteps();
+        stored.acknowledgeOn(workers);
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/BoardFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/BoardFixture.java
@@ -9,6 +9,7 @@
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.EndedRun;
 import org.chervillift.api.tasks.JobSpec;
+import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.PoolPolicy;
@@ -94,7 +95,18 @@
     }
 
     void accept(String id, StepSpec... steps) {
-        board.accept(job(id, steps), false, 0, now);
+        board.accept(job(id, steps), 0, now);
+    }
+
+    /** Adds a job of which an earlier holder may have started the first step. */
+    void acceptBegun(String id, StepSpec... steps) {
+        accept(id, steps);
+        board.restore(
+                id,
+                new JobProgress(
+                        1,
+                        JobState.RUNNING,
+                        List.of(new JobProgress.StepProgress(0, 0, List.of(), List.of()))));
     }
 
     /** Adds a worker that is known and has a lease. */
@@ -133,11 +145,26 @@
 
     /** Plans, and lets the workers carry the orders out. */
     List<Order> plan() {
-        List<Order> orders = board.plan(now, now);
+        List<Order> orders = orders();
         orders.forEach(this::carryOut);
         return orders;
     }
 
+    /** Plans, and stores what the orders wait for. */
+    List<Order> orders() {
+        return orders(now);
+    }
+
+    /** Plans for a time of day, and stores what the orders wait for. */
+    List<Order> orders(long wallMillis) {
+        List<Order> orders = new ArrayList<>(board.plan(now, wallMillis));
+        if (board.holdsStarts()) {
+            store();
+            orders.addAll(board.plan(now, wallMillis));
+        }
+        return orders;
+    }
+
     /** Plans, and returns the orders to start. */
     List<Order.Start> starts() {
         return plan().stream()
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
@@ -102,7 +102,7 @@
                         List.of(),
                         1_000));
         JobSpec spec = new JobSpec("a", "p", List.of(BoardFixture.step(1, 1_000)), Schedule.ONCE);
-        f.board.accept(new AcceptedJob(spec, policy, "", 0), false, 0, f.now);
+        f.board.accept(new AcceptedJob(spec, policy, "", 0), 0, f.now);
     }
 
     @Test
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
@@ -4,6 +4,7 @@
 import static org.chervillift.core.tasks.BoardFixture.step;
 
 import java.util.List;
+import org.chervillift.api.tasks.EndedRun;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.Resources;
@@ -39,7 +40,7 @@
         f.starts();
         f.endAll("w1", RunEnd.DONE);
 
-        TaskBoard.Unstored unstored = f.board.takeUnstored();
+        Unstored unstored = f.board.takeUnstored();
         assertThat(f.board.acknowledged("w1")).isZero();
         f.board.stored(unstored);
         assertThat(f.board.acknowledged("w1")).isEqualTo(1);
@@ -88,14 +89,14 @@
     void anUnansweredStartIsStoppedBeforeTheTaskStartsElsewhere() {
         f.worker("w1", 1_000);
         f.accept("a", step(1, 1_000));
-        Order start = f.board.plan(f.now, f.now).get(0);
+        Order start = f.orders().get(0);
         f.board.answered(start, OrderAnswer.UNKNOWN, f.now);
         f.worker("w2", 1_000);
         assertThat(f.starts()).isEmpty();
 
         f.now += 300;
         f.report("w1");
-        List<Order> orders = f.board.plan(f.now, f.now);
+        List<Order> orders = f.orders();
         assertThat(orders).singleElement().isInstanceOf(Order.Stop.class);
         f.board.answered(orders.get(0), OrderAnswer.DONE, f.now);
         assertThat(f.starts()).isEmpty();
@@ -109,7 +110,7 @@
     void anUnansweredStartThatTheWorkerListsGoesOn() {
         f.worker("w1", 1_000);
         f.accept("a", step(1, 1_000));
-        Order start = f.board.plan(f.now, f.now).get(0);
+        Order start = f.orders().get(0);
         f.board.answered(start, OrderAnswer.UNKNOWN, f.now);
         f.now += 300;
         f.running.put("w1", List.of(new RunningTask(start.task(), start.run(), "", 10, 0)));
@@ -190,7 +191,7 @@
     void aGangOfWhichOneTaskWasRefusedIsStoppedWhole() {
         f.worker("w1", 3_000);
         f.accept("a", step(3, 1_000, List.of(), true, false, 0));
-        List<Order> orders = f.board.plan(f.now, f.now);
+        List<Order> orders = f.orders();
         f.board.answered(orders.get(0), OrderAnswer.NO_ROOM, f.now);
 
         assertThat(f.board.plan(f.now, f.now)).hasSize(2).hasOnlyElementsOfType(Order.Stop.class);
@@ -201,8 +202,8 @@
         BoardFixture second = new BoardFixture(2, Resources.NONE);
         second.board.predecessorUsed("w1", BoardFixture.POOL);
         second.board.predecessorUsed("w2", BoardFixture.POOL);
-        second.board.accept(BoardFixture.job("old", step(1, 1_000)), true, 0, second.now);
-        second.board.accept(BoardFixture.job("new", step(1, 1_000)), false, 0, second.now);
+        second.acceptBegun("old", step(1, 1_000));
+        second.accept("new", step(1, 1_000));
         second.worker("w1", 2_000);
 
         assertThat(second.starts()).extracting(s -> s.task().job()).containsExactly("new");
@@ -231,11 +232,81 @@
         assertThat(f.board.workersInUse()).isEmpty();
     }
 
+    /** An end that is told after the end of a job that is not known yet waits for its turn. */
+    @Test
+    void aRunWhoseEndIsNotReadYetHasNotVanished() {
+        f.worker("w1", 2_000);
+        f.accept("a", step(1, 1_000));
+        Order.Start start = f.starts().get(0);
+        TaskId unknown = new TaskId("unknown", 0, 0, 0);
+        f.running.get("w1").clear();
+        f.ended.put(
+                "w1",
+                List.of(
+                        new EndedRun(1, unknown, 1, RunEnd.DONE, ""),
+                        new EndedRun(2, start.task(), start.run(), RunEnd.DONE, "")));
+        f.now += 10;
+        f.report("w1");
+        assertThat(f.starts()).isEmpty();
+
+        f.accept("unknown", step(1, 1_000));
+        f.now += 10;
+        f.report("w1");
+        f.store();
+        assertThat(f.board.stateOf("a")).contains(JobState.COMPLETED);
+        assertThat(f.board.stateOf("unknown")).contains(JobState.COMPLETED);
+        assertThat(f.starts()).isEmpty();
+    }
+
+    @Test
+    void aStepStartsOnlyOnceItIsStoredThatItHasBegun() {
+        f.worker("w1", 2_000);
+        f.accept("a", step(2, 1_000));
+        assertThat(f.board.plan(f.now, f.now)).isEmpty();
+        assertThat(f.board.holdsStarts()).isTrue();
+
+        Unstored unstored = f.board.takeUnstored();
+        assertThat(unstored.progress().get("a").steps()).hasSize(1);
+        f.board.stored(unstored);
+        assertThat(f.board.plan(f.now, f.now)).hasSize(2).hasOnlyElementsOfType(Order.Start.class);
+        assertThat(f.board.holdsStarts()).isFalse();
+    }
+
+    @Test
+    void aStartThatIsHeldBackIsNotSentOnceItsJobIsCancelled() {
+        f.worker("w1", 2_000);
+        f.accept("a", step(1, 1_000));
+        f.board.plan(f.now, f.now);
+        f.board.cancel("a", f.now);
+        f.store();
+        assertThat(f.board.plan(f.now, f.now)).hasOnlyElementsOfType(Order.Stop.class);
+    }
+
+    /**
+     * The holder was cut off with a third of the workers while jobs came in: what it cannot have
+     * started starts at once, and the rest when the leases that it gave are over.
+     */
+    @Test
+    void aNewHolderStartsStepsThatHadNotBegunWhileAWorkerDoesNotAnswer() {
+        BoardFixture second = new BoardFixture(2, Resources.NONE);
+        second.board.predecessorUsed("w1", BoardFixture.POOL);
+        second.board.predecessorUsed("cut", BoardFixture.POOL);
+        second.acceptBegun("begun", step(1, 1_000));
+        second.accept("waiting", step(2, 1_000));
+        second.worker("w1", 9_000);
+
+        assertThat(second.starts()).hasSize(2).allMatch(s -> s.task().job().equals("waiting"));
+
+        second.board.leaseGranted("w1", second.now + 2 * BoardFixture.LEASE);
+        second.now += BoardFixture.LEASE + 1;
+        assertThat(second.starts()).extracting(s -> s.task().job()).containsExactly("begun");
+    }
+
     /** A new holder that cannot reach the store at once renews no lease after the first report. */
     @Test
     void aRunTakenOverIsNotOverBeforeTheLeaseThatThePredecessorGave() {
         BoardFixture second = new BoardFixture(2, Resources.NONE);
-        second.board.accept(BoardFixture.job("old", step(1, 1_000)), true, 0, second.now);
+        second.acceptBegun("old", step(1, 1_000));
         second.worker("w1", 2_000);
         TaskId old = new TaskId("old", 0, 0, 0);
         second.running.put("w2", List.of(new RunningTask(old, 1, "", 50, 0)));
@@ -255,7 +326,7 @@
     void aNewHolderWaitsNoLongerThanTheLeasesThatItsPredecessorGave() {
         BoardFixture second = new BoardFixture(2, Resources.NONE);
         second.board.predecessorUsed("gone", BoardFixture.POOL);
-        second.board.accept(BoardFixture.job("old", step(1, 1_000)), true, 0, second.now);
+        second.acceptBegun("old", step(1, 1_000));
         second.worker("w1", 2_000);
         assertThat(second.starts()).isEmpty();
 
@@ -325,12 +396,11 @@
         f.board.accept(
                 new org.chervillift.api.tasks.AcceptedJob(
                         spec, BoardFixture.POLICY, BoardFixture.CUSTOMER, 1_000),
-                false,
                 0,
                 f.now);
-        assertThat(f.board.plan(f.now, 4_999)).isEmpty();
-        assertThat(f.board.plan(f.now, 5_000)).hasSize(1);
-        assertThat(f.board.plan(f.now, 6_000)).hasSize(1);
+        assertThat(f.orders(4_999)).isEmpty();
+        assertThat(f.orders(5_000)).hasSize(1);
+        assertThat(f.orders(6_000)).hasSize(1);
     }
 
     @Test
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -15,6 +15,7 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.TaskBoard;
+import org.chervillift.core.tasks.Unstored;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
@@ -29,6 +30,10 @@
 
     private static final int MOST_IN_A_BATCH = 40;
     private static final Duration GATHER = Duration.ofMillis(25);
+
+    /** Jobs that surge come many at a time; a start waits for no more than this. */
+    private static final Duration GATHER_STARTS = Duration.ofMillis(5);
+
     private static final Duration FAILED_PAUSE = Duration.ofMillis(200);
 
     private final HolderContext context;
@@ -57,7 +62,8 @@
     void poke() {
         if (!scheduled && !stopped) {
             scheduled = true;
-            context.scheduler().schedule(GATHER, this::write);
+            Duration gather = board.holdsStarts() ? GATHER_STARTS : GATHER;
+            context.scheduler().schedule(gather, this::write);
         }
     }
 
@@ -65,7 +71,7 @@
         if (stopped) {
             return;
         }
-        TaskBoard.Unstored unstored = board.takeUnstored();
+        Unstored unstored = board.takeUnstored();
         if (unstored.isEmpty()) {
             scheduled = false;
             return;
@@ -73,7 +79,7 @@
         writeRest(unstored, new ArrayList<>(unstored.progress().entrySet()));
     }
 
-    private void writeRest(TaskBoard.Unstored unstored, List<Map.Entry<String, JobProgress>> rest) {
+    private void writeRest(Unstored unstored, List<Map.Entry<String, JobProgress>> rest) {
         if (stopped) {
             return;
         }
@@ -110,7 +116,7 @@
     }
 
     private void written(
-            TaskBoard.Unstored unstored,
+            Unstored unstored,
             List<Map.Entry<String, JobProgress>> rest,
             int count,
             List<Write> writes,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -220,17 +220,17 @@
             replanSoon();
         }
 
-        private void accept(String id, String value, boolean predecessorMayRunIt) {
+        private void accept(String id, String value, boolean predecessorKnewIt) {
             try {
                 AcceptedJob job = Json.decode(value, AcceptedJob.class);
                 long waited =
-                        predecessorMayRunIt
+                        predecessorKnewIt
                                 ? Math.clamp(
                                         System.currentTimeMillis() - job.acceptedAtMillis(),
                                         0,
                                         LONGEST_RESTORED_WAIT_MILLIS)
                                 : 0;
-                board.accept(job, predecessorMayRunIt, waited, context.now());
+                board.accept(job, waited, context.now());
                 Optional.ofNullable(restored.remove(id)).ifPresent(p -> board.restore(id, p));
             } catch (RuntimeException e) {
                 EventLog.log(
@@ -368,8 +368,8 @@
         if (stopped || !ready) {
             return;
         }
-        progress.poke();
         if (!context.maySendOrders().getAsBoolean()) {
+            progress.poke();
             return;
         }
         advice.poke();
@@ -379,6 +379,7 @@
                 link.send(order);
             }
         }
+        progress.poke();
         openLinks();
     }
 
