Count VMs that are down or cut off for nothing when pools are sized

Change: a VM that is down, or whose worker has answered no call for 500 ms while no order for it is under way, does not count, and is not moved.

Tests: vmsThatAreCutOffAreReplacedFromStandby, vmsThatAreDownAreReplacedFromStandby (both red before).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadReader.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadReader.java
@@ -21,14 +21,15 @@
         this.arrivals = arrivals;
     }
 
-    static WorkerLoad of(WorkerRecord worker) {
+    static WorkerLoad of(WorkerRecord worker, long now) {
         int lasting = 0;
         long cores = 0;
         for (Run run : worker.runs()) {
             lasting += run.task().step().spec().longRunning() ? 1 : 0;
             cores += run.footprint().milliCores();
         }
-        return new WorkerLoad(worker.runs().size() - lasting, lasting, cores);
+        return new WorkerLoad(
+                worker.runs().size() - lasting, lasting, cores, worker.silentMillis(now));
     }
 
     Map<String, PoolLoad> pools(
@@ -36,7 +37,7 @@
         Map<String, Long> running = new HashMap<>();
         Map<String, Long> capacity = new HashMap<>();
         for (WorkerRecord worker : workers) {
-            running.merge(worker.pool(), of(worker).usedMilliCores(), Long::sum);
+            running.merge(worker.pool(), of(worker, now).usedMilliCores(), Long::sum);
             if (worker.takesWork(now)) {
                 capacity.merge(worker.pool(), worker.entry().capacity().milliCores(), Long::sum);
             }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
@@ -213,8 +213,8 @@
     }
 
     /** Notes whether a worker answers. */
-    public void reachable(String workerId, boolean value) {
-        Optional.ofNullable(workers.get(workerId)).ifPresent(w -> w.reachable(value));
+    public void reachable(String workerId, boolean value, long now) {
+        Optional.ofNullable(workers.get(workerId)).ifPresent(w -> w.reachable(value, now));
     }
 
     /** Keeps new tasks away from a worker, or lets them come again. */
@@ -392,9 +392,9 @@
     }
 
     /** Returns what a worker runs. */
-    public WorkerLoad loadOf(String workerId) {
+    public WorkerLoad loadOf(String workerId, long now) {
         WorkerRecord worker = workers.get(workerId);
-        return worker == null ? WorkerLoad.IDLE : LoadReader.of(worker);
+        return worker == null ? WorkerLoad.IDLE : LoadReader.of(worker, now);
     }
 
     /** Returns what the pools are asked for. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -27,6 +27,7 @@
     private Resources used = Resources.NONE;
     private int failuresInARow;
     private long unknownSince = Long.MAX_VALUE;
+    private long silentSince = Long.MAX_VALUE;
     private long avoidedUntil = Long.MIN_VALUE;
     private long avoidance = FIRST_AVOIDANCE_MILLIS;
 
@@ -68,6 +69,7 @@
     void contacted(boolean value) {
         contacted = value;
         reachable = value;
+        silentSince = Long.MAX_VALUE;
     }
 
     /** Returns whether the last call was answered. */
@@ -75,8 +77,14 @@
         return reachable;
     }
 
-    void reachable(boolean value) {
+    void reachable(boolean value, long now) {
         reachable = value;
+        silentSince = value ? Long.MAX_VALUE : Math.min(silentSince, now);
+    }
+
+    /** Returns for how long it has answered no call, in milliseconds. */
+    long silentMillis(long now) {
+        return Math.max(0, now - silentSince);
     }
 
     boolean isCordoned() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
@@ -18,8 +18,9 @@
  * Decides which VMs go to another pool.
  *
  * <p>Answers queues that surge in turn, each asking for more than its pool holds: VMs come from the
- * standby pools, then from pools that have more than they need. A VM that its pool has had no use
- * for of late goes to a standby pool, where it costs nothing.
+ * standby pools, then from pools that have more than they need. VMs that are down or cut off count
+ * for nothing. A VM that its pool has had no use for of late goes to a standby pool, where it costs
+ * nothing.
  */
 public final class PoolPlanner {
 
@@ -219,12 +220,13 @@
         Round(Collection<VmView> vms, Set<String> standby, Predicate<VmView> mayMove, long now) {
             this.standby = standby;
             this.now = now;
-            for (VmView view : vms) {
+            List<VmView> useful = vms.stream().filter(v -> !v.isOut()).toList();
+            for (VmView view : useful) {
                 sizes.merge(view.vm().pool(), 1, Integer::sum);
                 kinds.merge(Kind.of(view), 1, Integer::sum);
             }
             this.free =
-                    vms.stream()
+                    useful.stream()
                             .filter(v -> v.isSteady() && v.load().isIdle() && mayMove.test(v))
                             .collect(Collectors.toCollection(ArrayList::new));
         }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/VmView.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/VmView.java
@@ -18,6 +18,9 @@
         Checks.notNull("order", order);
     }
 
+    /** A worker that answers no call for longer may be cut off for seconds. */
+    private static final long MOST_SILENCE_MILLIS = 500;
+
     /** An order for a VM whose effect is not seen yet. */
     public enum OpenOrder {
         /** There is none. */
@@ -28,6 +31,12 @@
         MAINTENANCE
     }
 
+    /** Returns whether it does nothing for its pool, nor will after the time that a move takes. */
+    public boolean isOut() {
+        boolean silent = load.silentMillis() >= MOST_SILENCE_MILLIS;
+        return vm.status() == ListedFleetVm.Status.DOWN || (silent && isSteady());
+    }
+
     /** Returns whether the VM is up and no order for it is under way. */
     public boolean isSteady() {
         return vm.status() == ListedFleetVm.Status.UP && order == OpenOrder.NONE;
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
@@ -60,7 +60,7 @@
         f.worker("w1", 1_000);
         f.accept("a", step(1, 1_000));
         f.starts();
-        f.board.reachable("w1", false);
+        f.board.reachable("w1", false, f.now);
         f.worker("w2", 1_000);
 
         f.now += BoardFixture.LEASE;
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
@@ -26,19 +26,27 @@
 
     private void vms(String pool, int count, WorkerLoad load) {
         for (int i = 0; i < count; i++) {
-            ListedFleetVm vm =
-                    new ListedFleetVm(
-                            pool + i,
-                            pool,
-                            Status.UP,
-                            "dc",
-                            List.of(),
-                            new Resources(CORES, 1, 0),
-                            "w-" + pool + i);
-            vms.add(new VmView(vm, load, VmView.OpenOrder.NONE));
+            vms.add(view(pool + i, pool, Status.UP, load));
         }
     }
 
+    private static VmView view(String name, String pool, Status status, WorkerLoad load) {
+        ListedFleetVm vm =
+                new ListedFleetVm(
+                        name,
+                        pool,
+                        status,
+                        "dc",
+                        List.of(),
+                        new Resources(CORES, 1, 0),
+                        "w-" + name);
+        return new VmView(vm, load, VmView.OpenOrder.NONE);
+    }
+
+    private static WorkerLoad busy(int runs) {
+        return new WorkerLoad(runs, 0, CORES, 0);
+    }
+
     private List<Move> decide(Map<String, PoolLoad> loads, long now) {
         return planner.decide(vms, loads, Set.of("standby"), v -> true, now);
     }
@@ -90,7 +98,7 @@
 
     @Test
     void aSurgeTakesVmsFromStandbyAsManyAsItCanUse() {
-        vms("p", 2, new WorkerLoad(9, 0, CORES));
+        vms("p", 2, busy(9));
         vms("q", 2, WorkerLoad.IDLE);
         vms("standby", 3, WorkerLoad.IDLE);
         List<Move> moves = decide(Map.of("p", new PoolLoad(2 * CORES, CORES, 2 * CORES, 0)), 0);
@@ -99,9 +107,33 @@
         assertThat(moves).hasSize(2);
     }
 
+    /** A data centre is cut off with half of a pool while the pool is asked for all it has. */
+    @Test
+    void vmsThatAreCutOffAreReplacedFromStandby() {
+        vms("p", 1, busy(9));
+        vms("standby", 3, WorkerLoad.IDLE);
+        Map<String, PoolLoad> load = Map.of("p", new PoolLoad(CORES, CORES * 7 / 10, CORES, 0));
+        VmView cut = view("cut", "p", Status.UP, new WorkerLoad(9, 0, CORES, 499));
+        vms.add(cut);
+        assertThat(decide(load, 0)).isEmpty();
+
+        vms.remove(cut);
+        vms.add(view("cut", "p", Status.UP, new WorkerLoad(9, 0, CORES, 500)));
+        assertThat(decide(load, 100)).extracting(Move::to).containsExactly("p");
+    }
+
+    @Test
+    void vmsThatAreDownAreReplacedFromStandby() {
+        vms("p", 1, busy(9));
+        vms("standby", 3, WorkerLoad.IDLE);
+        vms.add(view("down", "p", Status.DOWN, WorkerLoad.IDLE));
+        Map<String, PoolLoad> load = Map.of("p", new PoolLoad(CORES, CORES * 7 / 10, CORES, 0));
+        assertThat(decide(load, 0)).extracting(Move::to).containsExactly("p");
+    }
+
     @Test
     void workThatComesCountsBeforeItsTasksRunOrWait() {
-        vms("p", 2, new WorkerLoad(1, 0, CORES));
+        vms("p", 2, busy(1));
         vms("standby", 3, WorkerLoad.IDLE);
         List<Move> moves = decide(Map.of("p", new PoolLoad(CORES, 0, 2 * CORES, 4 * CORES)), 0);
         assertThat(moves).hasSize(3).extracting(Move::to).containsOnly("p");
@@ -109,7 +141,7 @@
 
     @Test
     void workThatComesFasterAndFasterIsForeseen() {
-        vms("p", 2, new WorkerLoad(1, 0, CORES));
+        vms("p", 2, busy(1));
         vms("standby", 3, WorkerLoad.IDLE);
         decide(Map.of("p", new PoolLoad(CORES, 0, 2 * CORES, CORES)), 0);
         List<Move> moves = decide(Map.of("p", new PoolLoad(CORES, 0, 2 * CORES, 3 * CORES)), 1_000);
@@ -130,7 +162,7 @@
     @Test
     void aSurgeThatEndsLendsItsVmsToTheNextOneBeforeTheyWouldBeParked() {
         vms("p", 6, WorkerLoad.IDLE);
-        vms("q", 2, new WorkerLoad(9, 0, CORES));
+        vms("q", 2, busy(9));
         Map<String, PoolLoad> turn =
                 Map.of(
                         "p",
@@ -153,7 +185,7 @@
 
     @Test
     void aQuietPoolLendsVmsToASurgeThatStandbyCannotMeetAndKeepsHalf() {
-        vms("p", 2, new WorkerLoad(9, 0, CORES));
+        vms("p", 2, busy(9));
         vms("q", 2, WorkerLoad.IDLE);
         List<Move> moves =
                 decide(Map.of("p", new PoolLoad(2 * CORES, 9 * CORES, 2 * CORES, 0)), 9_000);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/WavePlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/WavePlannerTest.java
@@ -23,7 +23,7 @@
 
     private static final long CORES = 64_000;
     private static final long DURATION = 27_000;
-    private static final WorkerLoad BUSY = new WorkerLoad(3, 0, 30_000);
+    private static final WorkerLoad BUSY = new WorkerLoad(3, 0, 30_000, 0);
 
     private final Map<String, VmView> vms = new HashMap<>();
     private final Map<String, PoolLoad> pools = new HashMap<>();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOperator.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOperator.java
@@ -192,7 +192,8 @@
     }
 
     private VmView view(ListedFleetVm vm) {
-        WorkerLoad load = vm.worker().isEmpty() ? WorkerLoad.IDLE : board.loadOf(vm.worker());
+        WorkerLoad load =
+                vm.worker().isEmpty() ? WorkerLoad.IDLE : board.loadOf(vm.worker(), context.now());
         return new VmView(vm, load, orders.openOrder(vm.name()));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerLink.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerLink.java
@@ -163,7 +163,7 @@
                     Field.of("address", entry.address()),
                     Field.of("why", why));
         }
-        board.reachable(entry.id(), false);
+        board.reachable(entry.id(), false, context.now());
         onChange.run();
         pollAfter(PAUSE_AFTER_FAILURE);
     }
