Read jobs that were over before a change of holder only when needed

Change: a job whose stored progress is final goes onto the board as its state and its row; it is read when a worker still lists a task of it, or a caller's right to ask is checked (JobTable).

Test: aJobThatWasOverIsReadOnlyWhenAWorkerStillRunsIt.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -58,6 +58,10 @@
         return state;
     }
 
+    boolean isOver() {
+        return state.isFinal();
+    }
+
     void state(JobState next) {
         state = next;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportReader.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportReader.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -18,14 +17,14 @@
     private static final long FAILED_SERVICE_PAUSE_MILLIS = 200;
     private static final long UNKNOWN_JOB_PATIENCE_MILLIS = 5_000;
 
-    private final Map<String, JobEntry> jobs;
+    private final JobTable jobs;
     private final RunRegistry runs;
     private final JobEnds ends;
     private final RunTimes times;
     private final Consumer<BoardNote> notes;
 
     ReportReader(
-            Map<String, JobEntry> jobs,
+            JobTable jobs,
             RunRegistry runs,
             JobEnds ends,
             RunTimes times,
@@ -208,10 +207,8 @@
     }
 
     private Optional<TaskEntry> find(TaskId id) {
-        JobEntry job = jobs.get(id.job());
-        if (job == null || !job.has(id.occurrence(), id.step(), id.index())) {
-            return Optional.empty();
-        }
-        return Optional.of(job.step(id.occurrence(), id.step()).tasks().get(id.index()));
+        return jobs.find(id.job())
+                .filter(j -> j.has(id.occurrence(), id.step(), id.index()))
+                .map(j -> j.step(id.occurrence(), id.step()).tasks().get(id.index()));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.JobState;
@@ -35,7 +36,7 @@
 
     private final BoardSettings settings;
     private final Consumer<BoardNote> notes;
-    private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+    private final JobTable jobs = new JobTable();
     private final Set<JobEntry> live = new LinkedHashSet<>();
     private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
     private final Map<String, String> predecessorWorkers = new HashMap<>();
@@ -91,21 +92,34 @@
      * @param waitingMillis how long it has waited
      */
     public void accept(AcceptedJob job, long waitingMillis, long now) {
-        if (jobs.containsKey(job.id())) {
+        if (jobs.contains(job.id())) {
             return;
         }
         JobEntry entry = new JobEntry(job, policyOf(job), now - waitingMillis);
-        jobs.put(job.id(), entry);
+        jobs.put(entry);
         live.add(entry);
         arrivals.arrived(entry, ranking.arrived(entry), now - waitingMillis, now);
     }
 
+    /**
+     * Takes a job that an earlier holder ended.
+     *
+     * @param job reads the job when it is needed; empty if it cannot be read
+     */
+    public void acceptOver(String jobId, JobState state, Supplier<Optional<AcceptedJob>> job) {
+        if (!jobs.contains(jobId)) {
+            jobs.putOver(jobId, state, job);
+        }
+    }
+
     /** Takes what an earlier holder stored of a job's progress. */
     public void restore(String jobId, JobProgress progress) {
-        JobEntry job = jobs.get(jobId);
-        if (job == null || job.state().isFinal()) {
-            return;
-        }
+        jobs.findRecent(jobId)
+                .filter(j -> !j.state().isFinal())
+                .ifPresent(j -> restore(j, progress));
+    }
+
+    private void restore(JobEntry job, JobProgress progress) {
         for (JobProgress.StepProgress stored : progress.steps()) {
             StepEntry step = job.step(stored.occurrence(), stored.step());
             step.begunBefore();
@@ -128,27 +142,30 @@
 
     /** Takes the withdrawal of a job. */
     public void cancel(String jobId, long now) {
-        Optional.ofNullable(jobs.get(jobId)).ifPresent(j -> ends.cancelled(j, now));
+        jobs.findRecent(jobId).ifPresent(j -> ends.cancelled(j, now));
     }
 
     /** Forgets a job whose rows are gone. */
     public void forget(String jobId) {
-        JobEntry job = jobs.get(jobId);
-        if (job != null && job.state().isFinal()) {
+        boolean isOver = jobs.findRecent(jobId).map(j -> j.state().isFinal()).orElse(true);
+        if (isOver) {
             jobs.remove(jobId);
         }
     }
 
     /** Returns the state of a job, if it is known. */
     public Optional<JobState> stateOf(String jobId) {
-        return Optional.ofNullable(jobs.get(jobId))
-                .filter(j -> !j.state().isFinal() || !ends.changed().contains(j))
-                .map(JobEntry::state);
+        return jobs.stateOver(jobId)
+                .or(
+                        () ->
+                                jobs.findRecent(jobId)
+                                        .filter(j -> !ends.changed().contains(j) || !j.isOver())
+                                        .map(JobEntry::state));
     }
 
     /** Returns the customer of a job, if the job is known. */
     public Optional<String> customerOf(String jobId) {
-        return Optional.ofNullable(jobs.get(jobId)).map(j -> j.job().customer());
+        return jobs.find(jobId).map(j -> j.job().customer());
     }
 
     /** Returns how many jobs of each queue have not started. */
@@ -272,13 +289,11 @@
 
     private Optional<Run> runOf(Order order) {
         WorkerRecord worker = workers.get(order.worker());
-        JobEntry job = jobs.get(order.task().job());
-        if (worker == null || job == null) {
-            return Optional.empty();
-        }
         TaskId id = order.task();
-        TaskEntry task = job.step(id.occurrence(), id.step()).tasks().get(id.index());
-        return task.run(order.run(), worker);
+        return jobs.findRecent(id.job())
+                .filter(j -> worker != null)
+                .map(j -> j.step(id.occurrence(), id.step()).tasks().get(id.index()))
+                .flatMap(t -> t.run(order.run(), worker));
     }
 
     /**
@@ -328,12 +343,9 @@
 
     /** Takes the advice service's answer: the tickets of the workers that may run the step. */
     public void advised(AdviceQuestion question, Map<String, String> tickets, long validUntil) {
-        JobEntry job = jobs.get(question.job());
-        if (job != null) {
-            job.step(question.occurrence(), question.step())
-                    .advice()
-                    .take(question.workers(), tickets, validUntil);
-        }
+        jobs.findRecent(question.job())
+                .map(j -> j.step(question.occurrence(), question.step()))
+                .ifPresent(s -> s.advice().take(question.workers(), tickets, validUntil));
     }
 
     private void endLeases(long now) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskBoardTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.chervillift.core.tasks.BoardFixture.step;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.chervillift.api.tasks.EndedRun;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.OrderAnswer;
@@ -232,6 +234,30 @@
         assertThat(f.board.workersInUse()).isEmpty();
     }
 
+    @Test
+    void aJobThatWasOverIsReadOnlyWhenAWorkerStillRunsIt() {
+        List<String> read = new ArrayList<>();
+        f.board.acceptOver(
+                "over",
+                JobState.COMPLETED,
+                () -> {
+                    read.add("over");
+                    return Optional.of(BoardFixture.job("over", step(1, 1_000)));
+                });
+        f.worker("w1", 1_000);
+        assertThat(f.board.stateOf("over")).contains(JobState.COMPLETED);
+        f.accept("over", step(1, 1_000));
+        assertThat(f.starts()).isEmpty();
+        assertThat(read).isEmpty();
+
+        TaskId task = new TaskId("over", 0, 0, 0);
+        f.running.put("w1", List.of(new RunningTask(task, 1, "", 50, 0)));
+        f.report("w1");
+        assertThat(f.orders()).containsExactly(new Order.Stop("w1", task, 1));
+        assertThat(read).hasSize(1);
+        assertThat(f.board.stateOf("over")).contains(JobState.COMPLETED);
+    }
+
     /** An end that is told after the end of a job that is not known yet waits for its turn. */
     @Test
     void aRunWhoseEndIsNotReadYetHasNotVanished() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -18,6 +18,7 @@
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.AcceptedJob;
+import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.BoardNote;
@@ -244,22 +245,37 @@
         }
 
         private void accept(String id, String value, boolean predecessorKnewIt) {
+            Optional<JobProgress> stored = Optional.ofNullable(restored.remove(id));
+            Optional<JobState> state = stored.map(JobProgress::state).filter(JobState::isFinal);
+            if (state.isPresent()) {
+                board.acceptOver(id, state.get(), () -> decode(id, value));
+            } else {
+                decode(id, value).ifPresent(job -> accept(job, stored, predecessorKnewIt));
+            }
+        }
+
+        private void accept(
+                AcceptedJob job, Optional<JobProgress> stored, boolean predecessorKnewIt) {
+            long waited =
+                    predecessorKnewIt
+                            ? Math.clamp(
+                                    System.currentTimeMillis() - job.acceptedAtMillis(),
+                                    0,
+                                    LONGEST_RESTORED_WAIT_MILLIS)
+                            : 0;
+            board.accept(job, waited, context.now());
+            stored.ifPresent(p -> board.restore(job.id(), p));
+        }
+
+        private Optional<AcceptedJob> decode(String id, String value) {
             try {
-                AcceptedJob job = Json.decode(value, AcceptedJob.class);
-                long waited =
-                        predecessorKnewIt
-                                ? Math.clamp(
-                                        System.currentTimeMillis() - job.acceptedAtMillis(),
-                                        0,
-                                        LONGEST_RESTORED_WAIT_MILLIS)
-                                : 0;
-                board.accept(job, waited, context.now());
-                Optional.ofNullable(restored.remove(id)).ifPresent(p -> board.restore(id, p));
+                return Optional.of(Json.decode(value, AcceptedJob.class));
             } catch (RuntimeException e) {
                 EventLog.log(
                         TaskEvent.ROW_UNREADABLE,
                         Field.of("key", id),
                         Field.of("why", e.getMessage()));
+                return Optional.empty();
             }
         }
     }
