Shorten the holder's lease to 1 s while the store is quick

Change: 1.0 s, renewed each 280 ms. While the store is slow the lease lasts up to 2.5 s as before.

Price: 1.1 more writes a second.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -21,7 +21,7 @@
 public final class TaskNode {
 
     private static final HolderElection.LeaseTimes LEASE =
-            new HolderElection.LeaseTimes(1_400, 2_500, 400);
+            new HolderElection.LeaseTimes(1_000, 2_500, 280);
     private static final long ORDER_MARGIN_MILLIS = 300;
 
     private FleetSettings settings;
