Log what each answer about jobs was told from, and how long holders last

Event 7020 now names the basis of each answer with its age or version; 7031 says how long the lease was held, how old its last renewal was and whether the jobs were known; 7030 and 7034 say how long the takeover and the reading took. No logic is changed.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
@@ -35,6 +35,7 @@
     private final LongFunction<TaskHolder> holders;
     private Optional<TaskHolder> holder = Optional.empty();
     private long termVersion;
+    private long takenAt;
     private long pausedUntil = Long.MIN_VALUE;
     private boolean writing;
     private boolean stopped;
@@ -215,12 +216,21 @@
     private void checkHeld() {
         Optional<Long> term = election.heldTerm();
         if (holder.isPresent() && !term.equals(holder.map(TaskHolder::term))) {
-            EventLog.log(TaskEvent.HOLDER_LOST, Field.of("term", holder.get().term()));
+            EventLog.log(
+                    TaskEvent.HOLDER_LOST,
+                    Field.of("term", holder.get().term()),
+                    Field.of("heldMillis", now() - takenAt),
+                    Field.of("renewalAgeMillis", now() - election.renewedAt()),
+                    Field.of("wasReady", holder.get().board().isPresent()));
             holder.get().stop();
             holder = Optional.empty();
         }
         if (holder.isEmpty() && term.isPresent() && !stopped) {
-            EventLog.log(TaskEvent.HOLDER_TAKEN, Field.of("term", term.get()));
+            takenAt = now();
+            EventLog.log(
+                    TaskEvent.HOLDER_TAKEN,
+                    Field.of("term", term.get()),
+                    Field.of("writeMillis", now() - election.renewedAt()));
             TaskHolder next = holders.apply(term.get());
             holder = Optional.of(next);
             next.start();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
@@ -27,7 +27,6 @@
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
-import org.chervillift.core.tasks.TaskBoard;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
@@ -39,12 +38,13 @@
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
     private static final int MOST_REMEMBERED = 20_000;
+    private static final String NOT_STORED = "The job is not stored and has not run.";
 
     private final WatchedStore store;
     private final Scheduler scheduler;
     private final ManifestKeeper manifests;
     private final JobIntake intake;
-    private final Supplier<Optional<TaskBoard>> board;
+    private final Supplier<Optional<HeldBoard>> board;
     private final TaskMetrics metrics;
     private final Map<String, Known> known =
             new LinkedHashMap<>() {
@@ -67,7 +67,7 @@
             Scheduler scheduler,
             ManifestKeeper manifests,
             JobIntake intake,
-            Supplier<Optional<TaskBoard>> board,
+            Supplier<Optional<HeldBoard>> board,
             TaskMetrics metrics) {
         this.store = Checks.notNull("store", store);
         this.scheduler = Checks.notNull("scheduler", scheduler);
@@ -81,22 +81,27 @@
     CompletionStage<JobAnswer> answer(JobRequest request) {
         long start = now();
         return serve(request)
-                .exceptionally(fault -> refused(request, fault))
-                .whenComplete((answer, fault) -> log(request, answer, now() - start));
+                .exceptionally(fault -> Told.of(refused(request, fault)))
+                .thenApply(
+                        told -> {
+                            log(request, told, now() - start);
+                            return told.answer();
+                        });
     }
 
     private long now() {
         return scheduler.now().toEpochMilli();
     }
 
-    private void log(JobRequest request, JobAnswer answer, long millis) {
-        metrics.answered(request.action(), answer, millis);
+    private void log(JobRequest request, Told told, long millis) {
+        metrics.answered(request.action(), told.answer(), millis);
         EventLog.log(
                 TaskEvent.ANSWERED,
                 Field.of("action", request.action()),
                 Field.of("path", request.path()),
                 Field.of("manifest", manifests.manifest().map(Manifest::version).orElse(0L)),
-                Field.of("answer", answer),
+                Field.of("answer", told.answer()),
+                Field.of("basis", told.basis()),
                 Field.of("ms", millis));
     }
 
@@ -120,7 +125,7 @@
         return new JobAnswer.Unavailable(why, RETRY_SOON);
     }
 
-    private CompletionStage<JobAnswer> serve(JobRequest request) {
+    private CompletionStage<Told> serve(JobRequest request) {
         Optional<Manifest> manifest = manifests.manifest();
         if (manifest.isEmpty()) {
             return done(unavailable("No manifest is known yet."));
@@ -156,11 +161,15 @@
         };
     }
 
-    private static CompletionStage<JobAnswer> done(JobAnswer answer) {
-        return CompletableFuture.completedFuture(answer);
+    private static CompletionStage<Told> done(JobAnswer answer) {
+        return CompletableFuture.completedFuture(Told.of(answer));
     }
 
-    private CompletionStage<JobAnswer> submit(JobRequest request, Context context) {
+    private static CompletionStage<Told> done(JobAnswer answer, Basis basis) {
+        return CompletableFuture.completedFuture(new Told(answer, basis));
+    }
+
+    private CompletionStage<Told> submit(JobRequest request, Context context) {
         JobSpec spec;
         try {
             spec = request.decode().apply(context.jobId());
@@ -180,38 +189,43 @@
                                 switch (result) {
                                     case STORED -> {
                                         known.put(job.id(), new Known(customer, Optional.empty()));
-                                        yield new JobAnswer.Accepted();
+                                        yield Told.of(new JobAnswer.Accepted());
                                     }
-                                    case NOT_STORED ->
-                                            unavailable("The job is not stored and has not run.");
-                                    case UNKNOWN -> new JobAnswer.OutcomeUnknown();
+                                    case NOT_STORED -> Told.of(unavailable(NOT_STORED));
+                                    case UNKNOWN -> Told.of(new JobAnswer.OutcomeUnknown());
                                 });
     }
 
-    private CompletionStage<JobAnswer> read(Context context) {
+    private CompletionStage<Told> read(Context context) {
         String id = context.jobId();
-        Optional<TaskBoard> held = board.get();
-        Optional<JobState> state = held.flatMap(b -> b.stateOf(id));
+        Optional<HeldBoard> held = board.get();
+        Optional<JobState> state = held.flatMap(h -> h.board().stateOf(id));
         if (state.isPresent()) {
-            boolean allowed = mayAsk(context, held.get().customerOf(id).orElse(""));
-            return done(allowed ? new JobAnswer.State(state.get()) : new JobAnswer.NotAllowed());
+            boolean allowed = mayAsk(context, held.get().board().customerOf(id).orElse(""));
+            return done(
+                    allowed ? new JobAnswer.State(state.get()) : new JobAnswer.NotAllowed(),
+                    held.get().basis());
         }
         return withJob(
                 context,
                 job ->
                         job.lastState().isPresent()
-                                ? done(new JobAnswer.State(job.lastState().get()))
+                                ? done(
+                                        new JobAnswer.State(job.lastState().get()),
+                                        new Basis.Memory())
                                 : readProgress(id, job));
     }
 
     /** Goes on with a job if it exists and the customer may ask for it. */
-    private CompletionStage<JobAnswer> withJob(
-            Context context, Function<Known, CompletionStage<JobAnswer>> then) {
+    private CompletionStage<Told> withJob(
+            Context context, Function<Known, CompletionStage<Told>> then) {
         return find(context.jobId())
                 .thenCompose(
                         found -> {
                             if (found.isEmpty()) {
-                                return done(new JobAnswer.NoSuchJob());
+                                return done(
+                                        new JobAnswer.NoSuchJob(),
+                                        new Basis.StoredRow(JobRows.JOBS, 0));
                             }
                             return mayAsk(context, found.get().customer())
                                     ? then.apply(found.get())
@@ -249,26 +263,30 @@
         }
     }
 
-    private CompletionStage<JobAnswer> readProgress(String id, Known job) {
+    private CompletionStage<Told> readProgress(String id, Known job) {
         return store.scan(JobRows.PROGRESS, JobRows.HOLDER_PART, JobRows.only(id))
                 .thenApply(
                         page -> {
+                            Optional<Row> row = page.rows().stream().findFirst();
                             JobState state =
-                                    page.rows().stream()
-                                            .map(r -> Json.decode(r.value(), JobProgress.class))
+                                    row.map(r -> Json.decode(r.value(), JobProgress.class))
                                             .map(JobProgress::state)
-                                            .findFirst()
                                             .orElse(JobState.QUEUED);
                             if (state.isFinal()) {
                                 known.put(id, new Known(job.customer(), Optional.of(state)));
                             }
-                            return new JobAnswer.State(state);
+                            return new Told(
+                                    new JobAnswer.State(state), stored(JobRows.PROGRESS, row));
                         });
     }
 
-    private CompletionStage<JobAnswer> cancel(Context context) {
+    private static Basis stored(String table, Optional<Row> row) {
+        return new Basis.StoredRow(table, row.map(Row::version).orElse(0L));
+    }
+
+    private CompletionStage<Told> cancel(Context context) {
         String id = context.jobId();
-        return withJob(context, job -> writeCancel(id).thenApply(o -> cancelled(id, job)));
+        return withJob(context, job -> writeCancel(id).thenApply(o -> Told.of(cancelled(id, job))));
     }
 
     private CompletionStage<Outcome> writeCancel(String id) {
@@ -279,7 +297,7 @@
     }
 
     private JobAnswer cancelled(String id, Known job) {
-        board.get().ifPresent(b -> b.cancel(id, now()));
+        board.get().ifPresent(h -> h.board().cancel(id, now()));
         if (job.lastState().isEmpty()) {
             // Whether it had ended before stands in its progress.
             known.put(id, job);
@@ -287,23 +305,28 @@
         return new JobAnswer.Cancelled();
     }
 
-    private CompletionStage<JobAnswer> pending(Context context) {
+    private CompletionStage<Told> pending(Context context) {
         String queue = context.route().policy().queue();
-        Optional<TaskBoard> held = board.get();
+        Optional<HeldBoard> held = board.get();
         if (held.isPresent()) {
-            return done(new JobAnswer.Pending(held.get().pendingByQueue().getOrDefault(queue, 0)));
+            int jobs = held.get().board().pendingByQueue().getOrDefault(queue, 0);
+            return done(new JobAnswer.Pending(jobs), held.get().basis());
         }
         return store.scan(
                         JobRows.PENDING.table(),
                         JobRows.HOLDER_PART,
                         JobRows.only(JobRows.PENDING.key()))
                 .thenApply(
-                        page ->
-                                page.rows().stream()
-                                        .map(r -> Json.decode(r.value(), PendingCounts.class))
-                                        .<JobAnswer>map(c -> new JobAnswer.Pending(c.of(queue)))
-                                        .findFirst()
-                                        .orElseGet(() -> new JobAnswer.Pending(0)));
+                        page -> {
+                            Optional<Row> row = page.rows().stream().findFirst();
+                            int jobs =
+                                    row.map(r -> Json.decode(r.value(), PendingCounts.class))
+                                            .map(c -> c.of(queue))
+                                            .orElse(0);
+                            return new Told(
+                                    new JobAnswer.Pending(jobs),
+                                    stored(JobRows.PENDING.table(), row));
+                        });
     }
 
     /**
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -77,6 +77,11 @@
         return loaded;
     }
 
+    /** Returns how long ago the store last answered about this table, in milliseconds. */
+    long answerAgeMillis() {
+        return now() - lastAnswerAt;
+    }
+
     /** Returns whether the store answers as far as is known. */
     boolean isHealthy() {
         return loaded
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -57,6 +57,7 @@
     private Map<String, Integer> storedPending = Map.of();
     private final List<Runnable> untilRead = new ArrayList<>();
     private int openReads = 2;
+    private long startedAt;
     private boolean storingWorkers;
     private boolean planScheduled;
     private boolean ready;
@@ -96,11 +97,16 @@
     }
 
     /** Returns the board once all jobs are on it. */
-    Optional<TaskBoard> board() {
-        return ready ? Optional.of(board) : Optional.empty();
+    Optional<HeldBoard> board() {
+        return ready ? Optional.of(new HeldBoard(board, basis())) : Optional.empty();
+    }
+
+    private Basis.Board basis() {
+        return new Basis.Board(term(), jobs.answerAgeMillis(), context.leaseAgeMillis());
     }
 
     void start() {
+        startedAt = context.now();
         manifests.onChange(onManifest);
         readPredecessor();
         jobs.start();
@@ -282,7 +288,11 @@
 
     private void becomeReady(int rows) {
         ready = true;
-        EventLog.log(TaskEvent.HOLDER_READY, Field.of("term", term()), Field.of("rows", rows));
+        EventLog.log(
+                TaskEvent.HOLDER_READY,
+                Field.of("term", term()),
+                Field.of("rows", rows),
+                Field.of("readMillis", context.now() - startedAt));
         openLinks();
         vms.start();
         tick();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -14,7 +14,6 @@
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.HolderElection;
-import org.chervillift.core.tasks.TaskBoard;
 import org.chervillift.runtime.supervision.Scheduler;
 
 /** One process that takes jobs, and gives the orders to the workers while it is the holder. */
@@ -114,7 +113,7 @@
         return duty.election().isSafe(ORDER_MARGIN_MILLIS, scheduler.now().toEpochMilli());
     }
 
-    private Optional<TaskBoard> board() {
+    private Optional<HeldBoard> board() {
         return duty.holder().flatMap(TaskHolder::board);
     }
 
