Count a job as pending until a worker has told that it runs

Cause: the board moved a job out of the count when an order was made. The order may then be held back until the step is stored, refused by the worker, or get no answer; a worker that is silent keeps it from starting elsewhere for a whole lease. A new holder also left out jobs whose step its predecessor had only stored as begun. Found by reading for the class of fault: a belief told as a fact.

Change: a job counts until a worker's answer or report shows a run of it, or its stored progress shows one. The state that callers are told is unchanged.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -19,6 +19,7 @@
     private final long arrivedAt;
     private QueuePolicy policy;
     private JobState state = JobState.QUEUED;
+    private boolean hasRun;
 
     /**
      * Creates an entry.
@@ -100,6 +101,16 @@
         return steps().flatMap(s -> s.tasks().stream());
     }
 
+    /** Returns whether a worker has told that it runs or ran a task of this job. */
+    boolean hasRun() {
+        return hasRun;
+    }
+
+    /** Notes that a worker told that it runs or ran a task of this job. */
+    void ran() {
+        hasRun = true;
+    }
+
     /** Lets the occurrences exist that are due. */
     void openDue(long wallMillis) {
         int count = job.spec().schedule().occurrences();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswers.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswers.java
@@ -27,6 +27,7 @@
 
     private void started(Run run, OrderAnswer answer, long now) {
         if (answer == OrderAnswer.DONE) {
+            run.task().step().job().ran();
             if (run.phase() != Run.Phase.STOPPING) {
                 run.enter(Run.Phase.RUNNING, now);
             }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportReader.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportReader.java
@@ -119,6 +119,7 @@
             run.ifPresent(r -> learn(task, r, now));
         }
         run.ifPresent(runs::close);
+        task.step().job().ran();
         task.sawRun(ended.run());
         task.saved(ended.checkpoint());
         boolean lasts = task.step().spec().longRunning();
@@ -157,6 +158,7 @@
         if (run.phase() == Run.Phase.STARTING || run.phase() == Run.Phase.UNCERTAIN) {
             run.enter(Run.Phase.RUNNING, now);
         }
+        task.step().job().ran();
         run.progressed(running.percent(), now);
         run.gauge(running.gauge());
         task.saved(running.checkpoint());
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
@@ -123,6 +123,9 @@
         for (JobProgress.StepProgress stored : progress.steps()) {
             StepEntry step = job.step(stored.occurrence(), stored.step());
             step.begunBefore();
+            if (!stored.done().isEmpty() || !stored.failures().isEmpty()) {
+                job.ran();
+            }
             stored.done().forEach(i -> step.markDone(step.tasks().get(i)));
             stored.failures()
                     .forEach(
@@ -168,11 +171,15 @@
         return jobs.find(jobId).map(j -> j.job().customer());
     }
 
-    /** Returns how many jobs of each queue have not started. */
+    /**
+     * Returns how many jobs of each queue have no task that a worker has begun.
+     *
+     * <p>A job counts until a worker has told of a run, as an order may be refused or lost.
+     */
     public Map<String, Integer> pendingByQueue() {
         Map<String, Integer> pending = new HashMap<>();
         live.stream()
-                .filter(j -> j.state() == JobState.QUEUED)
+                .filter(j -> !j.hasRun())
                 .forEach(j -> pending.merge(j.policy().queue(), 1, Integer::sum));
         return pending;
     }
