--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
@@ -0,0 +1,63 @@
+package org.chervillift.daemon.tasks;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.chervillift.api.platform.RowStore;
+import org.chervillift.api.platform.StoreException;
+import org.chervillift.api.platform.Transaction.Condition;
+import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/** A store to which one process has lost some of its connections, without a reset. */
+final class HalfDeafStore implements RowStore {
+
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
+
+    private final RowStore store;
+    private final Scheduler scheduler;
+    private boolean commitsLost;
+    private boolean feedsLost;
+
+    HalfDeafStore(RowStore store, Scheduler scheduler) {
+        this.store = store;
+        this.scheduler = scheduler;
+    }
+
+    void loseCommits(boolean value) {
+        commitsLost = value;
+    }
+
+    void loseFeeds(boolean value) {
+        feedsLost = value;
+    }
+
+    @Override
+    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
+        return store.scan(table, part, range);
+    }
+
+    @Override
+    public CompletionStage<Outcome> commit(
+            String part, List<Condition> conditions, List<Write> writes) {
+        return commitsLost ? unanswered(CALL_TIMEOUT) : store.commit(part, conditions, writes);
+    }
+
+    @Override
+    public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
+        return feedsLost ? unanswered(POLL_TIMEOUT) : store.follow(table, afterVersion, wait);
+    }
+
+    private <T> CompletionStage<T> unanswered(Duration timeout) {
+        CompletableFuture<T> future = new CompletableFuture<>();
+        scheduler.schedule(
+                timeout,
+                () ->
+                        future.completeExceptionally(
+                                new StoreException(
+                                        StoreException.Effect.UNKNOWN, "no answer", null)));
+        return future;
+    }
+}
