Tell how many jobs wait only while the count is at most 2 s old

Cause: a copy of unknown age was told as what is true now. A process that is not the holder read the holder's row without its age, and told 0 where there was none; the row was written only by a holder that had read all jobs, so it stood still while the lease changed hands faster than that. The board of a holder was told without asking whether its lease was over or its feed of the jobs stood still.

Ruled out for this sighting: the board of a former holder. The process that answered was no holder, and all processes told the same row.

Change: the row carries the time, by the store's clock, up to which the holder knew all jobs; it is written each 0.5 s also when nothing changed. The board is asked only while the lease is surely held. The holder's poll of the jobs waits 0.4 s, so that its knowledge has an age while nothing comes. The feed's answers carry the store's time; the reading of the store's clock moves out of VmTurns.

Why this works: a count whose jobs were all known t ago holds every job that was accepted earlier than t ago and has not begun. With t at most 2 s it can leave out none that has waited for longer.

--- a/chervillift-api/src/main/java/org/chervillift/api/platform/RowStore.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/platform/RowStore.java
@@ -113,8 +113,9 @@
          *
          * @param rows the changes
          * @param position from where to go on
+         * @param storeMillis the store's steady clock then, in milliseconds, or 0 if it did not say
          */
-        record Next(List<Change> rows, long position) implements Changes {
+        record Next(List<Change> rows, long position, long storeMillis) implements Changes {
             public Next {
                 rows = List.copyOf(rows);
             }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/Basis.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/Basis.java
@@ -1,5 +1,8 @@
 package org.chervillift.daemon.tasks;
 
+import java.util.Optional;
+import org.chervillift.api.platform.Row;
+
 /** What an answer about jobs was told from, and how old or which version that was. */
 sealed interface Basis {
 
@@ -7,10 +10,10 @@
      * The board of the holder.
      *
      * @param term the holder's term
-     * @param feedAgeMillis how long ago the store last answered about new jobs, in milliseconds
+     * @param copyAgeMillis how long ago all jobs were known, in milliseconds
      * @param leaseAgeMillis how long ago the lease was renewed, in milliseconds
      */
-    record Board(long term, long feedAgeMillis, long leaseAgeMillis) implements Basis {}
+    record Board(long term, long copyAgeMillis, long leaseAgeMillis) implements Basis {}
 
     /**
      * A row read for this answer.
@@ -18,7 +21,12 @@
      * @param table the table of the row
      * @param version the row's version, or 0 if there is no such row
      */
-    record StoredRow(String table, long version) implements Basis {}
+    record StoredRow(String table, long version) implements Basis {
+
+        static StoredRow of(String table, Optional<Row> row) {
+            return new StoredRow(table, row.map(Row::version).orElse(0L));
+        }
+    }
 
     /** What this process has seen of the job before, and what cannot change any more. */
     record Memory() implements Basis {}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
@@ -8,7 +8,6 @@
 import org.chervillift.api.platform.FleetRows;
 import org.chervillift.api.platform.FleetVms;
 import org.chervillift.api.platform.PlacementAdvice;
-import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.WorkerCalls;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.runtime.supervision.Scheduler;
@@ -31,7 +30,7 @@
  * @param metrics counts what is decided
  */
 record HolderContext(
-        RowStore store,
+        WatchedStore store,
         OwnRows own,
         FleetRows rows,
         Function<WorkerEntry, WorkerCalls> workers,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
@@ -51,7 +51,12 @@
         this.holders = Checks.notNull("holders", holders);
         this.follower =
                 new TableFollower(
-                        store, JobRows.HOLDER, List.of(JobRows.HOLDER_PART), scheduler, this);
+                        store,
+                        JobRows.HOLDER,
+                        List.of(JobRows.HOLDER_PART),
+                        TableFollower.USUAL_WAIT,
+                        scheduler,
+                        this);
     }
 
     void start() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
@@ -1,7 +1,6 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +44,7 @@
     private final ManifestKeeper manifests;
     private final JobIntake intake;
     private final Supplier<Optional<HeldBoard>> board;
+    private final PendingDesk pending;
     private final TaskMetrics metrics;
     private final Map<String, Known> known =
             new LinkedHashMap<>() {
@@ -74,6 +74,7 @@
         this.manifests = Checks.notNull("manifests", manifests);
         this.intake = Checks.notNull("intake", intake);
         this.board = Checks.notNull("board", board);
+        this.pending = new PendingDesk(store, scheduler, board);
         this.metrics = Checks.notNull("metrics", metrics);
     }
 
@@ -145,7 +146,7 @@
         Context context = new Context(route.get(), customer, rest);
         if (rest.isEmpty()) {
             return request.action() == JobRequest.Action.READ
-                    ? pending(context)
+                    ? pending.tell(context.route().policy().queue())
                     : done(new JobAnswer.Malformed("The path names no job."));
         }
         if (!JOB_ID.matcher(rest).matches()) {
@@ -276,14 +277,11 @@
                                 known.put(id, new Known(job.customer(), Optional.of(state)));
                             }
                             return new Told(
-                                    new JobAnswer.State(state), stored(JobRows.PROGRESS, row));
+                                    new JobAnswer.State(state),
+                                    Basis.StoredRow.of(JobRows.PROGRESS, row));
                         });
     }
 
-    private static Basis stored(String table, Optional<Row> row) {
-        return new Basis.StoredRow(table, row.map(Row::version).orElse(0L));
-    }
-
     private CompletionStage<Told> cancel(Context context) {
         String id = context.jobId();
         return withJob(context, job -> writeCancel(id).thenApply(o -> Told.of(cancelled(id, job))));
@@ -304,61 +302,4 @@
         }
         return new JobAnswer.Cancelled();
     }
-
-    private CompletionStage<Told> pending(Context context) {
-        String queue = context.route().policy().queue();
-        Optional<HeldBoard> held = board.get();
-        if (held.isPresent()) {
-            int jobs = held.get().board().pendingByQueue().getOrDefault(queue, 0);
-            return done(new JobAnswer.Pending(jobs), held.get().basis());
-        }
-        return store.scan(
-                        JobRows.PENDING.table(),
-                        JobRows.HOLDER_PART,
-                        JobRows.only(JobRows.PENDING.key()))
-                .thenApply(
-                        page -> {
-                            Optional<Row> row = page.rows().stream().findFirst();
-                            int jobs =
-                                    row.map(r -> Json.decode(r.value(), PendingCounts.class))
-                                            .map(c -> c.of(queue))
-                                            .orElse(0);
-                            return new Told(
-                                    new JobAnswer.Pending(jobs),
-                                    stored(JobRows.PENDING.table(), row));
-                        });
-    }
-
-    /**
-     * How many jobs of each queue have not started, as the holder counted them.
-     *
-     * @param queues the queues with such jobs
-     */
-    record PendingCounts(List<PendingCount> queues) {
-        PendingCounts {
-            queues = List.copyOf(queues);
-        }
-
-        static PendingCounts from(Map<String, Integer> counts) {
-            List<PendingCount> list = new ArrayList<>();
-            counts.forEach((queue, jobs) -> list.add(new PendingCount(queue, jobs)));
-            return new PendingCounts(list);
-        }
-
-        int of(String queue) {
-            return queues.stream()
-                    .filter(q -> q.queue().equals(queue))
-                    .mapToInt(PendingCount::jobs)
-                    .findFirst()
-                    .orElse(0);
-        }
-    }
-
-    /**
-     * The jobs of a queue that have not started.
-     *
-     * @param queue the queue
-     * @param jobs how many
-     */
-    record PendingCount(String queue, int jobs) {}
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -16,7 +16,9 @@
 /** Reads a table whole, then follows its changes, and starts over where the history is lost. */
 final class TableFollower {
 
-    private static final Duration WAIT = Duration.ofMillis(2_000);
+    /** How long the store may wait for a change before it answers. */
+    static final Duration USUAL_WAIT = Duration.ofMillis(2_000);
+
     private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
 
@@ -26,11 +28,13 @@
     private final RowStore store;
     private final String table;
     private final List<String> parts;
+    private final Duration wait;
     private final Scheduler scheduler;
     private final Listener listener;
     private Duration pause = FIRST_PAUSE;
     private long position;
     private long lastAnswerAt;
+    private long asOfStoreMillis;
     private boolean loaded;
     private long lostAt;
     private boolean lost;
@@ -50,11 +54,13 @@
             RowStore store,
             String table,
             List<String> parts,
+            Duration wait,
             Scheduler scheduler,
             Listener listener) {
         this.store = Checks.notNull("store", store);
         this.table = Checks.notBlank("table", table);
         this.parts = List.copyOf(parts);
+        this.wait = Checks.notNull("wait", wait);
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.listener = Checks.notNull("listener", listener);
     }
@@ -77,9 +83,12 @@
         return loaded;
     }
 
-    /** Returns how long ago the store last answered about this table, in milliseconds. */
-    long answerAgeMillis() {
-        return now() - lastAnswerAt;
+    /**
+     * Returns up to when all changes of the table are known here, by the store's clock, in
+     * milliseconds; 0 if it is not known.
+     */
+    long asOfStoreMillis() {
+        return asOfStoreMillis;
     }
 
     /** Returns whether the store answers as far as is known. */
@@ -99,6 +108,7 @@
     private static final class Loading {
         private final List<Row> rows = new ArrayList<>();
         private long oldest = Long.MAX_VALUE;
+        private long oldestMillis = Long.MAX_VALUE;
         private int open;
         private boolean failed;
 
@@ -136,6 +146,7 @@
         answered();
         loading.rows.addAll(page.rows());
         loading.oldest = Math.min(loading.oldest, page.storeVersion());
+        loading.oldestMillis = Math.min(loading.oldestMillis, page.storeMillis());
         if (page.hasMore() && !page.rows().isEmpty()) {
             String last = page.rows().get(page.rows().size() - 1).key().key();
             load(loading, part, KeyRange.after(last));
@@ -143,22 +154,23 @@
         }
         loading.open--;
         if (loading.open == 0) {
-            takeWhole(loading.rows, loading.oldest);
+            takeWhole(loading);
         }
     }
 
-    private void takeWhole(List<Row> rows, long version) {
+    private void takeWhole(Loading loading) {
         if (stopped) {
             return;
         }
-        position = version;
+        position = loading.oldest;
+        asOfStoreMillis = loading.oldestMillis;
         loaded = true;
         EventLog.log(
                 TaskEvent.TABLE_FOUND,
                 Field.of("table", table),
-                Field.of("version", version),
-                Field.of("rows", rows.size()));
-        listener.loaded(rows);
+                Field.of("version", position),
+                Field.of("rows", loading.rows.size()));
+        listener.loaded(loading.rows);
         follow();
     }
 
@@ -167,7 +179,7 @@
             return;
         }
         // After a failure an answer is wanted at once, as it tells that the store is back.
-        store.follow(table, position, lost ? Duration.ZERO : WAIT)
+        store.follow(table, position, lost ? Duration.ZERO : wait)
                 .whenComplete(
                         (changes, fault) -> {
                             if (fault != null) {
@@ -186,6 +198,7 @@
             case Changes.Next next -> {
                 answered();
                 position = Math.max(position, next.position());
+                asOfStoreMillis = next.storeMillis();
                 if (!next.rows().isEmpty()) {
                     listener.changed(next.rows());
                 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -38,7 +38,14 @@
 
     private static final Duration PLAN_DELAY = Duration.ofMillis(3);
     private static final Duration TICK = Duration.ofMillis(100);
-    private static final Duration PENDING_EVERY = Duration.ofMillis(1_000);
+    private static final Duration LOADS_EVERY = Duration.ofMillis(1_000);
+
+    /** Counts may be 2 s old, with the time to write and to read them on a slow store. */
+    private static final Duration PENDING_EVERY = Duration.ofMillis(500);
+
+    /** While no job comes the board is known to be whole at least this often. */
+    private static final Duration JOBS_WAIT = Duration.ofMillis(400);
+
     private static final Duration RETRY = Duration.ofMillis(200);
     private static final long LONGEST_RESTORED_WAIT_MILLIS = 60_000;
 
@@ -54,7 +61,6 @@
     private final Map<String, JobProgress> restored = new HashMap<>();
     private final Runnable onManifest = this::manifestChanged;
     private Map<String, String> storedWorkers = Map.of();
-    private Map<String, Integer> storedPending = Map.of();
     private final List<Runnable> untilRead = new ArrayList<>();
     private int openReads = 2;
     private long startedAt;
@@ -81,6 +87,7 @@
                         context.store(),
                         JobRows.JOBS,
                         JobRows.JOB_PARTS,
+                        JOBS_WAIT,
                         context.scheduler(),
                         new Jobs());
         this.workers =
@@ -88,6 +95,7 @@
                         context.store(),
                         context.rows().workerTable(),
                         List.of(RowStore.COMMON_PART),
+                        TableFollower.USUAL_WAIT,
                         context.scheduler(),
                         new Workers());
     }
@@ -98,11 +106,13 @@
 
     /** Returns the board once all jobs are on it. */
     Optional<HeldBoard> board() {
-        return ready ? Optional.of(new HeldBoard(board, basis())) : Optional.empty();
+        return ready ? Optional.of(heldBoard()) : Optional.empty();
     }
 
-    private Basis.Board basis() {
-        return new Basis.Board(term(), jobs.answerAgeMillis(), context.leaseAgeMillis());
+    private HeldBoard heldBoard() {
+        long asOf = jobs.asOfStoreMillis();
+        long age = context.store().clock().at(context.now()) - asOf;
+        return new HeldBoard(board, asOf, new Basis.Board(term(), age, context.leaseAgeMillis()));
     }
 
     void start() {
@@ -296,6 +306,7 @@
         openLinks();
         vms.start();
         tick();
+        logLoads();
         publishPending();
     }
 
@@ -446,26 +457,25 @@
                 Field.of("capacity", load.capacityMilliCores()));
     }
 
-    /** Tells the other processes how long the queues are. */
-    private void publishPending() {
+    private void logLoads() {
         if (stopped) {
             return;
         }
         board.poolLoads(context.now()).forEach(this::logLoad);
-        Map<String, Integer> counts = board.pendingByQueue();
-        context.metrics().pending(counts);
-        if (!counts.equals(storedPending)) {
-            Write write =
-                    Write.put(JobRows.PENDING, Json.encode(JobDesk.PendingCounts.from(counts)));
-            context.own()
-                    .commit(write)
-                    .whenComplete(
-                            (outcome, fault) -> {
-                                if (fault == null) {
-                                    storedPending = counts;
-                                }
-                            });
+        context.metrics().pending(board.pendingByQueue());
+        context.scheduler().schedule(LOADS_EVERY, this::logLoads);
+    }
+
+    /** Tells the other processes how long the queues are, also when nothing changed. */
+    private void publishPending() {
+        if (stopped) {
+            return;
         }
-        context.scheduler().schedule(PENDING_EVERY, this::publishPending);
+        Write write = Write.put(JobRows.PENDING, Json.encode(heldBoard().pending()));
+        context.own()
+                .commit(write)
+                .whenComplete(
+                        (outcome, fault) ->
+                                context.scheduler().schedule(PENDING_EVERY, this::publishPending));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -76,6 +76,7 @@
                         store,
                         ports.rows().operatorTable(),
                         List.of(RowStore.COMMON_PART),
+                        TableFollower.USUAL_WAIT,
                         scheduler,
                         manifests);
         HolderElection election = new HolderElection(process, settings.vm(), LEASE);
@@ -113,8 +114,11 @@
         return duty.election().isSafe(ORDER_MARGIN_MILLIS, scheduler.now().toEpochMilli());
     }
 
+    /** Returns the board while nobody else can be the holder. */
     private Optional<HeldBoard> board() {
-        return duty.holder().flatMap(TaskHolder::board);
+        return duty.election().isSafe(0, scheduler.now().toEpochMilli())
+                ? duty.holder().flatMap(TaskHolder::board)
+                : Optional.empty();
     }
 
     /** Starts to follow the store; the lease is sought once a manifest is known. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmTurns.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmTurns.java
@@ -36,7 +36,7 @@
     private final long waitUntil;
     private final Map<String, Long> ordered = new HashMap<>();
     private Map<String, Long> othersUntil = Map.of();
-    private StoreClock clock = new StoreClock(0, 0);
+    private StoreClock clock = StoreClock.UNKNOWN;
     private boolean loaded;
     private boolean stopped;
 
@@ -59,24 +59,6 @@
      */
     private record Turn(String vm, long storeMillis) {}
 
-    /**
-     * What the store's clock showed.
-     *
-     * @param storeMillis the store's time, in milliseconds, or 0 if it is not known
-     * @param seenAt when the store's answer came, in milliseconds of this process
-     */
-    private record StoreClock(long storeMillis, long seenAt) {
-
-        boolean isKnown() {
-            return storeMillis > 0;
-        }
-
-        /** Returns the store's time at a moment, too early by the time that the answer took. */
-        long at(long now) {
-            return storeMillis + now - seenAt;
-        }
-    }
-
     /** Creates the keeper of a holder that has just taken its lease. */
     VmTurns(HolderContext context) {
         this.context = Checks.notNull("context", context);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WatchedStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WatchedStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
+import java.util.function.ToLongFunction;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.Transaction.Condition;
@@ -23,6 +24,7 @@
 
     private final RowStore store;
     private final Scheduler scheduler;
+    private StoreClock clock = StoreClock.UNKNOWN;
     private boolean silent;
 
     WatchedStore(RowStore store, Scheduler scheduler) {
@@ -35,24 +37,50 @@
         return silent;
     }
 
+    /** Returns what the store's answers told of its clock. */
+    StoreClock clock() {
+        return clock;
+    }
+
     @Override
     public CompletionStage<Page> scan(String table, String part, KeyRange range) {
-        return watch(store.scan(table, part, range));
+        return watch(store.scan(table, part, range), Page::storeMillis);
     }
 
     @Override
     public CompletionStage<Outcome> commit(
             String part, List<Condition> conditions, List<Write> writes) {
-        return watch(store.commit(part, conditions, writes));
+        return watch(store.commit(part, conditions, writes), WatchedStore::timeOf);
     }
 
     @Override
     public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
-        return watch(store.follow(table, afterVersion, wait));
+        return watch(store.follow(table, afterVersion, wait), WatchedStore::timeOf);
+    }
+
+    private static long timeOf(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Committed c -> c.storeMillis();
+            case Outcome.Conflict c -> 0;
+        };
+    }
+
+    private static long timeOf(Changes changes) {
+        return switch (changes) {
+            case Changes.Next n -> n.storeMillis();
+            case Changes.HistoryLost h -> 0;
+        };
     }
 
-    private <T> CompletionStage<T> watch(CompletionStage<T> call) {
-        return call.whenComplete((value, fault) -> note(fault));
+    private <T> CompletionStage<T> watch(CompletionStage<T> call, ToLongFunction<T> storeTime) {
+        return call.whenComplete(
+                (value, fault) -> {
+                    if (fault == null) {
+                        long now = scheduler.now().toEpochMilli();
+                        clock = clock.orBetter(new StoreClock(storeTime.applyAsLong(value), now));
+                    }
+                    note(fault);
+                });
     }
 
     private void note(Throwable fault) {
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
@@ -148,7 +148,7 @@
         }
         List<Change> rows = changesAfter(table, after);
         if (!rows.isEmpty() || nowMillis() >= until) {
-            future.complete(new Changes.Next(rows, version));
+            future.complete(new Changes.Next(rows, version, nowMillis()));
         } else {
             scheduler.schedule(LATENCY, () -> poll(table, after, until, future));
         }
