Count a VM that a list leaves out as gone only after several lists

A wave was told as completed although a VM of it had not begun its maintenance.

Cause: WavePlanner passed over each VM of a wave that the list did not show. The list has pages that are read one after the other, so a VM may be on none of them, and a single such list completed the wave for good. For the same reason a VM that was down for its maintenance and left out by a list did not count as down, so that one more than the cap could be ordered.

Evidence, on the old code, WaveNodeTest aWaveIsNotCompletedWhileAListLeavesOutAVmThatStays: expected: "{"state":"running"}" but was: "{"state":"completed"}"

Why the mend works: a VM is gone only when three lists in a row and all lists for the time of a move and a maintenance do not show it. Until then the wave is not completed, and the VM takes a place of the cap. Event 7061 says how many VMs of a completed wave were gone.

CataloguesTest, GoneVmsTest, TaskNodeTest, WaveNodeTest, WavePlannerTest: pass.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/WavePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/WavePlanner.java
@@ -73,6 +73,7 @@
      * @param vms all VMs by name
      * @param pools the load of the pools by name
      * @param standby the pools whose VMs are off
+     * @param gone the VMs that do not exist any more
      * @param emptying the VMs that are being emptied already
      * @param maintenanceMillis how long the maintenance of a VM takes
      */
@@ -80,12 +81,14 @@
             Map<String, VmView> vms,
             Map<String, PoolLoad> pools,
             Set<String> standby,
+            Set<String> gone,
             Set<String> emptying,
             long maintenanceMillis) {
         public Fleet {
             vms = Map.copyOf(vms);
             pools = Map.copyOf(pools);
             standby = Set.copyOf(standby);
+            gone = Set.copyOf(gone);
             emptying = Set.copyOf(emptying);
         }
 
@@ -101,6 +104,8 @@
         for (String name : wave.order().vms()) {
             VmView view = fleet.vms().get(name);
             if (view == null) {
+                // One that a list has left out may be down for its maintenance.
+                down += fleet.gone().contains(name) ? 0 : 1;
                 continue;
             }
             boolean maintained = wave.maintained().contains(name);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/WavePlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/WavePlannerTest.java
@@ -46,8 +46,13 @@
     }
 
     private Decision decide(Set<String> maintained, int cap, long now) {
-        WaveOrder order = new WaveOrder(1, new ArrayList<>(vms.keySet()), DURATION, cap);
-        Fleet fleet = new Fleet(vms, pools, Set.of("standby"), Set.of(), 2_000);
+        return decide(new ArrayList<>(vms.keySet()), Set.of(), maintained, cap, now);
+    }
+
+    private Decision decide(
+            List<String> ordered, Set<String> gone, Set<String> maintained, int cap, long now) {
+        WaveOrder order = new WaveOrder(1, ordered, DURATION, cap);
+        Fleet fleet = new Fleet(vms, pools, Set.of("standby"), gone, Set.of(), 2_000);
         return WavePlanner.decide(new Progress(order, 0, maintained), fleet, now);
     }
 
@@ -104,4 +109,21 @@
         vm("a", "p", Status.UP, WorkerLoad.IDLE);
         assertThat(decide(Set.of("a", "b"), 2, 0).completed()).isTrue();
     }
+
+    @Test
+    void aVmThatAListLeavesOutMayBeDownForItsMaintenance() {
+        vm("a", "p", Status.UP, WorkerLoad.IDLE);
+        List<String> both = List.of("a", "b");
+        assertThat(decide(both, Set.of(), Set.of("b"), 1, DURATION).maintain()).isEmpty();
+        assertThat(decide(both, Set.of("b"), Set.of("b"), 1, DURATION).maintain())
+                .containsExactly("a");
+    }
+
+    @Test
+    void aWaveIsNotCompletedBeforeAVmThatIsLeftOutIsGone() {
+        vm("a", "p", Status.UP, WorkerLoad.IDLE);
+        List<String> both = List.of("a", "b");
+        assertThat(decide(both, Set.of(), Set.of("a"), 1, 0).completed()).isFalse();
+        assertThat(decide(both, Set.of("b"), Set.of("a"), 1, 0).completed()).isTrue();
+    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOperator.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOperator.java
@@ -15,6 +15,7 @@
 import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.TaskBoard;
 import org.chervillift.core.tasks.WorkerLoad;
+import org.chervillift.core.tasks.vms.GoneVms;
 import org.chervillift.core.tasks.vms.PoolPlanner;
 import org.chervillift.core.tasks.vms.PoolPlanner.Move;
 import org.chervillift.core.tasks.vms.VmView;
@@ -37,6 +38,7 @@
     private final HomeSizes homes;
     private final VmTurns turns;
     private final VmOrders orders;
+    private final GoneVms goneVms;
     private final Set<String> cordoned = new HashSet<>();
     private final Map<String, ListedFleetVm> lastListed = new HashMap<>();
     private final Set<String> everListed = new HashSet<>();
@@ -52,6 +54,8 @@
         this.homes = new HomeSizes(context);
         this.turns = new VmTurns(context);
         this.orders = new VmOrders(context, turns);
+        Duration longestChange = context.settings().maintenance().plus(context.settings().move());
+        this.goneVms = new GoneVms(longestChange.toMillis());
     }
 
     /** Reads what an earlier holder stored. */
@@ -109,12 +113,13 @@
     private void decide(List<ListedFleetVm> listed, Map<String, PoolLoad> loads) {
         long now = context.now();
         List<WavePlanner.Progress> open = waves.open(manifests.waves().values(), now);
+        Set<String> gone = goneVms.take(vmsOf(open), names(listed), now);
         if (!orders.isOpen()) {
             return;
         }
         Map<String, VmView> views = new TreeMap<>();
         listed.forEach(vm -> views.put(vm.name(), view(vm)));
-        Round round = new Round(views, loads, standbyPools(), now);
+        Round round = new Round(views, loads, standbyPools(), gone, now);
         Set<String> emptying = planWaves(open, round);
         planMoves(round, emptying);
         orders.flush();
@@ -126,14 +131,24 @@
      * @param views the VMs by name
      * @param loads the load of the pools by name
      * @param standby the pools whose VMs are off
+     * @param gone the VMs of open waves that do not exist any more
      * @param now the present time, in milliseconds
      */
     private record Round(
             Map<String, VmView> views,
             Map<String, PoolLoad> loads,
             Set<String> standby,
+            Set<String> gone,
             long now) {}
 
+    private static Set<String> vmsOf(List<WavePlanner.Progress> open) {
+        return open.stream().flatMap(w -> w.order().vms().stream()).collect(Collectors.toSet());
+    }
+
+    private static Set<String> names(List<ListedFleetVm> listed) {
+        return listed.stream().map(ListedFleetVm::name).collect(Collectors.toSet());
+    }
+
     /**
      * Returns whether a VM may be ordered now.
      *
@@ -210,6 +225,7 @@
                         views,
                         round.loads(),
                         round.standby(),
+                        round.gone(),
                         cordoned,
                         context.settings().maintenance().toMillis());
         for (WavePlanner.Progress wave : open) {
@@ -226,13 +242,17 @@
                 board.empty(views.get(vm).vm().worker(), decision.pressed(), round.now());
             }
             if (decision.completed()) {
-                waves.completed(wave.order().number());
+                waves.completed(wave.order().number(), gone(wave, round));
             }
         }
         cordon(views, emptying);
         return emptying;
     }
 
+    private static long gone(WavePlanner.Progress wave, Round round) {
+        return wave.order().vms().stream().filter(round.gone()::contains).count();
+    }
+
     private void cordon(Map<String, VmView> views, Set<String> emptying) {
         for (VmView view : views.values()) {
             String name = view.vm().name();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
@@ -116,13 +116,18 @@
                 false);
     }
 
-    /** Notes that a wave is completed. */
-    void completed(long number) {
+    /**
+     * Notes that a wave is completed.
+     *
+     * @param gone how many of its VMs do not exist any more
+     */
+    void completed(long number, long gone) {
         StoredWave wave = waves.get(number);
         EventLog.log(
                 TaskEvent.WAVE,
                 Field.of("wave", number),
                 Field.of("maintained", wave.maintained().size()),
+                Field.of("gone", gone),
                 Field.of("state", "completed"));
         put(new StoredWave(number, wave.startedWallMillis(), wave.maintained(), true), true);
     }
--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -0,0 +1,44 @@
+package org.chervillift.daemon.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.chervillift.api.tasks.WaveOrder;
+import org.junit.jupiter.api.Test;
+
+class WaveNodeTest {
+
+    private static final String RUNNING = "{\"state\":\"running\"}";
+    private static final String COMPLETED = "{\"state\":\"completed\"}";
+
+    private final NodeFixture nodes = new NodeFixture();
+
+    WaveNodeTest() {
+        nodes.addVm("a");
+        nodes.addVm("b");
+        nodes.addVm("spare");
+        nodes.orderWave(new WaveOrder(1, List.of("a", "b"), 60_000, 1));
+    }
+
+    @Test
+    void aWaveIsNotCompletedWhileAListLeavesOutAVmThatStays() {
+        nodes.fleet.leaveOut(Set.of("b"));
+        nodes.runningNode("n");
+        nodes.pass(3_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(RUNNING);
+        nodes.fleet.leaveOut(Set.of());
+        nodes.pass(5_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        assertThat(nodes.fleet.maintained()).containsExactlyInAnyOrder("a", "b");
+    }
+
+    @Test
+    void aWaveIsCompletedWithoutAVmThatIsGoneForGood() {
+        nodes.fleet.leaveOut(Set.of("b"));
+        nodes.runningNode("n");
+        nodes.pass(12_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        assertThat(nodes.fleet.maintained()).containsExactly("a");
+    }
+}
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
@@ -33,6 +33,8 @@
     private final Map<String, MemoryWorker> workers = new HashMap<>();
     private final List<String> starts = new ArrayList<>();
     private final List<SeenMove> moves = new ArrayList<>();
+    private final List<String> maintained = new ArrayList<>();
+    private Set<String> leftOut = Set.of();
     private boolean movesHeld;
     private long heartbeats;
 
@@ -100,6 +102,11 @@
         this.movesHeld = held;
     }
 
+    /** Lets lists leave out these VMs, and no others, from now on. */
+    public void leaveOut(Set<String> names) {
+        this.leftOut = Set.copyOf(names);
+    }
+
     /** Returns a worker by its identifier, also one that has crashed. */
     public MemoryWorker worker(String id) {
         return Checks.notNull("worker " + id, workers.get(id));
@@ -120,9 +127,20 @@
         return List.copyOf(moves);
     }
 
+    /** Returns the VMs whose maintenance has begun, oldest first. */
+    public List<String> maintained() {
+        return List.copyOf(maintained);
+    }
+
     @Override
     public CompletionStage<List<ListedFleetVm>> list() {
-        return later.complete(LATENCY, () -> vms.values().stream().map(MemoryVm::listed).toList());
+        return later.complete(
+                LATENCY,
+                () ->
+                        vms.values().stream()
+                                .filter(v -> !leftOut.contains(v.name()))
+                                .map(MemoryVm::listed)
+                                .toList());
     }
 
     @Override
@@ -152,6 +170,7 @@
         VmAnswer refusal = refusal(name, duty);
         if (refusal == VmAnswer.DONE) {
             MemoryVm vm = vms.get(name);
+            maintained.add(name);
             takeAway(vm, Status.MAINTENANCE, times.maintenance(), vm.pool());
         }
         return refusal;
