Keep a delayed write from taking back that a wave is completed

What the operator saw: the status of a wave could go from completed back to running, and stay so.

Cause: the status row was written without a condition. The store may carry out a write that got no answer seconds later; the first "running" of a wave, or one of a former holder, could so land after "completed", which no one tells again.

Ruled out: the reverse, "completed" by a former holder before it is true. It is told only after it is stored on the condition of the term, so it was true then and stays true.

Evidence, on the old code, WaveNodeTest aDelayedWriteDoesNotTakeACompletedWaveBack: expected: "{"state":"completed"}" but was: "{"state":"running"}"

Why the mend works: each write has the version that the row was last seen with as its condition, so a delayed one finds the condition broken. On a conflict the row is looked at: if it says as much or more, nothing is written over it.

TaskNodeTest, WaveNodeTest: pass.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
@@ -3,19 +3,23 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowKey;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.RowStore.KeyRange;
 import org.chervillift.api.platform.RowStore.Outcome;
+import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.WaveOrder;
 import org.chervillift.core.tasks.vms.WavePlanner.Progress;
@@ -33,6 +37,7 @@
     private final Map<Long, StoredWave> waves = new TreeMap<>();
     private final Set<Long> unstored = new HashSet<>();
     private final Set<Long> untold = new HashSet<>();
+    private final Map<RowKey, Long> versions = new HashMap<>();
     private boolean loaded;
     private boolean writing;
     private boolean stopped;
@@ -154,17 +159,40 @@
 
     private void writeOwn(long number) {
         StoredWave wave = waves.get(number);
-        Write write = Write.put(new RowKey(TABLE, Long.toString(number)), Json.encode(wave));
-        finish(context.own().commit(write), () -> settled(unstored, number, wave));
+        RowKey key = new RowKey(TABLE, Long.toString(number));
+        finish(
+                context.own().commit(Write.put(key, Json.encode(wave))),
+                key,
+                () -> settled(unstored, number, wave),
+                current -> {});
     }
 
-    /** Tells the operator; only after it is stored, so that no successor tells less. */
+    /**
+     * Tells the operator; only after it is stored, so that no successor tells less.
+     *
+     * <p>The condition is that the row is as it was last seen: a delayed write of this process or
+     * of a former holder cannot take back that a wave is completed.
+     */
     private void tell(long number) {
         StoredWave wave = waves.get(number);
         Write write = context.rows().waveStatus(number, wave.completed());
+        Condition asKnown = new Condition(write.key(), versions.getOrDefault(write.key(), 0L));
         finish(
-                context.store().commit(RowStore.COMMON_PART, List.of(), List.of(write)),
-                () -> settled(untold, number, wave));
+                context.store().commit(RowStore.COMMON_PART, List.of(asKnown), List.of(write)),
+                write.key(),
+                () -> settled(untold, number, wave),
+                current -> {
+                    if (saysAsMuch(current, write, number)) {
+                        settled(untold, number, wave);
+                    }
+                });
+    }
+
+    /** Returns whether what the operator reads is what would be written, or goes beyond it. */
+    private boolean saysAsMuch(Optional<Row> current, Write write, long number) {
+        Optional<String> said = current.map(Row::value);
+        return said.equals(write.value())
+                || said.equals(context.rows().waveStatus(number, true).value());
     }
 
     private void settled(Set<Long> open, long number, StoredWave written) {
@@ -173,17 +201,39 @@
         }
     }
 
-    private void finish(CompletionStage<Outcome> commit, Runnable onDone) {
+    private void finish(
+            CompletionStage<Outcome> commit,
+            RowKey row,
+            Runnable onDone,
+            Consumer<Optional<Row>> onConflict) {
         writing = true;
         commit.whenComplete(
                 (outcome, fault) -> {
                     writing = false;
-                    if (fault == null && outcome instanceof Outcome.Committed) {
-                        onDone.run();
-                        write();
-                    } else if (!stopped) {
-                        context.scheduler().schedule(RETRY, this::write);
+                    switch (outcome) {
+                        case Outcome.Committed c -> {
+                            versions.put(row, c.version());
+                            onDone.run();
+                            write();
+                        }
+                        case Outcome.Conflict conflict -> {
+                            Optional<Row> current = current(conflict, row);
+                            versions.put(row, current.map(Row::version).orElse(0L));
+                            onConflict.accept(current);
+                            again();
+                        }
+                        case null -> again();
                     }
                 });
     }
+
+    private static Optional<Row> current(Outcome.Conflict conflict, RowKey row) {
+        return conflict.current().stream().filter(r -> r.key().equals(row)).findFirst();
+    }
+
+    private void again() {
+        if (!stopped) {
+            context.scheduler().schedule(RETRY, this::write);
+        }
+    }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateStore.java
@@ -31,9 +31,13 @@
         return held.size();
     }
 
-    /** Lets all commits through again, and carries out those that were held, in their order. */
-    void release() {
+    /** Lets all commits through again; those that were held stay so. */
+    void letThrough() {
         wanted = w -> false;
+    }
+
+    /** Carries out the commits that were held, in their order. */
+    void release() {
         List.copyOf(held).forEach(Runnable::run);
         held.clear();
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -41,4 +41,17 @@
         assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
         assertThat(nodes.fleet.maintained()).containsExactly("a");
     }
+
+    @Test
+    void aDelayedWriteDoesNotTakeACompletedWaveBack() {
+        nodes.late.hold(w -> w.value().filter(RUNNING::equals).isPresent());
+        nodes.runningNode("n");
+        assertThat(nodes.late.heldCount()).isPositive();
+        nodes.late.letThrough();
+        nodes.pass(8_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        nodes.late.release();
+        nodes.pass(3_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+    }
 }
