Tell the operator of waves that a former holder only stored

What the operator saw: a wave all of whose VMs were maintained stayed "running" for good when the holder changed in the moment of its completion.

Cause: the holder stores that a wave is completed and then tells it. A new holder read the stored row and counted the wave as over; what its predecessor had not told yet was told by no one.

Ruled out: that a successor tells less than was told; the order of the two writes stays.

Evidence, on the old code, WaveNodeTest aNewHolderTellsACompletedWaveThatItsPredecessorOnlyStored: expected: "{"state":"completed"}" but was: "{"state":"running"}"

Why the mend works: a new holder tells the state of each stored wave. It costs one call a wave; where the row says it already, nothing is written.

TaskNodeTest, WaveNodeTest: pass.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
@@ -78,12 +78,15 @@
                 page -> {
                     page.rows().forEach(this::take);
                     loaded = true;
+                    write();
                 });
     }
 
     private void take(Row row) {
         StoredWave wave = Json.decode(row.value(), StoredWave.class);
         waves.put(wave.number(), wave);
+        // The earlier holder may have stopped before it told this.
+        untold.add(wave.number());
     }
 
     /** Returns the waves that are not completed, and remembers new ones. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -54,4 +54,16 @@
         nodes.pass(3_000);
         assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
     }
+
+    @Test
+    void aNewHolderTellsACompletedWaveThatItsPredecessorOnlyStored() {
+        nodes.late.hold(w -> w.value().filter(COMPLETED::equals).isPresent());
+        TaskNode first = nodes.runningNode("n");
+        nodes.pass(8_000);
+        assertThat(nodes.late.heldCount()).isPositive();
+        first.drain();
+        nodes.runningNode("m", nodes.store);
+        nodes.pass(2_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+    }
 }
