Keep a delayed write from undoing how far a wave is

What callers saw: VMs could be maintained twice in one wave, with the work on them stopped twice, and a completed wave be opened again after a change of holder.

Cause: the stored row of a wave was written on the condition of the term only. A write without an answer that the store carried out seconds later put an older state over a newer one within the same term.

Ruled out: a former holder's write; the term stands against it.

Evidence, on the old code, WaveNodeTest aDelayedWriteOfItsOwnRowDoesNotLoseWhichVmsAreMaintained: Expecting actual: ["a", "b", "a", "b"] to contain exactly in any order: ["a", "b"]

Why the mend works: the version that the row was last seen with is a second condition, as for the progress of jobs, so a delayed write finds it broken.

TaskNodeTest, WaveNodeTest: pass.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveKeeper.java
@@ -85,6 +85,7 @@
     private void take(Row row) {
         StoredWave wave = Json.decode(row.value(), StoredWave.class);
         waves.put(wave.number(), wave);
+        versions.put(row.key(), row.version());
         // The earlier holder may have stopped before it told this.
         untold.add(wave.number());
     }
@@ -160,11 +161,13 @@
         }
     }
 
+    /** Stores a wave; a delayed write of this process cannot take back what came after it. */
     private void writeOwn(long number) {
         StoredWave wave = waves.get(number);
         RowKey key = new RowKey(TABLE, Long.toString(number));
+        Write write = Write.put(key, Json.encode(wave));
         finish(
-                context.own().commit(Write.put(key, Json.encode(wave))),
+                context.own().commit(List.of(asKnown(key)), List.of(write)),
                 key,
                 () -> settled(unstored, number, wave),
                 current -> {});
@@ -179,9 +182,12 @@
     private void tell(long number) {
         StoredWave wave = waves.get(number);
         Write write = context.rows().waveStatus(number, wave.completed());
-        Condition asKnown = new Condition(write.key(), versions.getOrDefault(write.key(), 0L));
         finish(
-                context.store().commit(RowStore.COMMON_PART, List.of(asKnown), List.of(write)),
+                context.store()
+                        .commit(
+                                RowStore.COMMON_PART,
+                                List.of(asKnown(write.key())),
+                                List.of(write)),
                 write.key(),
                 () -> settled(untold, number, wave),
                 current -> {
@@ -191,6 +197,10 @@
                 });
     }
 
+    private Condition asKnown(RowKey key) {
+        return new Condition(key, versions.getOrDefault(key, 0L));
+    }
+
     /** Returns whether what the operator reads is what would be written, or goes beyond it. */
     private boolean saysAsMuch(Optional<Row> current, Write write, long number) {
         Optional<String> said = current.map(Row::value);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.WaveOrder;
 import org.junit.jupiter.api.Test;
 
@@ -66,4 +67,24 @@
         nodes.pass(2_000);
         assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
     }
+
+    @Test
+    void aDelayedWriteOfItsOwnRowDoesNotLoseWhichVmsAreMaintained() {
+        nodes.late.hold(w -> isRowOfWave(w, "[]"));
+        TaskNode first = nodes.runningNode("n");
+        assertThat(nodes.late.heldCount()).isPositive();
+        nodes.late.letThrough();
+        nodes.pass(8_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        nodes.late.release();
+        first.drain();
+        nodes.runningNode("m");
+        nodes.pass(8_000);
+        assertThat(nodes.fleet.maintained()).containsExactlyInAnyOrder("a", "b");
+    }
+
+    private static boolean isRowOfWave(Write write, String maintained) {
+        return write.key().table().equals("waves")
+                && write.value().filter(v -> v.contains(maintained)).isPresent();
+    }
 }
