Tell the stored end of a job although it was cancelled after it

What callers saw: two processes told two final states for one job. One that had not known the job told CANCELLED as soon as a withdrawal was stored, also for a job that had been completed before or that its holder completed in that moment; the others told COMPLETED.

Cause: JobDesk took the row of the withdrawal for the end of the job. Whether a withdrawal came in time is decided by the holder alone and stands in the job's progress.

Ruled out: the holder's board, which tells a final state only once it is stored; a former holder, which cannot store one; the progress of the job, whose final state no one changes.

Evidence, on the old code, JobStateNodeTest allProcessesTellOneStateOfAJobThatWasCancelledAfterItsEnd: expected: COMPLETED but was: CANCELLED

Why the mend works: a row of a withdrawal is not remembered as a state; every process tells what the holder stored. Until then a cancelled job is told as queued or running, as the process that took the withdrawal did before.

JobStateNodeTest, TaskNodeTest: pass.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
@@ -252,14 +252,16 @@
                         });
     }
 
+    /**
+     * Remembers that a job exists.
+     *
+     * <p>A withdrawal says nothing of how the job ends: it may have been over by then. Only the
+     * holder tells that, in the job's progress.
+     */
     private void remember(Row row) {
-        String id = JobRows.jobOf(row.key());
         if (!JobRows.isCancel(row.key())) {
             String customer = Json.decode(row.value(), AcceptedJob.class).customer();
-            known.putIfAbsent(id, new Known(customer, Optional.empty()));
-        } else {
-            known.computeIfPresent(
-                    id, (i, k) -> new Known(k.customer(), Optional.of(JobState.CANCELLED)));
+            known.putIfAbsent(JobRows.jobOf(row.key()), new Known(customer, Optional.empty()));
         }
     }
 
@@ -286,7 +288,7 @@
 
     private CompletionStage<Told> cancel(Context context) {
         String id = context.jobId();
-        return withJob(context, job -> writeCancel(id).thenApply(o -> Told.of(cancelled(id, job))));
+        return withJob(context, job -> writeCancel(id).thenApply(o -> Told.of(cancelled(id))));
     }
 
     private CompletionStage<Outcome> writeCancel(String id) {
@@ -296,12 +298,8 @@
                 List.of(Write.put(JobRows.cancel(id), "{}")));
     }
 
-    private JobAnswer cancelled(String id, Known job) {
+    private JobAnswer cancelled(String id) {
         board.get().ifPresent(h -> h.board().cancel(id, now()));
-        if (job.lastState().isEmpty()) {
-            // Whether it had ended before stands in its progress.
-            known.put(id, job);
-        }
         return new JobAnswer.Cancelled();
     }
 
