--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateStore.java
@@ -17,6 +17,7 @@
     private final RowStore store;
     private final List<Runnable> held = new ArrayList<>();
     private Predicate<Write> wanted = w -> false;
+    private boolean feedsStopped;
 
     LateStore(RowStore store) {
         this.store = store;
@@ -27,6 +28,11 @@
         wanted = writes;
     }
 
+    /** Lets no feed of changes answer any more. */
+    void stopFeeds() {
+        feedsStopped = true;
+    }
+
     int heldCount() {
         return held.size();
     }
@@ -60,6 +66,6 @@
 
     @Override
     public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
-        return store.follow(table, afterVersion, wait);
+        return feedsStopped ? new CompletableFuture<>() : store.follow(table, afterVersion, wait);
     }
 }
