--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOperator.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOperator.java
@@ -89,7 +89,8 @@
                             if (stopped) {
                                 return;
                             }
-                            boolean listed = fault == null && waves.isLoaded();
+                            // A list without any VM says nothing of the fleet.
+                            boolean listed = fault == null && !vms.isEmpty() && waves.isLoaded();
                             if (listed) {
                                 note(vms, sentAt);
                             }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -43,6 +43,18 @@
         assertThat(nodes.fleet.maintained()).containsExactly("a");
     }
 
+    @Test
+    void aListWithoutAnyVmCompletesNoWave() {
+        nodes.fleet.leaveOut(Set.of("a", "b", "spare"));
+        nodes.runningNode("n");
+        nodes.pass(12_000);
+        assertThat(nodes.waveStatus(1)).isNotEqualTo(COMPLETED);
+        nodes.fleet.leaveOut(Set.of());
+        nodes.pass(8_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        assertThat(nodes.fleet.maintained()).containsExactlyInAnyOrder("a", "b");
+    }
+
     @Test
     void aDelayedWriteDoesNotTakeACompletedWaveBack() {
         nodes.late.hold(w -> w.value().filter(RUNNING::equals).isPresent());
