--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -68,6 +68,21 @@
         assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
     }
 
+    @Test
+    void delayedWritesOfAFormerHolderDoNotChangeWhatItsSuccessorTold() {
+        nodes.late.hold(w -> !w.key().table().equals(JobRows.HOLDER));
+        nodes.runningNode("n");
+        nodes.late.hold(w -> true);
+        nodes.late.stopFeeds();
+        nodes.runningNode("m", nodes.store);
+        nodes.pass(12_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        nodes.late.release();
+        nodes.pass(3_000);
+        assertThat(nodes.waveStatus(1)).isEqualTo(COMPLETED);
+        assertThat(nodes.fleet.maintained()).containsExactlyInAnyOrder("a", "b");
+    }
+
     @Test
     void aNewHolderTellsACompletedWaveThatItsPredecessorOnlyStored() {
         nodes.late.hold(w -> w.value().filter(COMPLETED::equals).isPresent());
