Take all jobs that were read before a new holder counts and orders

A new holder could tell 0 waiting jobs, with the age of some milliseconds, for jobs that had waited for seconds.

Cause: while a new holder reads how far the jobs are, changes of the jobs queue up behind the first read of them. It became ready, wrote the count and planned between the two. The count carried the time up to which the feed was read, not the time up to which the board was filled. Withdrawals that had queued up were not on the board either when the first plan was made.

Evidence: jobsThatCameWhileANewHolderReadAreInItsFirstCount (progress takes 5 s to read, 5 jobs come meanwhile) on the code before: Expecting [Pending[jobs=0], Pending[jobs=5]] to contain only [Pending[jobs=5]]

Ruled out: a row of an earlier holder; none had counted in the test.

Change: a holder becomes ready once all that was read so far is on the board.

Why this works: the age of the board is the time of the last answer of the feed, and each answer that came is now taken before the board is asked.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -63,6 +63,7 @@
     private Map<String, String> storedWorkers = Map.of();
     private final List<Runnable> untilRead = new ArrayList<>();
     private int openReads = 2;
+    private int rowsRead;
     private long startedAt;
     private boolean storingWorkers;
     private boolean planScheduled;
@@ -183,20 +184,28 @@
     private void readDone() {
         openReads--;
         if (openReads == 0) {
-            untilRead.forEach(Runnable::run);
-            untilRead.clear();
+            takeRead();
             storeWorkers();
         }
     }
 
     private void onceRead(Runnable task) {
+        untilRead.add(task);
         if (openReads == 0) {
-            task.run();
-        } else {
-            untilRead.add(task);
+            takeRead();
         }
     }
 
+    /** Takes all that was read of the jobs before anything is told or ordered by it. */
+    private void takeRead() {
+        untilRead.forEach(Runnable::run);
+        untilRead.clear();
+        if (!ready && jobs.isLoaded()) {
+            becomeReady();
+        }
+        replanSoon();
+    }
+
     private void readProgress(KeyRange range) {
         retrying(
                 () -> context.own().scan(JobRows.PROGRESS, range),
@@ -240,10 +249,7 @@
             rows.stream()
                     .filter(r -> JobRows.isCancel(r.key()))
                     .forEach(r -> board.cancel(JobRows.jobOf(r.key()), context.now()));
-            if (!ready) {
-                becomeReady(rows.size());
-            }
-            replanSoon();
+            rowsRead = rows.size();
         }
 
         private void take(List<Change> changes) {
@@ -257,7 +263,6 @@
                     board.forget(id);
                 }
             }
-            replanSoon();
         }
 
         private void accept(String id, String value, boolean predecessorKnewIt) {
@@ -296,12 +301,12 @@
         }
     }
 
-    private void becomeReady(int rows) {
+    private void becomeReady() {
         ready = true;
         EventLog.log(
                 TaskEvent.HOLDER_READY,
                 Field.of("term", term()),
-                Field.of("rows", rows),
+                Field.of("rows", rowsRead),
                 Field.of("readMillis", context.now() - startedAt));
         openLinks();
         vms.start();
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
@@ -10,7 +10,7 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.runtime.supervision.Scheduler;
 
-/** A store to which one process has lost some of its connections, without a reset. */
+/** A store to which one process has lost some of its connections, or reads slowly. */
 final class HalfDeafStore implements RowStore {
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
@@ -20,6 +20,8 @@
     private final Scheduler scheduler;
     private boolean commitsLost;
     private boolean feedsLost;
+    private String slowTable = "";
+    private Duration slowTime = Duration.ZERO;
 
     HalfDeafStore(RowStore store, Scheduler scheduler) {
         this.store = store;
@@ -34,9 +36,20 @@
         feedsLost = value;
     }
 
+    void slowDownReads(String table, Duration time) {
+        slowTable = table;
+        slowTime = time;
+    }
+
     @Override
     public CompletionStage<Page> scan(String table, String part, KeyRange range) {
-        return store.scan(table, part, range);
+        if (!table.equals(slowTable)) {
+            return store.scan(table, part, range);
+        }
+        CompletableFuture<Page> future = new CompletableFuture<>();
+        scheduler.schedule(
+                slowTime, () -> store.scan(table, part, range).thenAccept(future::complete));
+        return future;
     }
 
     @Override
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
 import org.chervillift.standin.tasks.StoreFault;
@@ -124,4 +126,26 @@
         pass(3_000);
         assertThat(pending(a)).isEqualTo(new JobAnswer.Pending(2));
     }
+
+    /** The jobs are read at once, but how far they are takes long to read. */
+    @Test
+    void jobsThatCameWhileANewHolderReadAreInItsFirstCount() {
+        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        view.slowDownReads(JobRows.PROGRESS, Duration.ofSeconds(5));
+        TaskNode a = node("a", view);
+        pass(500);
+        TaskNode b = runningNode("b");
+        submit(b, 5);
+        pass(3_000);
+
+        Set<JobAnswer> told = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            pass(20);
+            told.add(pending(a));
+            told.add(pending(b));
+        }
+        assertThat(told)
+                .filteredOn(JobAnswer.Pending.class::isInstance)
+                .containsOnly(new JobAnswer.Pending(5));
+    }
 }
