Tell no count of waiting jobs that seems newer than the store's clock

Cause: a count is told if its age is at most 2 s, and a negative age passed as young. An answer of the store without its time counts as time 0, so that a count of any age passed; so it would after a restart of the store's clock, for as long as that takes to catch up.

Evidence, on the code before: aCountOfUnknownAgeIsNotTold: Pending(0) is told with 5 jobs waiting for 2 s; aCountThatIsNewerThanTheStoresClockIsNotTold: true where false is expected.

Ruled out: that a sound count has a negative age. The store's answers are in one order, and a holder's clock is at least the time of the last answer of its feed.

Change: an age below 0 is an unknown age.

PendingCountTest: 10 of 10 pass.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingCounts.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingCounts.java
@@ -40,11 +40,15 @@
         return nowStoreMillis - asOfStoreMillis;
     }
 
-    /** Returns whether the counts may be told to callers. */
+    /**
+     * Returns whether the counts may be told to callers.
+     *
+     * <p>Counts from a later time than the present have no age: a time is missing, or the store's
+     * clock has started anew.
+     */
     boolean mayBeTold(long nowStoreMillis) {
-        return asOfStoreMillis > 0
-                && nowStoreMillis > 0
-                && ageMillis(nowStoreMillis) <= MOST_AGE_MILLIS;
+        long age = ageMillis(nowStoreMillis);
+        return asOfStoreMillis > 0 && age >= 0 && age <= MOST_AGE_MILLIS;
     }
 
     /** Returns how many jobs of a queue have not started. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
@@ -10,7 +10,7 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.runtime.supervision.Scheduler;
 
-/** A store to which one process has lost some of its connections, or reads slowly. */
+/** A store to which one process has lost some of its connections, or reads not all or slowly. */
 final class HalfDeafStore implements RowStore {
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
@@ -20,6 +20,7 @@
     private final Scheduler scheduler;
     private boolean commitsLost;
     private boolean feedsLost;
+    private boolean clockHidden;
     private String slowTable = "";
     private Duration slowTime = Duration.ZERO;
 
@@ -36,6 +37,10 @@
         feedsLost = value;
     }
 
+    void hideClock(boolean value) {
+        clockHidden = value;
+    }
+
     void slowDownReads(String table, Duration time) {
         slowTable = table;
         slowTime = time;
@@ -44,7 +49,7 @@
     @Override
     public CompletionStage<Page> scan(String table, String part, KeyRange range) {
         if (!table.equals(slowTable)) {
-            return store.scan(table, part, range);
+            return store.scan(table, part, range).thenApply(this::seen);
         }
         CompletableFuture<Page> future = new CompletableFuture<>();
         scheduler.schedule(
@@ -52,6 +57,10 @@
         return future;
     }
 
+    private Page seen(Page page) {
+        return clockHidden ? new Page(page.rows(), page.hasMore(), page.storeVersion(), 0) : page;
+    }
+
     @Override
     public CompletionStage<Outcome> commit(
             String part, List<Condition> conditions, List<Write> writes) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
@@ -148,4 +149,32 @@
                 .filteredOn(JobAnswer.Pending.class::isInstance)
                 .containsOnly(new JobAnswer.Pending(5));
     }
+
+    /** The store's answer does not say its time. */
+    @Test
+    void aCountOfUnknownAgeIsNotTold() {
+        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        TaskNode a = runningNode("a");
+        TaskNode b = node("b", view);
+        pass(1_000);
+        assertThat(pending(b)).isEqualTo(new JobAnswer.Pending(0));
+
+        view.hideClock(true);
+        store.setLatency(Duration.ofMillis(20));
+        a.drain();
+        b.drain();
+        submit(b, 5);
+        pass(ALLOWED_AGE_MILLIS);
+        assertThat(pending(b)).isInstanceOf(JobAnswer.Unavailable.class);
+    }
+
+    /** Its time counts from a restart of the store. */
+    @Test
+    void aCountThatIsNewerThanTheStoresClockIsNotTold() {
+        PendingCounts counts = PendingCounts.of(Map.of("quick", 0), 50_000);
+        assertThat(counts.mayBeTold(50_000)).isTrue();
+        assertThat(counts.mayBeTold(52_000)).isTrue();
+        assertThat(counts.mayBeTold(52_001)).isFalse();
+        assertThat(counts.mayBeTold(49_999)).isFalse();
+    }
 }
