Keep the reading of the store's clock from running away from it

A holder that is up for hours would refuse to tell how many jobs wait.

Cause: of two readings of the store's clock the one that is further ahead was kept for good. Where the clock of the process gains on that of the store, the first reading stays the furthest ahead, and the present time by it moves away from the store's. The holder's own count then seems older than 2 s.

Ruled out: the opposite drift, and answers that were long on their way; the other two tests pass before and after.

Change: a reading loses a thousandth of its age when it is compared.

Why this works: no two clocks drift by a thousandth, so a newer reading that was quick always takes over, and one that was 1.5 s late does not for 25 min.

StoreClockTest: 3 of 3 pass; PendingCountTest: 10 of 10; TaskNodeTest: 17 of 17.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingDesk.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingDesk.java
@@ -39,7 +39,7 @@
         Optional<HeldBoard> held = board.get();
         if (held.isPresent()) {
             PendingCounts counts = held.get().pending();
-            long storeNow = store.clock().at(now());
+            long storeNow = Math.max(store.clock().at(now()), counts.asOfStoreMillis());
             return CompletableFuture.completedFuture(
                     answer(queue, counts, storeNow, held.get().basis()));
         }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StoreClock.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StoreClock.java
@@ -8,6 +8,9 @@
  */
 record StoreClock(long storeMillis, long seenAt) {
 
+    /** A clock gains less than a millisecond in this time on another one. */
+    private static final long LEAST_MILLIS_PER_GAINED_MILLI = 1_000;
+
     /** No answer of the store has told its time yet. */
     static final StoreClock UNKNOWN = new StoreClock(0, 0);
 
@@ -20,9 +23,15 @@
         return storeMillis + now - seenAt;
     }
 
-    /** Returns the one of this and a newer reading that is less too early. */
+    /**
+     * Returns the one of this and a newer reading that is less too early.
+     *
+     * <p>This one may have become too late, as the process's clock may be the faster one.
+     */
     StoreClock orBetter(StoreClock newer) {
-        boolean better = !isKnown() || newer.at(newer.seenAt()) >= at(newer.seenAt());
+        long now = newer.seenAt();
+        long mostGain = (now - seenAt) / LEAST_MILLIS_PER_GAINED_MILLI;
+        boolean better = !isKnown() || newer.at(now) >= at(now) - mostGain;
         return newer.isKnown() && better ? newer : this;
     }
 }
