Let a new holder keep its lease while it reads

Cause: a new holder read 16 parts of the jobs, the progress, the workers and its predecessor's rows side by side, up to 500 rows each, over a link of 7 Mbit/s. (1) Its renewals waited behind these bytes, or for a new connection whose handshake did, longer than the lease of 1 s. (2) A call has 1 s for the whole answer (the HTTP client looks once a second, so 1 to 2 s). Reads that share a link end together, so they failed together, and the follower then read all parts again, also those that had come. Such a process can never know all jobs: the next one took the lease, and did the same.

Ruled out: processes whose feed of the lease lags take no lease that is renewed, since a takeover is written on the condition of the row's version.

The new holder now reads through a window that shrinks while reads wait for each other on the link, so that renewals wait about 0.15 s behind them; a page that failed is read again alone; the lease of a holder that reads lasts 2.5 s, and becomes 1 s again within four renewals; and a process that lost its lease before it knew the jobs waits 2.5 s longer than others for the next one.

--- a/chervillift-api/src/main/java/org/chervillift/api/platform/RowStore.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/platform/RowStore.java
@@ -18,8 +18,20 @@
     /** The partition of the tables that the operator and the workers share with us. */
     String COMMON_PART = "";
 
+    /** The most rows of one read. */
+    int MOST_ROWS = 500;
+
     /** Reads rows of one partition of a table, of one moment, ordered by key. */
-    CompletionStage<Page> scan(String table, String part, KeyRange range);
+    default CompletionStage<Page> scan(String table, String part, KeyRange range) {
+        return scan(table, part, range, MOST_ROWS);
+    }
+
+    /**
+     * Reads the first rows of one partition of a table, of one moment, ordered by key.
+     *
+     * @param most how many rows are wanted at most; fewer may come
+     */
+    CompletionStage<Page> scan(String table, String part, KeyRange range, int most);
 
     /** Writes rows of one partition, in any tables, if all conditions hold. */
     CompletionStage<Outcome> commit(String part, List<Condition> conditions, List<Write> writes);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -9,13 +9,17 @@
  * <p>No clocks are compared between processes: a lease is over when its row has not changed for as
  * long as the lease lasts, measured from when this process first saw it so. The lease is short
  * while the store answers quickly, as the fleet stands still until it is over, and longer while
- * renewals take long.
+ * renewals take long and while a new holder reads the jobs, since its renewals share the link with
+ * these reads. A process that could not read them in its term leaves the next terms to others.
  */
 public final class HolderElection {
 
     /** A lease lasts for as many renewals as this. */
     private static final int RENEWALS_IN_LEASE = 4;
 
+    /** What remains of a long lease at each renewal that is quick. */
+    private static final double KEPT_OF_LEASE = 0.75;
+
     private final String process;
     private final String vm;
     private final LeaseTimes times;
@@ -25,6 +29,8 @@
     private long version;
     private long seenSince;
     private long renewedAt = Long.MIN_VALUE;
+    private boolean reading;
+    private boolean standsBack;
 
     /**
      * How long a lease lasts.
@@ -68,7 +74,23 @@
         renewedAt = Math.max(renewedAt, sentAt);
         leastAskedMillis = Long.MAX_VALUE;
         long slow = RENEWALS_IN_LEASE * (now - sentAt);
-        leaseMillis = Math.clamp(slow, times.leastMillis(), times.mostMillis());
+        long kept = Math.round(leaseMillis * KEPT_OF_LEASE);
+        leaseMillis = Math.clamp(Math.max(slow, kept), times.leastMillis(), times.mostMillis());
+    }
+
+    /** Notes that this process reads the jobs as a new holder. */
+    public void readingBegins() {
+        reading = true;
+    }
+
+    /**
+     * Notes that this process reads the jobs no more.
+     *
+     * @param whole whether it knows all of them now
+     */
+    public void readingEnds(boolean whole) {
+        reading = false;
+        standsBack = !whole;
     }
 
     /** What a process does now. */
@@ -98,16 +120,21 @@
             return renew ? renewal(held) : new Step.Wait();
         }
         boolean formerSelf = held.vm().equals(vm);
-        boolean over = now - seenSince >= held.leaseMillis();
+        long patience = held.leaseMillis() + (standsBack ? times.mostMillis() : 0);
+        boolean over = now - seenSince >= patience;
         return held.released() || formerSelf || over ? take(held.term()) : new Step.Wait();
     }
 
     private Step renewal(HolderRow held) {
+        if (reading) {
+            leaseMillis = times.mostMillis();
+        }
         leastAskedMillis = Math.min(leastAskedMillis, leaseMillis);
         return new Step.Write(held.renewed(leaseMillis), version, false);
     }
 
     private Step take(long lastTerm) {
+        leaseMillis = times.mostMillis();
         HolderRow next = new HolderRow(process, vm, lastTerm + 1, 0, leaseMillis, false);
         return new Step.Write(next, version, true);
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
@@ -89,6 +89,35 @@
         assertThat(renewal(a, 5_200).leaseMillis()).isEqualTo(MOST);
     }
 
+    @Test
+    void theLeaseIsTheLongestWhileItsNewHolderReads() {
+        HolderElection a = election("a", "vm-a");
+        Step.Write taken = (Step.Write) a.decide(0);
+        assertThat(taken.row().leaseMillis()).isEqualTo(MOST);
+        a.wrote(taken.row(), 10, 0, 20);
+        a.readingBegins();
+        assertThat(renewal(a, RENEW).leaseMillis()).isEqualTo(MOST);
+        a.wrote(row("a", "vm-a", false).renewed(MOST), 11, RENEW, RENEW + 20);
+
+        a.readingEnds(true);
+        assertThat(renewal(a, 2 * RENEW).leaseMillis()).isBetween(LEASE, MOST - 1);
+        a.wrote(row("a", "vm-a", false), 12, 2 * RENEW, 2 * RENEW + 20);
+        assertThat(renewal(a, 3 * RENEW).leaseMillis()).isEqualTo(LEASE);
+    }
+
+    @Test
+    void whoCouldNotReadInItsTermLeavesTheNextTermToOthers() {
+        HolderElection b = election("b", "vm-b");
+        b.readingBegins();
+        b.readingEnds(false);
+        b.observe(Optional.of(row("a", "vm-a", false)), 10, 0);
+        assertThat(b.decide(LEASE + MOST - 1)).isInstanceOf(Step.Wait.class);
+        assertThat(b.decide(LEASE + MOST)).isInstanceOf(Step.Write.class);
+
+        b.readingEnds(true);
+        assertThat(b.decide(LEASE)).isInstanceOf(Step.Write.class);
+    }
+
     @Test
     void aShorterLeaseCountsFromWhenItIsAskedFor() {
         HolderElection a = election("a", "vm-a");
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
@@ -151,6 +151,9 @@
         if (stopped || writing || !follower.isLoaded() || now() < pausedUntil) {
             return;
         }
+        if (holder.flatMap(TaskHolder::board).isPresent()) {
+            election.readingEnds(true);
+        }
         if (election.decide(now()) instanceof Step.Write write) {
             writing = true;
             long sentAt = now();
@@ -222,6 +225,7 @@
                     Field.of("heldMillis", now() - takenAt),
                     Field.of("renewalAgeMillis", now() - election.renewedAt()),
                     Field.of("wasReady", holder.get().board().isPresent()));
+            election.readingEnds(holder.get().board().isPresent());
             holder.get().stop();
             holder = Optional.empty();
         }
@@ -231,6 +235,7 @@
                     TaskEvent.HOLDER_TAKEN,
                     Field.of("term", term.get()),
                     Field.of("writeMillis", now() - election.renewedAt()));
+            election.readingBegins();
             TaskHolder next = holders.apply(term.get());
             holder = Optional.of(next);
             next.start();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -117,15 +117,13 @@
                             if (loading.failed) {
                                 return;
                             }
-                            // A read that is older than what is known is of no use.
-                            boolean stale = fault == null && page.storeVersion() < position;
-                            if (fault != null || stale) {
+                            if (fault != null) {
+                                // What was read before the failure is not read again.
+                                failed(fault, () -> load(loading, part, range));
+                            } else if (page.storeVersion() < position) {
+                                // A read that is older than what is known is of no use.
                                 loading.failed = true;
-                                failed(
-                                        fault != null
-                                                ? fault
-                                                : new IllegalStateException("stale read"),
-                                        this::loadAll);
+                                failed(new IllegalStateException("stale read"), this::loadAll);
                             } else {
                                 takePage(loading, part, page);
                             }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -91,10 +91,11 @@
     }
 
     private TaskHolder holder(long term) {
+        RowStore paced = new PacedStore(store, scheduler);
         HolderContext context =
                 new HolderContext(
-                        store,
-                        new OwnRows(store, duty::termVersion),
+                        paced,
+                        new OwnRows(paced, duty::termVersion),
                         ports.rows(),
                         ports.workers(),
                         ports.vms(),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WatchedStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WatchedStore.java
@@ -36,8 +36,8 @@
     }
 
     @Override
-    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
-        return watch(store.scan(table, part, range));
+    public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
+        return watch(store.scan(table, part, range, most));
     }
 
     @Override
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
@@ -25,9 +25,8 @@
     /** How long a call takes unless it is set otherwise. */
     public static final Duration LATENCY = Duration.ofMillis(4);
 
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
-    private static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
-    private static final int MOST_ROWS = 500;
+    static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
+    static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
 
     private final Scheduler scheduler;
     private final Later later;
@@ -64,11 +63,11 @@
     }
 
     @Override
-    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
-        return later.complete(callTime(), () -> page(table, part, range));
+    public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
+        return later.complete(callTime(), () -> page(table, part, range, most));
     }
 
-    private Page page(String table, String part, KeyRange range) {
+    private Page page(String table, String part, KeyRange range, int most) {
         checkUp();
         List<Row> rows =
                 parts.getOrDefault(part, Map.of()).values().stream()
@@ -76,8 +75,9 @@
                         .filter(r -> inRange(r.key().key(), range))
                         .sorted(Comparator.comparing(r -> r.key().key()))
                         .toList();
-        boolean hasMore = rows.size() > MOST_ROWS;
-        List<Row> first = hasMore ? rows.subList(0, MOST_ROWS) : rows;
+        int taken = Math.min(most, MOST_ROWS);
+        boolean hasMore = rows.size() > taken;
+        List<Row> first = hasMore ? rows.subList(0, taken) : rows;
         return new Page(first, hasMore, version, nowMillis());
     }
 
@@ -178,7 +178,7 @@
         }
     }
 
-    private static StoreException unanswered() {
+    static StoreException unanswered() {
         return new StoreException(StoreException.Effect.UNKNOWN, "no answer", null);
     }
 
