--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
@@ -4,10 +4,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.FleetRows;
 import org.chervillift.api.platform.FleetVms;
 import org.chervillift.api.platform.PlacementAdvice;
+import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.WorkerCalls;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.runtime.supervision.Scheduler;
@@ -15,7 +17,8 @@
 /**
  * What the holder's parts work with.
  *
- * @param store the store
+ * @param store the store, read no faster than the link bears
+ * @param storeClock what the store's answers told of its clock
  * @param own the rows that only the holder writes
  * @param rows the rows of the operator and the workers
  * @param workers opens the connections to a worker
@@ -30,7 +33,8 @@
  * @param metrics counts what is decided
  */
 record HolderContext(
-        WatchedStore store,
+        RowStore store,
+        Supplier<StoreClock> storeClock,
         OwnRows own,
         FleetRows rows,
         Function<WorkerEntry, WorkerCalls> workers,
@@ -45,6 +49,7 @@
         TaskMetrics metrics) {
     HolderContext {
         Checks.notNull("store", store);
+        Checks.notNull("storeClock", storeClock);
         Checks.notNull("own", own);
         Checks.notNull("rows", rows);
         Checks.notNull("workers", workers);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -112,7 +112,7 @@
 
     private HeldBoard heldBoard() {
         long asOf = jobs.asOfStoreMillis();
-        long age = context.store().clock().at(context.now()) - asOf;
+        long age = context.storeClock().get().at(context.now()) - asOf;
         return new HeldBoard(board, asOf, new Basis.Board(term(), age, context.leaseAgeMillis()));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WatchedStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WatchedStore.java
@@ -43,8 +43,8 @@
     }
 
     @Override
-    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
-        return watch(store.scan(table, part, range), Page::storeMillis);
+    public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
+        return watch(store.scan(table, part, range, most), Page::storeMillis);
     }
 
     @Override
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
@@ -47,13 +47,13 @@
     }
 
     @Override
-    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
+    public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
         if (!table.equals(slowTable)) {
-            return store.scan(table, part, range).thenApply(this::seen);
+            return store.scan(table, part, range, most).thenApply(this::seen);
         }
         CompletableFuture<Page> future = new CompletableFuture<>();
         scheduler.schedule(
-                slowTime, () -> store.scan(table, part, range).thenAccept(future::complete));
+                slowTime, () -> store.scan(table, part, range, most).thenAccept(future::complete));
         return future;
     }
 
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateStore.java
@@ -49,8 +49,8 @@
     }
 
     @Override
-    public CompletionStage<Page> scan(String table, String part, KeyRange range) {
-        return store.scan(table, part, range);
+    public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
+        return store.scan(table, part, range, most);
     }
 
     @Override
