--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TableFollowerTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TableFollowerTest.java
@@ -79,7 +79,9 @@
                     }
                 });
         pass(10);
-        TableFollower follower = new TableFollower(store, TABLE, PARTS, scheduler, new Copy());
+        TableFollower follower =
+                new TableFollower(
+                        store, TABLE, PARTS, TableFollower.USUAL_WAIT, scheduler, new Copy());
         follower.start();
         for (int i = 0; i < 300; i++) {
             String part = PARTS.get(random.nextInt(PARTS.size()));
