Refuse a key or a queue only while the configuration is followed

A process that gets no changes of the configuration told 401 for a key and 404 for a queue that had been added since.

Cause: a copy of unknown age was told as what is true now. Readiness asks whether the feed of the configuration is alive, but connections that are open stay, and refusals did not ask.

Evidence: noKeyOrQueueIsRefusedByAnOldConfiguration (feeds are lost, a key is added, 4 s pass) on the code before: KeyRefused[] where Unavailable is expected.

Ruled out: the store's silence, which is asked after the key; reads and commits work in the test.

Change: while the feed of the configuration is not healthy, 503 with Retry-After takes the place of 401 and 404. What the known configuration allows is served.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobDesk.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
@@ -42,6 +43,7 @@
     private final WatchedStore store;
     private final Scheduler scheduler;
     private final ManifestKeeper manifests;
+    private final BooleanSupplier isFollowing;
     private final JobIntake intake;
     private final Supplier<Optional<HeldBoard>> board;
     private final PendingDesk pending;
@@ -62,16 +64,23 @@
     /** What a request is about, once its queue and its key are known. */
     private record Context(QueueRoute route, Optional<Customer> customer, String jobId) {}
 
+    /**
+     * Creates a desk.
+     *
+     * @param isFollowing whether changes of the configuration reach this process
+     */
     JobDesk(
             WatchedStore store,
             Scheduler scheduler,
             ManifestKeeper manifests,
+            BooleanSupplier isFollowing,
             JobIntake intake,
             Supplier<Optional<HeldBoard>> board,
             TaskMetrics metrics) {
         this.store = Checks.notNull("store", store);
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.manifests = Checks.notNull("manifests", manifests);
+        this.isFollowing = Checks.notNull("isFollowing", isFollowing);
         this.intake = Checks.notNull("intake", intake);
         this.board = Checks.notNull("board", board);
         this.pending = new PendingDesk(store, scheduler, board);
@@ -133,11 +142,11 @@
         }
         Optional<QueueRoute> route = manifest.get().routeOf(request.host(), request.path());
         if (route.isEmpty()) {
-            return done(new JobAnswer.NoSuchQueue());
+            return done(asConfigured(new JobAnswer.NoSuchQueue()));
         }
         Optional<Customer> customer = request.key().flatMap(manifest.get()::customerOf);
         if (!route.get().openToAll() && customer.isEmpty()) {
-            return done(new JobAnswer.KeyRefused());
+            return done(asConfigured(new JobAnswer.KeyRefused()));
         }
         if (store.isSilent()) {
             return done(unavailable("The store does not answer; nothing was done."));
@@ -162,6 +171,13 @@
         };
     }
 
+    /** Refuses by the configuration only while a newer one would be known. */
+    private JobAnswer asConfigured(JobAnswer refusal) {
+        return isFollowing.getAsBoolean()
+                ? refusal
+                : unavailable("The configuration may be out of date.");
+    }
+
     private static CompletionStage<Told> done(JobAnswer answer) {
         return CompletableFuture.completedFuture(Told.of(answer));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -86,6 +86,7 @@
                         store,
                         scheduler,
                         manifests,
+                        operator::isHealthy,
                         new JobIntake(store, scheduler),
                         this::board,
                         metrics);
