Leave a free lease to processes on faster links for a while

Cause: whoever saw the lease run out first took it, and 38 of the 44 VMs have slow links.

Change: a process leaves a free or released lease to others for the time that its link takes for 8 megabits, at most 1 s; the link's rate is a setting (vm.link-mbps, from the platform's own settings). On the links of 1,000 Mbit/s of the two smaller sites that is 8 ms. If no process on a fast link is left, the next holder comes up to 1 s later.

HolderChangeTest.aProcessOnAFastLinkTakesTheLeaseBeforeThoseOnSlowOnes fails with a wait of 0 (a process on a slow link takes the lease). The bound of aSuccessorOnASlowLinkKeepsItsLeaseUntilItHasReadAllJobs now follows from the bytes, the link and the longest lease instead of a figure: half as long again as the bytes take, and a lease (11.6 s, 12 s before).

HolderChangeTest 5 of 5, HolderElectionTest 11 of 11, TaskNodeTest 17 of 17, SettingsSchemaTest, DeployFilesTest and CataloguesTest pass.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -10,7 +10,8 @@
  * long as the lease lasts, measured from when this process first saw it so. The lease is short
  * while the store answers quickly, as the fleet stands still until it is over, and longer while
  * renewals take long and while a new holder reads the jobs, since its renewals share the link with
- * these reads. A process that could not read them in its term leaves the next terms to others.
+ * these reads. A process that could not read them in its term leaves the next terms to others, and
+ * one on a slow link leaves a free lease to those on faster ones for a while.
  */
 public final class HolderElection {
 
@@ -23,6 +24,7 @@
     private final String process;
     private final String vm;
     private final LeaseTimes times;
+    private final long yieldMillis;
     private long leaseMillis;
     private long leastAskedMillis = Long.MAX_VALUE;
     private Optional<HolderRow> row = Optional.empty();
@@ -51,11 +53,13 @@
      *
      * @param process the process, with a name that no other run of a process has
      * @param vm the entry VM on which it runs
+     * @param yieldMillis how long it leaves a free lease to processes that can read the jobs sooner
      */
-    public HolderElection(String process, String vm, LeaseTimes times) {
+    public HolderElection(String process, String vm, LeaseTimes times, long yieldMillis) {
         this.process = Checks.notBlank("process", process);
         this.vm = Checks.notBlank("vm", vm);
         this.times = Checks.notNull("times", times);
+        this.yieldMillis = Checks.inRange("yieldMillis", yieldMillis, 0, times.mostMillis());
         this.leaseMillis = times.leastMillis();
     }
 
@@ -120,9 +124,16 @@
             return renew ? renewal(held) : new Step.Wait();
         }
         boolean formerSelf = held.vm().equals(vm);
-        long patience = held.leaseMillis() + (standsBack ? times.mostMillis() : 0);
-        boolean over = now - seenSince >= patience;
-        return held.released() || formerSelf || over ? take(held.term()) : new Step.Wait();
+        boolean free = now - seenSince >= patienceMillis(held);
+        return formerSelf || free ? take(held.term()) : new Step.Wait();
+    }
+
+    /** Returns how long the row of another process must stand still before its lease is taken. */
+    private long patienceMillis(HolderRow held) {
+        if (held.released()) {
+            return yieldMillis;
+        }
+        return held.leaseMillis() + yieldMillis + (standsBack ? times.mostMillis() : 0);
     }
 
     private Step renewal(HolderRow held) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
@@ -14,7 +14,7 @@
     private static final long RENEW = 700;
 
     private static HolderElection election(String process, String vm) {
-        return new HolderElection(process, vm, new LeaseTimes(LEASE, MOST, RENEW));
+        return new HolderElection(process, vm, new LeaseTimes(LEASE, MOST, RENEW), 0);
     }
 
     private static HolderRow row(String process, String vm, boolean released) {
@@ -137,4 +137,17 @@
         assertThat(b.decide(MOST - 1)).isInstanceOf(Step.Wait.class);
         assertThat(b.decide(MOST)).isInstanceOf(Step.Write.class);
     }
+
+    @Test
+    void aProcessOnASlowLinkLeavesAFreeLeaseToOthersForAWhile() {
+        LeaseTimes times = new LeaseTimes(LEASE, MOST, RENEW);
+        HolderElection slow = new HolderElection("s", "vm-s", times, 800);
+        slow.observe(Optional.of(row("a", "vm-a", false)), 10, 0);
+        assertThat(slow.decide(LEASE + 799)).isInstanceOf(Step.Wait.class);
+        assertThat(slow.decide(LEASE + 800)).isInstanceOf(Step.Write.class);
+
+        slow.observe(Optional.of(row("a", "vm-a", true)), 11, 5_000);
+        assertThat(slow.decide(5_799)).isInstanceOf(Step.Wait.class);
+        assertThat(slow.decide(5_800)).isInstanceOf(Step.Write.class);
+    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -15,6 +15,7 @@
  *
  * @param vm the name of this entry VM
  * @param dataCentre the data centre that it stands in
+ * @param linkMbps what the link of this VM carries, in megabits a second
  * @param callers where callers' requests are taken
  * @param readiness where the balancer asks whether this process is ready
  * @param metrics where metrics are read
@@ -32,6 +33,7 @@
 public record FleetSettings(
         String vm,
         String dataCentre,
+        double linkMbps,
         HostPort callers,
         HostPort readiness,
         HostPort metrics,
@@ -58,6 +60,14 @@
     /** Leases stay below the longest one, so that clocks need not agree. */
     private static final double LEASE_SHARE = 0.9;
 
+    /** What a new holder reads at least before it can begin when there are many jobs. */
+    private static final double READ_MEGABITS = 8;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** No longer than a lease, so that a fleet of slow links waits little. */
+    private static final long LONGEST_YIELD_MILLIS = 1_000;
+
     private static final SettingType TEXT = new SettingType.Text();
     private static final SettingType ADDRESS = new SettingType.Address();
     private static final SettingType SECONDS =
@@ -75,6 +85,12 @@
                                     "data-centre",
                                     TEXT,
                                     "The data centre that this VM stands in."),
+                            Setting.optional(
+                                    "vm",
+                                    "link-mbps",
+                                    new SettingType.Decimal(1, 1_000_000),
+                                    "1000",
+                                    "What the link of this VM carries, in megabits a second."),
                             Setting.required(
                                     "callers",
                                     "address",
@@ -136,6 +152,12 @@
                                     SECONDS,
                                     "How long after a request to stop the process is killed.")));
 
+    /** Returns how long a lease is left to processes that can read the jobs sooner, in millis. */
+    long leaseYieldMillis() {
+        double millis = READ_MEGABITS * MILLIS_PER_SECOND / linkMbps;
+        return Math.min(LONGEST_YIELD_MILLIS, Math.round(millis));
+    }
+
     /** Returns how long the lease of a worker lasts, in milliseconds. */
     long workerLeaseMillis() {
         return Math.min(USUAL_LEASE_MILLIS, Math.round(maxLease.toMillis() * LEASE_SHARE));
@@ -156,6 +178,7 @@
         return new FleetSettings(
                 s.text("vm.id"),
                 s.text("vm.data-centre"),
+                s.decimal("vm.link-mbps").doubleValue(),
                 s.address("callers.address"),
                 s.address("readiness.address"),
                 s.address("metrics.address"),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -79,7 +79,8 @@
                         TableFollower.USUAL_WAIT,
                         scheduler,
                         manifests);
-        HolderElection election = new HolderElection(process, settings.vm(), LEASE);
+        HolderElection election =
+                new HolderElection(process, settings.vm(), LEASE, settings.leaseYieldMillis());
         this.duty = new HolderDuty(store, scheduler, election, this::holder);
         this.desk =
                 new JobDesk(
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
@@ -44,6 +44,8 @@
     private static final HostPort ANY = new HostPort("127.0.0.1", 0);
     private static final int PROCESSES = 44;
     private static final int JOBS = 2_000;
+    private static final int PAYLOAD_BYTES = 2_000;
+    private static final long LONGEST_LEASE = 2_500;
     private static final long FAST_BYTES_PER_SECOND = 17_500_000;
     private static final long SLOW_BYTES_PER_SECOND = 875_000;
     private static final QueuePolicy POLICY = new QueuePolicy("quick", POOL, 0, 2, 1.6, 600, false);
@@ -96,6 +98,7 @@
                 new FleetSettings(
                         vm,
                         "dc",
+                        bytesPerSecond * 8 / 1e6,
                         ANY,
                         ANY,
                         ANY,
@@ -194,7 +197,7 @@
 
     /** Starts a holder on a fast link and all others, and stores jobs that it knows. */
     private void startFleet(long bytesPerSecond) {
-        storeFinishedJobs(2_000);
+        storeFinishedJobs(PAYLOAD_BYTES);
         node(FAST_BYTES_PER_SECOND);
         pass(1_500);
         while (nodes.size() < PROCESSES) {
@@ -223,7 +226,33 @@
 
         assertThat(lease().term()).isEqualTo(term + 1);
         assertThat(fleet.starts()).hasSize(3);
-        assertThat(millis).isLessThan(12_000);
+        assertThat(millis).isLessThan(readMillis(SLOW_BYTES_PER_SECOND) * 3 / 2 + LONGEST_LEASE);
+    }
+
+    /** Returns the time that the stored jobs alone take on a link. */
+    private static long readMillis(long bytesPerSecond) {
+        long base64Bytes = JOBS * PAYLOAD_BYTES * 4L / 3;
+        return base64Bytes * 1_000 / bytesPerSecond;
+    }
+
+    @Test
+    void aProcessOnAFastLinkTakesTheLeaseBeforeThoseOnSlowOnes() {
+        storeFinishedJobs(PAYLOAD_BYTES);
+        node(FAST_BYTES_PER_SECOND);
+        pass(1_500);
+        for (int i = 0; i < PROCESSES - 2; i++) {
+            node(SLOW_BYTES_PER_SECOND);
+            pass(7);
+        }
+        node(FAST_BYTES_PER_SECOND);
+        pass(2_000);
+        long term = lease().term();
+
+        long millis = millisToFirstStart();
+
+        assertThat(lease().term()).isEqualTo(term + 1);
+        assertThat(lease().vm()).isEqualTo("vm-" + (PROCESSES - 1));
+        assertThat(millis).isLessThan(LONGEST_LEASE);
     }
 
     @Test
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -35,6 +35,7 @@
     static final String KEY = "key";
     static final Duration MAINTENANCE = Duration.ofSeconds(2);
     private static final Duration RUN_TIME = Duration.ofMillis(500);
+    private static final double LINK_MBPS = 1_000;
     private static final HostPort ANY = new HostPort("127.0.0.1", 0);
 
     final ManualScheduler scheduler = new ManualScheduler();
@@ -99,6 +100,7 @@
                 new FleetSettings(
                         vm,
                         "dc",
+                        LINK_MBPS,
                         ANY,
                         ANY,
                         ANY,
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeFixture.java
@@ -38,6 +38,7 @@
     static final long TURN_MARGIN_MILLIS = 1_000;
     static final String JOB = "5c0e7a21d94b36f8";
     static final Duration RUN_TIME = Duration.ofMillis(500);
+    static final double LINK_MBPS = 1_000;
     static final HostPort ANY = new HostPort("127.0.0.1", 0);
 
     final ManualScheduler scheduler = new ManualScheduler();
@@ -104,6 +105,7 @@
                 new FleetSettings(
                         vm,
                         "dc",
+                        LINK_MBPS,
                         ANY,
                         ANY,
                         ANY,
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/SettingType.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/SettingType.java
@@ -15,6 +15,7 @@
         return switch (this) {
             case Text t -> "any text that is not blank";
             case WholeNumber n -> "a whole number from " + n.least() + " to " + n.most();
+            case Decimal d -> "a number from " + d.least() + " to " + d.most();
             case Millis m ->
                     "a whole number of milliseconds from "
                             + m.least().toMillis()
@@ -40,6 +41,7 @@
         return switch (this) {
             case Text t -> requireText(value);
             case WholeNumber n -> parseNumber(value, n.least(), n.most());
+            case Decimal d -> parseDecimal(value, d);
             case Millis m ->
                     Duration.ofMillis(
                             parseNumber(value, m.least().toMillis(), m.most().toMillis()));
@@ -71,6 +73,19 @@
         }
     }
 
+    private static BigDecimal parseDecimal(String value, Decimal type) {
+        try {
+            BigDecimal number = new BigDecimal(value);
+            boolean inRange =
+                    number.compareTo(BigDecimal.valueOf(type.least())) >= 0
+                            && number.compareTo(BigDecimal.valueOf(type.most())) <= 0;
+            Checks.that(inRange, "The value must be " + type.allowed());
+            return number;
+        } catch (IllegalArgumentException e) {
+            throw new ChervilliftException(ErrorCode.BAD_SETTING, e.getMessage(), e);
+        }
+    }
+
     private static Duration parseSeconds(String value, Seconds type) {
         try {
             long millis = new BigDecimal(value).movePointRight(3).longValueExact();
@@ -104,6 +119,18 @@
         }
     }
 
+    /**
+     * A number in a closed range, which may have decimals.
+     *
+     * @param least the least number allowed
+     * @param most the greatest number allowed
+     */
+    record Decimal(long least, long most) implements SettingType {
+        public Decimal {
+            Checks.that(least <= most, "least must not exceed most");
+        }
+    }
+
     /**
      * A duration, written in milliseconds.
      *
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/Settings.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/Settings.java
@@ -1,5 +1,6 @@
 package org.chervillift.runtime.settings;
 
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,11 @@
         return Math.toIntExact((Long) value(path));
     }
 
+    /** Returns a number that may have decimals. */
+    public BigDecimal decimal(String path) {
+        return (BigDecimal) value(path);
+    }
+
     /** Returns a duration. */
     public Duration duration(String path) {
         return (Duration) value(path);
