Renew a lease that was taken by a write without an answer

Cause: a process learns from its feed that its own takeover took effect although the answer to the write was lost or is late. It then holds the lease and has no time of a renewal. The age since that time was computed from the least number, overflowed and was negative, so the lease was never renewed, and went to another process after 1 s.

Evidence: the new test fails before with

ClassCastException: class HolderElection$Step$Wait cannot be cast to class HolderElection$Step$Write

in place of a renewal. Such a holder still sends no orders until its first renewal is answered, as before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -17,6 +17,9 @@
     /** A lease lasts for as many renewals as this. */
     private static final int RENEWALS_IN_LEASE = 4;
 
+    /** Long ago, and far enough from the least number that ages can be told. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     /** What remains of a long lease at each renewal that is quick. */
     private static final double KEPT_OF_LEASE = 0.75;
 
@@ -28,7 +31,7 @@
     private Optional<HolderRow> row = Optional.empty();
     private long version;
     private long seenSince;
-    private long renewedAt = Long.MIN_VALUE;
+    private long renewedAt = NEVER;
     private boolean reading;
     private boolean standsBack;
 
@@ -164,7 +167,7 @@
         return now + marginMillis < renewedAt + sure;
     }
 
-    /** Returns when the lease was last renewed, in milliseconds. */
+    /** Returns when the lease was last renewed, in milliseconds; long ago if it never was. */
     public long renewedAt() {
         return renewedAt;
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
@@ -66,6 +66,17 @@
         assertThat(a.isSafe(0, 1_301)).isFalse();
     }
 
+    @Test
+    void aLeaseIsRenewedAlthoughTheAnswerToTheTakeoverWasLost() {
+        HolderElection a = election("a", "vm-a");
+        Step.Write taken = (Step.Write) a.decide(1_000_000);
+        a.observe(Optional.of(taken.row()), 10, 1_000_020);
+        assertThat(a.heldTerm()).contains(1L);
+        assertThat(a.isSafe(0, 1_000_020)).isFalse();
+
+        assertThat(renewal(a, 1_000_020 + RENEW).renewal()).isEqualTo(1);
+    }
+
     @Test
     void anOlderReadChangesNothing() {
         HolderElection a = election("a", "vm-a");
