Tell nothing from a former holder's board once its lease may be over

Cause: whether a process is the holder was asked of the last lease row that it had seen. Its own clock was asked only for orders. Where commits and feeds get no answer, but reads do, that row can be seconds old.

Ruled out: orders; they already stop 0.3 s before the lease could be over. The holder's work is not ended by the clock: when the store was away for everybody, the holder renews its lease and goes on with what it knows.

The board is now used for answers only while the lease is certain by the process's own clock; else the stored rows are read. Events 7035 and 7036 say when that begins and ends.

Evidence: the new test fails before with

Expecting actual: Pending[jobs=0] not to be equal to: Pending[jobs=0]

3 s after the cut, while the successor had 60 jobs to start.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
@@ -37,6 +37,7 @@
     private long termVersion;
     private long takenAt;
     private long pausedUntil = Long.MIN_VALUE;
+    private boolean unsure;
     private boolean writing;
     private boolean stopped;
 
@@ -94,6 +95,11 @@
         return holder;
     }
 
+    /** Returns the holder's work, unless another process may hold the lease by our own clock. */
+    Optional<TaskHolder> sureHolder() {
+        return holder.filter(h -> election.isSafe(0, now()));
+    }
+
     HolderElection election() {
         return election;
     }
@@ -143,10 +149,23 @@
         if (stopped) {
             return;
         }
+        noteSure();
         act();
         scheduler.schedule(TICK, this::tick);
     }
 
+    /** Logs when the lease may be over, and when it has been renewed in spite of that. */
+    private void noteSure() {
+        boolean before = unsure;
+        unsure = holder.isPresent() && sureHolder().isEmpty();
+        if (unsure != before && holder.isPresent()) {
+            EventLog.log(
+                    unsure ? TaskEvent.HOLDER_UNSURE : TaskEvent.HOLDER_SURE,
+                    Field.of("term", holder.get().term()),
+                    Field.of("renewalAgeMillis", now() - election.renewedAt()));
+        }
+    }
+
     private void act() {
         if (stopped || writing || !follower.isLoaded() || now() < pausedUntil) {
             return;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -42,6 +42,10 @@
     PROGRESS_NOT_STORED(7033, Level.WARN, "The progress of jobs could not be stored yet."),
     /** The jobs of the store are known. */
     HOLDER_READY(7034, Level.INFO, "The jobs and workers of the fleet are known."),
+    /** Another process may hold the lease. */
+    HOLDER_UNSURE(7035, Level.WARN, "The lease may be over; nothing is told from the board."),
+    /** The lease was renewed late. */
+    HOLDER_SURE(7036, Level.INFO, "The lease was renewed before another process took it."),
     /** A worker does not answer. */
     WORKER_LOST(7040, Level.WARN, "A worker does not answer."),
     /** A worker answers. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -115,7 +115,7 @@
     }
 
     private Optional<HeldBoard> board() {
-        return duty.holder().flatMap(TaskHolder::board);
+        return duty.sureHolder().flatMap(TaskHolder::board);
     }
 
     /** Starts to follow the store; the lease is sought once a manifest is known. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
@@ -13,6 +13,7 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.Customer;
+import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
@@ -254,4 +255,26 @@
         assertThat(lease().term()).isEqualTo(term + 1);
         assertThat(millis).isLessThan(2_500);
     }
+
+    @Test
+    void aFormerHolderTellsNothingFromItsBoardOnceItsLeaseMayBeOver() {
+        TaskNode former = node(FAST_BYTES_PER_SECOND);
+        pass(500);
+        TaskNode successor = node(FAST_BYTES_PER_SECOND);
+        pass(2_000);
+        links.get(0).setReadsOnly(true);
+        for (int i = 0; i < 60; i++) {
+            submit(successor, String.format("%016x", i + 1));
+        }
+        pass(3_000);
+
+        JobRequest count =
+                new JobRequest(
+                        JobRequest.Action.READ, "h.example", "/q/", Optional.of("key"), i -> null);
+        CompletableFuture<JobAnswer> answer = former.answer(count).toCompletableFuture();
+        pass(50);
+        assertThat(answer).isCompleted();
+        assertThat(answer.join()).isNotEqualTo(new JobAnswer.Pending(0));
+        assertThat(lease().term()).isEqualTo(2);
+    }
 }
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryLink.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryLink.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
@@ -31,6 +32,7 @@
     private final long bytesPerSecond;
     private double freeAtMillis;
     private boolean cut;
+    private boolean readsOnly;
 
     /**
      * Creates a link.
@@ -49,35 +51,49 @@
         this.cut = newCut;
     }
 
+    /** Lets answers to reads through and none to commits and feeds, or all again. */
+    public void setReadsOnly(boolean newReadsOnly) {
+        this.readsOnly = newReadsOnly;
+    }
+
     @Override
     public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
-        return cut
-                ? nothing(MemoryStore.CALL_TIMEOUT)
-                : carry(
-                        store.scan(table, part, range, most),
-                        page -> rowBytes(page.rows()),
-                        MemoryStore.CALL_TIMEOUT);
+        return carry(
+                () -> store.scan(table, part, range, most),
+                page -> rowBytes(page.rows()),
+                Kind.READ);
     }
 
     @Override
     public CompletionStage<Outcome> commit(
             String part, List<Condition> conditions, List<Write> writes) {
-        return cut
-                ? nothing(MemoryStore.CALL_TIMEOUT)
-                : carry(
-                        store.commit(part, conditions, writes),
-                        MemoryLink::outcomeBytes,
-                        MemoryStore.CALL_TIMEOUT);
+        return carry(
+                () -> store.commit(part, conditions, writes),
+                MemoryLink::outcomeBytes,
+                Kind.COMMIT);
     }
 
     @Override
     public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
-        return cut
-                ? nothing(MemoryStore.POLL_TIMEOUT)
-                : carry(
-                        store.follow(table, afterVersion, wait),
-                        MemoryLink::changeBytes,
-                        MemoryStore.POLL_TIMEOUT);
+        return carry(
+                () -> store.follow(table, afterVersion, wait), MemoryLink::changeBytes, Kind.FEED);
+    }
+
+    /** What a call is, and how long its client waits. */
+    private enum Kind {
+        READ(MemoryStore.CALL_TIMEOUT),
+        COMMIT(MemoryStore.CALL_TIMEOUT),
+        FEED(MemoryStore.POLL_TIMEOUT);
+
+        private final Duration timeout;
+
+        Kind(Duration timeout) {
+            this.timeout = timeout;
+        }
+    }
+
+    private boolean passes(Kind kind) {
+        return !cut && (kind == Kind.READ || !readsOnly);
     }
 
     private static long outcomeBytes(Outcome outcome) {
@@ -99,47 +115,44 @@
         return ROW_BYTES + value.length() * 4L / 3;
     }
 
-    private <T> CompletableFuture<T> nothing(Duration timeout) {
-        CompletableFuture<T> future = new CompletableFuture<>();
-        giveUp(future, timeout);
-        return future;
-    }
-
-    private void giveUp(CompletableFuture<?> future, Duration timeout) {
-        scheduler.schedule(timeout, () -> future.completeExceptionally(MemoryStore.unanswered()));
-    }
-
     private <T> CompletionStage<T> carry(
-            CompletionStage<T> answer, ToLongFunction<T> size, Duration timeout) {
+            Supplier<CompletionStage<T>> call, ToLongFunction<T> size, Kind kind) {
         CompletableFuture<T> future = new CompletableFuture<>();
-        giveUp(future, timeout);
-        answer.whenComplete(
-                (value, fault) -> {
-                    if (fault == null) {
-                        send(future, value, ANSWER_BYTES + size.applyAsLong(value));
-                    } else {
-                        future.completeExceptionally(fault);
-                    }
-                });
+        scheduler.schedule(
+                kind.timeout, () -> future.completeExceptionally(MemoryStore.unanswered()));
+        if (passes(kind)) {
+            call.get()
+                    .whenComplete(
+                            (value, fault) -> {
+                                if (fault == null) {
+                                    long bytes = ANSWER_BYTES + size.applyAsLong(value);
+                                    send(new Answer<>(future, value, kind), bytes);
+                                } else {
+                                    future.completeExceptionally(fault);
+                                }
+                            });
+        }
         return future;
     }
 
-    private <T> void send(CompletableFuture<T> future, T value, long bytes) {
-        if (future.isDone() || cut) {
+    /** An answer on its way. */
+    private record Answer<T>(CompletableFuture<T> future, T value, Kind kind) {}
+
+    private <T> void send(Answer<T> answer, long bytes) {
+        if (answer.future().isDone() || !passes(answer.kind())) {
             return;
         }
         long now = scheduler.now().toEpochMilli();
         long sent = Math.min(bytes, WINDOW_BYTES);
         freeAtMillis = Math.max(freeAtMillis, now) + sent * MILLIS_PER_SECOND / bytesPerSecond;
-        Duration delay = Duration.ofMillis((long) Math.ceil(freeAtMillis) - now);
         long rest = bytes - sent;
         scheduler.schedule(
-                delay,
+                Duration.ofMillis((long) Math.ceil(freeAtMillis) - now),
                 () -> {
                     if (rest > 0) {
-                        send(future, value, rest);
-                    } else if (!cut) {
-                        future.complete(value);
+                        send(answer, rest);
+                    } else if (passes(answer.kind())) {
+                        answer.future().complete(answer.value());
                     }
                 });
     }
