Give commits to the store connections of their own

Cause: reads of tables and commits shared one HTTP client. And when one read gets no answer in time, the client gives up all idle connections, so that the next renewal opens a new one again.

Ruled out: a shorter timeout of reads; it makes slow reads fail.

Commits have a client of their own now.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
@@ -121,6 +121,7 @@
     private static TaskNode.Ports ports(Eventloop reactor, FleetSettings settings) {
         StoreClient store =
                 new StoreClient(
+                        client(reactor, settings.store(), CALL_TIMEOUT),
                         client(reactor, settings.store(), CALL_TIMEOUT),
                         client(reactor, settings.store(), POLL_TIMEOUT));
         return new TaskNode.Ports(
--- a/chervillift-standin/src/test/java/org/chervillift/standin/tasks/FleetServerTest.java
+++ b/chervillift-standin/src/test/java/org/chervillift/standin/tasks/FleetServerTest.java
@@ -65,7 +65,8 @@
     private final ReactorThread thread = new ReactorThread("fleet-server-test");
     private final String address = freeAddress();
     private final String workerAddress = freeAddress();
-    private final StoreClient store = new StoreClient(client(address), client(address));
+    private final StoreClient store =
+            new StoreClient(client(address), client(address), client(address));
     private final VmClient vms = new VmClient(client(address));
     private final WorkerClient worker =
             new WorkerClient("worker-1", client(workerAddress), client(workerAddress));
