--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -120,9 +120,7 @@
 
     /** Returns the board while nobody else can be the holder. */
     private Optional<HeldBoard> board() {
-        return duty.election().isSafe(0, scheduler.now().toEpochMilli())
-                ? duty.holder().flatMap(TaskHolder::board)
-                : Optional.empty();
+        return duty.sureHolder().flatMap(TaskHolder::board);
     }
 
     /** Starts to follow the store; the lease is sought once a manifest is known. */
