Reproduce a lease that counts from the second try of a renewal

Cause: when the answer to a renewal is lost, the process tries again, and the conflict shows that the first try took effect. The lease then counts from when the second try was sent (HolderDuty.written), but for others from the first. For up to a timeout and a pause (1.3 s) two processes hold the lease as far as they know, and the former one tells from its board.

Ruled out: that the former holder read the row of the progress; the successor tells CANCELLED only once it is stored.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
@@ -21,6 +21,8 @@
     private boolean commitsLost;
     private boolean feedsLost;
     private boolean clockHidden;
+    private boolean repliesLost;
+    private int conflicts;
     private String slowTable = "";
     private Duration slowTime = Duration.ZERO;
 
@@ -37,6 +39,16 @@
         feedsLost = value;
     }
 
+    /** Commits take effect, and their connections break before the answer. */
+    void loseReplies(boolean value) {
+        repliesLost = value;
+    }
+
+    /** Returns how many commits did not take effect, as a condition did not hold. */
+    int conflicts() {
+        return conflicts;
+    }
+
     void hideClock(boolean value) {
         clockHidden = value;
     }
@@ -64,7 +76,15 @@
     @Override
     public CompletionStage<Outcome> commit(
             String part, List<Condition> conditions, List<Write> writes) {
-        return commitsLost ? unanswered(CALL_TIMEOUT) : store.commit(part, conditions, writes);
+        if (commitsLost) {
+            return unanswered(CALL_TIMEOUT);
+        }
+        CompletionStage<Outcome> done = store.commit(part, conditions, writes);
+        return repliesLost ? done.thenCompose(o -> unanswered(Duration.ZERO)) : counted(done);
+    }
+
+    private CompletionStage<Outcome> counted(CompletionStage<Outcome> done) {
+        return done.whenComplete((o, fault) -> conflicts += o instanceof Outcome.Conflict ? 1 : 0);
     }
 
     @Override
