Show no queue as waiting in the metrics that a holder no longer counts

What operators saw: a queue in which no job waits any more kept its last count in chervillift_queue_pending_jobs, and a former holder kept all of its queues and pools.

Cause: only queues with waiting jobs are counted, and only these were set; what was set before stayed, also after the lease was lost.

Ruled out: the count itself; callers are told from it with its age.

Change: each count replaces the one before, and a holder that stops shows none.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -134,6 +134,7 @@
         jobs.stop();
         workers.stop();
         links.values().forEach(WorkerLink::stop);
+        context.metrics().holderStopped();
     }
 
     private void manifestChanged() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -79,13 +79,21 @@
         term.set(newTerm);
     }
 
+    /** Shows nothing any more of what only a holder knows. */
+    void holderStopped() {
+        pending.clear();
+        cores.clear();
+    }
+
     void load(String pool, PoolLoad load) {
         cores.labelValues(pool, "running").set(load.runningMilliCores() / MILLIS_PER_SECOND);
         cores.labelValues(pool, "waiting").set(load.waitingMilliCores() / MILLIS_PER_SECOND);
         cores.labelValues(pool, "capacity").set(load.capacityMilliCores() / MILLIS_PER_SECOND);
     }
 
+    /** Shows the queues in which jobs wait now, and no others. */
     void pending(Map<String, Integer> queues) {
+        pending.clear();
         queues.forEach((queue, jobs) -> pending.labelValues(queue).set(jobs));
     }
 
