Count a lease from the first try of the write that took effect

Cause: the answer to a renewal is lost, the second try finds by its conflict that the first one took effect, and the lease counted from the second. For the other processes it counts from the first, so that two processes could hold it.

Change: the time of the first try of a row is kept, and counts when a conflict shows that row. Event 7030 tells the time since that try, too; before, it told a nonsense number when the feed showed the own row before the answer came.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderDuty.java
@@ -37,6 +37,8 @@
     private long termVersion;
     private long takenAt;
     private long pausedUntil = Long.MIN_VALUE;
+    private Optional<HolderRow> tried = Optional.empty();
+    private long firstTriedAt;
     private boolean unsure;
     private boolean writing;
     private boolean stopped;
@@ -195,6 +197,10 @@
     }
 
     private CompletionStage<Outcome> commit(Step.Write write) {
+        if (!tried.equals(Optional.of(write.row()))) {
+            tried = Optional.of(write.row());
+            firstTriedAt = now();
+        }
         String value = Json.encode(write.row());
         Condition leaseAsKnown = new Condition(JobRows.LEASE, write.version());
         Write lease = Write.put(JobRows.LEASE, value);
@@ -225,8 +231,8 @@
                     if (row.key().equals(JobRows.LEASE)) {
                         HolderRow current = Json.decode(row.value(), HolderRow.class);
                         if (current.equals(write.row())) {
-                            // An earlier try of this write took effect.
-                            election.wrote(current, row.version(), sentAt, now());
+                            // An earlier try of this write took effect, perhaps the first.
+                            election.wrote(current, row.version(), firstTriedAt, now());
                         } else {
                             election.observe(Optional.of(current), row.version(), now());
                         }
@@ -258,7 +264,7 @@
             EventLog.log(
                     TaskEvent.HOLDER_TAKEN,
                     Field.of("term", term.get()),
-                    Field.of("writeMillis", now() - election.renewedAt()));
+                    Field.of("writeMillis", now() - firstTriedAt));
             election.readingBegins();
             TaskHolder next = holders.apply(term.get());
             holder = Optional.of(next);
