Hold that a new holder keeps its lease while it catches up with new jobs

Forty jobs of 2,000 bytes come each second while the successor reads 2,000 over 7 Mbit/s; the term must be the same 25 s after the cut.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
@@ -277,4 +277,22 @@
         assertThat(answer.join()).isNotEqualTo(new JobAnswer.Pending(0));
         assertThat(lease().term()).isEqualTo(2);
     }
+
+    @Test
+    void aSuccessorKeepsItsLeaseWhileItCatchesUpWithJobsOfTheMeantime() {
+        startFleet(SLOW_BYTES_PER_SECOND);
+        long term = lease().term();
+        links.get(0).setCut(true);
+        for (int i = 0; i < 1_000; i++) {
+            String id = String.format("%016x", 0xa0000 + i);
+            AcceptedJob job = new AcceptedJob(spec(id, 2_000), POLICY, "distiller", 0);
+            store.commit(
+                    JobRows.partOf(id),
+                    List.of(),
+                    List.of(Write.put(JobRows.job(id), Json.encode(job))));
+            pass(25);
+        }
+        assertThat(lease().term()).isEqualTo(term + 1);
+        assertThat(fleet.starts()).isNotEmpty();
+    }
 }
