--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/Basis.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/Basis.java
@@ -28,6 +28,14 @@
         }
     }
 
+    /**
+     * The row in which the holder counts waiting jobs, read for this answer.
+     *
+     * @param version the row's version
+     * @param ageMillis how long ago the holder knew all jobs that it counted, in milliseconds
+     */
+    record CountRow(long version, long ageMillis) implements Basis {}
+
     /** What this process has seen of the job before, and what cannot change any more. */
     record Memory() implements Basis {}
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingDesk.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingDesk.java
@@ -57,11 +57,16 @@
 
     /** Answers from the holder's row; the age counts from when the read was sent. */
     private static Told fromRow(String queue, Page page, long readMillis) {
-        Optional<Row> row = page.rows().stream().findFirst();
-        Basis basis = Basis.StoredRow.of(JobRows.PENDING.table(), row);
-        return row.map(r -> Json.decode(r.value(), PendingCounts.class))
-                .map(c -> answer(queue, c, page.storeMillis() + readMillis, basis))
-                .orElseGet(() -> new Told(notKnown(), basis));
+        return page.rows().stream()
+                .findFirst()
+                .map(row -> fromRow(queue, row, page.storeMillis() + readMillis))
+                .orElseGet(() -> new Told(notKnown(), new Basis.CountRow(0, 0)));
+    }
+
+    private static Told fromRow(String queue, Row row, long storeNow) {
+        PendingCounts counts = Json.decode(row.value(), PendingCounts.class);
+        Basis basis = new Basis.CountRow(row.version(), counts.ageMillis(storeNow));
+        return answer(queue, counts, storeNow, basis);
     }
 
     private static Told answer(String queue, PendingCounts counts, long storeNow, Basis basis) {
