Start no task by a copy of the jobs that may lack a withdrawal

The holder, a VM on a slow link, lost its feed of the jobs at 9.09 s and the history at 9.60 s, renewed its lease, and sent starts that had been held back since 8.36 s at 12.27 s; it knew of the withdrawal at 16.9 s. Nothing asked how old its copy of the jobs was.

Ruled out: a withdrawal that is not stored (acknowledged by another process after its write), and a former holder (one term from 2.0 to 26.2 s).

Change: while the copy of the jobs is older than the time that the platform allows for a withdrawal, less 1 s for the order on its way, the holder stops and paces tasks, and starts none, nor any start that was held back. The time comes from the settings (jobs.cancel-within-ms). Events 7037 and 7038.

Why this works: a start by a copy of age t is of a job that was not withdrawn t ago.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskBoard.java
@@ -310,15 +310,26 @@
      * @param wallMillis the time of day, in milliseconds since 1970 UTC
      */
     public List<Order> plan(long now, long wallMillis) {
+        List<Order> orders = planWithoutStarts(now, wallMillis);
+        orders.addAll(
+                gate.pass(
+                        planner.starts(
+                                live, workers.values(), manifest, s -> mayStart(s, now), now)));
+        return orders;
+    }
+
+    /**
+     * Decides what the workers are told while newer jobs and withdrawals may be unknown here.
+     *
+     * @param now the steady time in milliseconds
+     * @param wallMillis the time of day, in milliseconds since 1970 UTC
+     */
+    public List<Order> planWithoutStarts(long now, long wallMillis) {
         endLeases(now);
         standstill.check(workers.values(), now);
         live.forEach(j -> j.openDue(wallMillis));
         List<Order> orders = new ArrayList<>(stops(now));
         orders.addAll(pace.decide(workers.values(), now));
-        orders.addAll(
-                gate.pass(
-                        planner.starts(
-                                live, workers.values(), manifest, s -> mayStart(s, now), now)));
         return orders;
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -27,6 +27,7 @@
  * @param takeTurnsAfter how long after another holder orders to VMs may be given
  * @param maintenance how long the maintenance of a VM takes
  * @param move how long a VM takes to another pool
+ * @param cancelWithin how long after its withdrawal no task of a job is started any more
  * @param keepFinished how long the state of a finished job can be asked for
  * @param grace how long after a request to stop the process is killed
  */
@@ -45,6 +46,7 @@
         Duration takeTurnsAfter,
         Duration maintenance,
         Duration move,
+        Duration cancelWithin,
         Duration keepFinished,
         Duration grace) {
 
@@ -68,6 +70,12 @@
     /** No longer than a lease, so that a fleet of slow links waits little. */
     private static final long LONGEST_YIELD_MILLIS = 1_000;
 
+    /** What an order to start may take on its way to the worker, with some reserve. */
+    private static final long START_MILLIS = 1_000;
+
+    /** While no job comes the copy gets this old, with some reserve. */
+    private static final long LEAST_COPY_AGE_MILLIS = 700;
+
     private static final SettingType TEXT = new SettingType.Text();
     private static final SettingType ADDRESS = new SettingType.Address();
     private static final SettingType SECONDS =
@@ -141,6 +149,11 @@
                                     "move-s",
                                     SECONDS,
                                     "How long a VM takes to another pool."),
+                            Setting.required(
+                                    "jobs",
+                                    "cancel-within-ms",
+                                    MILLIS,
+                                    "How long after its withdrawal no task of a job is started."),
                             Setting.required(
                                     "jobs",
                                     "keep-finished-s",
@@ -158,6 +171,11 @@
         return Math.min(LONGEST_YIELD_MILLIS, Math.round(millis));
     }
 
+    /** Returns how old the copy of the jobs may be by which tasks are started, in milliseconds. */
+    long mostCopyAgeMillis() {
+        return Math.max(LEAST_COPY_AGE_MILLIS, cancelWithin.toMillis() - START_MILLIS);
+    }
+
     /** Returns how long the lease of a worker lasts, in milliseconds. */
     long workerLeaseMillis() {
         return Math.min(USUAL_LEASE_MILLIS, Math.round(maxLease.toMillis() * LEASE_SHARE));
@@ -190,6 +208,7 @@
                 s.duration("vms.take-turns-after-ms"),
                 s.duration("vms.maintenance-s"),
                 s.duration("vms.move-s"),
+                s.duration("jobs.cancel-within-ms"),
                 s.duration("jobs.keep-finished-s"),
                 s.duration("shutdown.grace-s"));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -46,6 +46,10 @@
     HOLDER_UNSURE(7035, Level.WARN, "The lease may be over; nothing is told from the board."),
     /** The lease was renewed late. */
     HOLDER_SURE(7036, Level.INFO, "The lease was renewed before another process took it."),
+    /** Newer jobs and withdrawals may be unknown here. */
+    STARTS_HELD(7037, Level.WARN, "Changes of the jobs do not come; no task is started."),
+    /** Changes of the jobs come again. */
+    STARTS_RESUMED(7038, Level.INFO, "Changes of the jobs come again; tasks are started."),
     /** A worker does not answer. */
     WORKER_LOST(7040, Level.WARN, "A worker does not answer."),
     /** A worker answers. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskHolder.java
@@ -25,7 +25,6 @@
 import org.chervillift.core.tasks.BoardSettings;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.Order;
-import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.TaskBoard;
 import org.chervillift.daemon.tasks.JobRows.HeldWorker;
 import org.chervillift.daemon.tasks.JobRows.HeldWorkers;
@@ -38,10 +37,6 @@
 
     private static final Duration PLAN_DELAY = Duration.ofMillis(3);
     private static final Duration TICK = Duration.ofMillis(100);
-    private static final Duration LOADS_EVERY = Duration.ofMillis(1_000);
-
-    /** Counts may be 2 s old, with the time to write and to read them on a slow store. */
-    private static final Duration PENDING_EVERY = Duration.ofMillis(500);
 
     /** While no job comes the board is known to be whole at least this often. */
     private static final Duration JOBS_WAIT = Duration.ofMillis(400);
@@ -55,6 +50,7 @@
     private final ProgressWriter progress;
     private final AdviceAsker advice;
     private final VmOperator vms;
+    private final HolderReports reports;
     private final TableFollower jobs;
     private final TableFollower workers;
     private final Map<String, WorkerLink> links = new HashMap<>();
@@ -67,6 +63,7 @@
     private long startedAt;
     private boolean storingWorkers;
     private boolean planScheduled;
+    private boolean startsTasks = true;
     private boolean ready;
     private boolean stopped;
 
@@ -83,6 +80,7 @@
         this.progress = new ProgressWriter(context, board, this::replanSoon);
         this.advice = new AdviceAsker(context, board, this::replanSoon);
         this.vms = new VmOperator(context, board, manifests);
+        this.reports = new HolderReports(context, board, this::heldBoard);
         this.jobs =
                 new TableFollower(
                         context.store(),
@@ -111,9 +109,14 @@
     }
 
     private HeldBoard heldBoard() {
-        long asOf = jobs.asOfStoreMillis();
-        long age = context.storeClock().get().at(context.now()) - asOf;
-        return new HeldBoard(board, asOf, new Basis.Board(term(), age, context.leaseAgeMillis()));
+        Basis.Board basis =
+                new Basis.Board(term(), copyAgeMillis(context.now()), context.leaseAgeMillis());
+        return new HeldBoard(board, jobs.asOfStoreMillis(), basis);
+    }
+
+    /** Returns how long ago all jobs and withdrawals were known here, in milliseconds. */
+    private long copyAgeMillis(long now) {
+        return context.storeClock().get().at(now) - jobs.asOfStoreMillis();
     }
 
     void start() {
@@ -130,11 +133,11 @@
         manifests.removeOnChange(onManifest);
         progress.stop();
         vms.stop();
+        reports.stop();
         advice.stop();
         jobs.stop();
         workers.stop();
         links.values().forEach(WorkerLink::stop);
-        context.metrics().holderStopped();
     }
 
     private void manifestChanged() {
@@ -312,8 +315,7 @@
         openLinks();
         vms.start();
         tick();
-        logLoads();
-        publishPending();
+        reports.start();
     }
 
     /** Takes the table of workers. */
@@ -443,7 +445,7 @@
             return;
         }
         advice.poke();
-        for (Order order : board.plan(context.now(), System.currentTimeMillis())) {
+        for (Order order : decide(context.now(), System.currentTimeMillis())) {
             WorkerLink link = links.get(order.worker());
             if (link != null) {
                 link.send(order);
@@ -453,35 +455,16 @@
         openLinks();
     }
 
-    private void logLoad(String pool, PoolLoad load) {
-        context.metrics().load(pool, load);
-        EventLog.log(
-                TaskEvent.POOL_LOAD,
-                Field.of("pool", pool),
-                Field.of("running", load.runningMilliCores()),
-                Field.of("waiting", load.waitingMilliCores()),
-                Field.of("capacity", load.capacityMilliCores()));
-    }
-
-    private void logLoads() {
-        if (stopped) {
-            return;
-        }
-        board.poolLoads(context.now()).forEach(this::logLoad);
-        context.metrics().pending(board.pendingByQueue());
-        context.scheduler().schedule(LOADS_EVERY, this::logLoads);
-    }
-
-    /** Tells the other processes how long the queues are, also when nothing changed. */
-    private void publishPending() {
-        if (stopped) {
-            return;
+    /** Starts nothing while callers may have withdrawn jobs without this being known here. */
+    private List<Order> decide(long now, long wallMillis) {
+        boolean isCurrent = copyAgeMillis(now) <= context.settings().mostCopyAgeMillis();
+        if (isCurrent != startsTasks) {
+            startsTasks = isCurrent;
+            EventLog.log(
+                    isCurrent ? TaskEvent.STARTS_RESUMED : TaskEvent.STARTS_HELD,
+                    Field.of("term", term()),
+                    Field.of("copyAgeMillis", copyAgeMillis(now)));
         }
-        Write write = Write.put(JobRows.PENDING, Json.encode(heldBoard().pending()));
-        context.own()
-                .commit(write)
-                .whenComplete(
-                        (outcome, fault) ->
-                                context.scheduler().schedule(PENDING_EVERY, this::publishPending));
+        return isCurrent ? board.plan(now, wallMillis) : board.planWithoutStarts(now, wallMillis);
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
@@ -111,6 +111,7 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(2),
+                        Duration.ofSeconds(3),
                         Duration.ofSeconds(120),
                         Duration.ofSeconds(6));
         TaskNode node =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -112,6 +112,7 @@
                         Duration.ofSeconds(3),
                         MAINTENANCE,
                         Duration.ofSeconds(2),
+                        Duration.ofSeconds(3),
                         Duration.ofSeconds(120),
                         Duration.ofSeconds(6));
         TaskNode.Ports ports =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeFixture.java
@@ -117,6 +117,7 @@
                         Duration.ofMillis(TAKE_TURNS_MILLIS),
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(2),
+                        Duration.ofSeconds(3),
                         Duration.ofSeconds(120),
                         Duration.ofSeconds(6));
         TaskNode node =
