Use one fixture in the tests of nodes in virtual time

Only tests' fixtures changed. No test, assertion, bound or name of a process changed:

The whole build was not run.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HolderChangeTest.java
@@ -6,33 +6,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.chervillift.api.platform.RowStore.KeyRange;
 import org.chervillift.api.platform.RowStore.Page;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.AcceptedJob;
-import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
-import org.chervillift.api.tasks.Manifest;
-import org.chervillift.api.tasks.PoolPolicy;
-import org.chervillift.api.tasks.QueuePolicy;
-import org.chervillift.api.tasks.QueueRoute;
-import org.chervillift.api.tasks.Resources;
-import org.chervillift.api.tasks.Schedule;
-import org.chervillift.api.tasks.StepSpec;
-import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.HolderRow;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.http.Json;
-import org.chervillift.platform.fleet.FleetRowCodec;
-import org.chervillift.platform.fleet.FleetRowWriter;
-import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.supervision.ManualScheduler;
-import org.chervillift.standin.tasks.FleetTimes;
 import org.chervillift.standin.tasks.MemoryFleet;
 import org.chervillift.standin.tasks.MemoryLink;
 import org.chervillift.standin.tasks.MemoryStore;
@@ -41,118 +27,37 @@
 /** How the fleet gets a new holder when there is much to read over slow links. */
 class HolderChangeTest {
 
-    private static final String POOL = "proofs";
-    private static final HostPort ANY = new HostPort("127.0.0.1", 0);
     private static final int PROCESSES = 44;
     private static final int JOBS = 2_000;
     private static final int PAYLOAD_BYTES = 2_000;
     private static final long LONGEST_LEASE = 2_500;
     private static final long FAST_BYTES_PER_SECOND = 17_500_000;
     private static final long SLOW_BYTES_PER_SECOND = 875_000;
-    private static final QueuePolicy POLICY = new QueuePolicy("quick", POOL, 0, 2, 1.6, 600, false);
 
-    private final ManualScheduler scheduler = new ManualScheduler();
-    private final MemoryStore store = new MemoryStore(scheduler);
-    private final MemoryFleet fleet =
-            new MemoryFleet(
-                    scheduler,
-                    store,
-                    FleetRowWriter::worker,
-                    new FleetTimes(
-                            Duration.ofMillis(500), Duration.ofSeconds(2), Duration.ofSeconds(2)),
-                    Set.of());
-    private final List<TaskNode> nodes = new ArrayList<>();
+    private final NodeFixture fixture = new NodeFixture();
+    private final ManualScheduler scheduler = fixture.scheduler;
+    private final MemoryStore store = fixture.store;
+    private final MemoryFleet fleet = fixture.fleet;
+    private final List<TaskNode> nodes = fixture.started;
     private final List<MemoryLink> links = new ArrayList<>();
 
     HolderChangeTest() {
-        scheduler.advance(Duration.ofSeconds(1_000));
-        Write manifest =
-                FleetRowWriter.configuration(
-                        Manifest.of(
-                                1,
-                                List.of(new QueueRoute("h.example", "/q/", false, POLICY)),
-                                List.of(new PoolPolicy(POOL, true, false)),
-                                List.of(
-                                        new Customer(
-                                                "distiller", Set.of("key"), 1, Resources.NONE)),
-                                10_000));
-        store.put(manifest.key(), manifest.value().orElseThrow());
-        fleet.add(
-                new WorkerEntry(
-                        "w1",
-                        1,
-                        "vm-w1",
-                        POOL,
-                        "127.0.0.1:1",
-                        "dc",
-                        false,
-                        0,
-                        new Resources(10_000, 100_000, 0),
-                        List.of("a", "rack-1")));
+        fixture.addWorker("w1", "vm-w1", NodeFixture.POOL, 10_000);
     }
 
     private TaskNode node(long bytesPerSecond) {
         String vm = "vm-" + nodes.size();
         MemoryLink link = new MemoryLink(store, scheduler, bytesPerSecond);
         links.add(link);
-        FleetSettings settings =
-                new FleetSettings(
-                        vm,
-                        "dc",
-                        bytesPerSecond * 8 / 1e6,
-                        ANY,
-                        ANY,
-                        ANY,
-                        ANY,
-                        ANY,
-                        Optional.empty(),
-                        Duration.ofSeconds(6),
-                        Duration.ofMillis(400),
-                        Duration.ofSeconds(3),
-                        Duration.ofSeconds(2),
-                        Duration.ofSeconds(2),
-                        Duration.ofSeconds(120),
-                        Duration.ofSeconds(6));
-        TaskNode node =
-                new TaskNode(
-                        settings,
-                        scheduler,
-                        new TaskNode.Ports(
-                                link,
-                                new FleetRowCodec(),
-                                w -> fleet.worker(w.id()),
-                                fleet,
-                                Optional.empty()),
-                        vm + "/1");
-        nodes.add(node);
-        node.start();
-        return node;
+        return fixture.start(NodeFixture.settings(vm, bytesPerSecond * 8 / 1e6), link, vm + "/1");
     }
 
     private void pass(long millis) {
-        scheduler.advance(Duration.ofMillis(millis));
+        fixture.pass(millis);
     }
 
     private static JobSpec spec(String id, int payloadBytes) {
-        StepSpec step =
-                new StepSpec(
-                        3,
-                        new Resources(1_000, 100, 0),
-                        500,
-                        List.of(),
-                        false,
-                        false,
-                        "",
-                        "",
-                        0,
-                        false,
-                        false,
-                        "",
-                        0,
-                        false,
-                        0,
-                        false);
-        return new JobSpec(id, "x".repeat(payloadBytes), List.of(step), Schedule.ONCE);
+        return NodeFixture.spec(id, "x".repeat(payloadBytes), 3);
     }
 
     /** Stores jobs that are over, as those of which callers may still ask the state. */
@@ -160,7 +65,8 @@
         String progress = Json.encode(new JobProgress(1, JobState.COMPLETED, List.of()));
         for (int i = 0; i < JOBS; i++) {
             String id = String.format("%016x", i + 1);
-            AcceptedJob job = new AcceptedJob(spec(id, payloadBytes), POLICY, "distiller", 0);
+            AcceptedJob job =
+                    new AcceptedJob(spec(id, payloadBytes), NodeFixture.POLICY, "distiller", 0);
             store.commit(
                     JobRows.partOf(id),
                     List.of(),
@@ -314,7 +220,7 @@
         links.get(0).setCut(true);
         for (int i = 0; i < 1_000; i++) {
             String id = String.format("%016x", 0xa0000 + i);
-            AcceptedJob job = new AcceptedJob(spec(id, 2_000), POLICY, "distiller", 0);
+            AcceptedJob job = new AcceptedJob(spec(id, 2_000), NodeFixture.POLICY, "distiller", 0);
             store.commit(
                     JobRows.partOf(id),
                     List.of(),
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -1,6 +1,7 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -33,38 +34,51 @@
 
     static final String POOL = "proofs";
     static final String KEY = "key";
-    static final Duration MAINTENANCE = Duration.ofSeconds(2);
+    static final long TAKE_TURNS_MILLIS = 3_000;
+    static final QueuePolicy POLICY = new QueuePolicy("quick", POOL, 0, 2, 1.6, 600, false);
+    private static final String HOST = "h.example";
     private static final Duration RUN_TIME = Duration.ofMillis(500);
+    private static final Duration MAINTENANCE = Duration.ofSeconds(2);
     private static final double LINK_MBPS = 1_000;
     private static final HostPort ANY = new HostPort("127.0.0.1", 0);
 
     final ManualScheduler scheduler = new ManualScheduler();
     final MemoryStore store = new MemoryStore(scheduler);
     final LateStore late = new LateStore(store);
-    final MemoryFleet fleet =
-            new MemoryFleet(
-                    scheduler,
-                    store,
-                    FleetRowWriter::worker,
-                    new FleetTimes(RUN_TIME, Duration.ofSeconds(2), MAINTENANCE),
-                    Set.of());
-    private int nodes;
-
-    NodeFixture() {
+    final MemoryFleet fleet;
+    final List<TaskNode> started = new ArrayList<>();
+    private final Set<String> standbyPools;
+
+    NodeFixture(String... standbyPools) {
+        this.standbyPools = Set.of(standbyPools);
+        fleet =
+                new MemoryFleet(
+                        scheduler,
+                        store,
+                        FleetRowWriter::worker,
+                        new FleetTimes(RUN_TIME, Duration.ofSeconds(2), MAINTENANCE),
+                        this.standbyPools);
         scheduler.advance(Duration.ofSeconds(1_000));
-        put(FleetRowWriter.configuration(manifest()));
+        configure(manifest(1, Set.of(KEY)));
     }
 
-    private static Manifest manifest() {
-        QueuePolicy policy = new QueuePolicy("quick", POOL, 0, 2, 1.6, 600, false);
+    /** Returns a configuration of one queue, its pool and those in standby. */
+    Manifest manifest(long version, Set<String> keys) {
+        List<PoolPolicy> pools = new ArrayList<>();
+        pools.add(new PoolPolicy(POOL, true, false));
+        standbyPools.forEach(p -> pools.add(new PoolPolicy(p, true, true)));
         return Manifest.of(
-                1,
-                List.of(new QueueRoute("h.example", "/q/", false, policy)),
-                List.of(new PoolPolicy(POOL, true, false)),
-                List.of(new Customer("distiller", Set.of(KEY), 1, Resources.NONE)),
+                version,
+                List.of(new QueueRoute(HOST, "/q/", false, POLICY)),
+                pools,
+                List.of(new Customer("distiller", keys, 1, Resources.NONE)),
                 10_000);
     }
 
+    void configure(Manifest manifest) {
+        put(FleetRowWriter.configuration(manifest));
+    }
+
     private void put(Write write) {
         store.put(write.key(), write.value().orElseThrow());
     }
@@ -75,17 +89,21 @@
 
     /** Adds a VM of the pool; its worker has the same name and a prefix. */
     void addVm(String name) {
+        addWorker("w-" + name, name, POOL, 10_000);
+    }
+
+    void addWorker(String id, String vm, String pool, long milliCores) {
         fleet.add(
                 new WorkerEntry(
-                        "w-" + name,
+                        id,
                         1,
-                        name,
-                        POOL,
+                        vm,
+                        pool,
                         "127.0.0.1:1",
                         "dc",
                         false,
                         0,
-                        new Resources(10_000, 100_000, 0),
+                        new Resources(milliCores, 100_000, 0),
                         List.of("a", "rack-1")));
     }
 
@@ -96,24 +114,16 @@
 
     /** Starts a node with a way of its own to the store. */
     TaskNode runningNode(String vm, RowStore access) {
-        FleetSettings settings =
-                new FleetSettings(
-                        vm,
-                        "dc",
-                        LINK_MBPS,
-                        ANY,
-                        ANY,
-                        ANY,
-                        ANY,
-                        ANY,
-                        Optional.empty(),
-                        Duration.ofSeconds(6),
-                        Duration.ofMillis(400),
-                        Duration.ofSeconds(3),
-                        MAINTENANCE,
-                        Duration.ofSeconds(2),
-                        Duration.ofSeconds(120),
-                        Duration.ofSeconds(6));
+        TaskNode node = start(vm, access);
+        pass(500);
+        return node;
+    }
+
+    TaskNode start(String vm, RowStore access) {
+        return start(settings(vm, LINK_MBPS), access, vm + "/" + started.size());
+    }
+
+    TaskNode start(FleetSettings settings, RowStore access, String process) {
         TaskNode.Ports ports =
                 new TaskNode.Ports(
                         access,
@@ -121,16 +131,37 @@
                         w -> fleet.worker(w.id()),
                         fleet,
                         Optional.empty());
-        TaskNode node = new TaskNode(settings, scheduler, ports, vm + "/" + nodes++);
+        TaskNode node = new TaskNode(settings, scheduler, ports, process);
+        started.add(node);
         node.start();
-        pass(500);
         return node;
     }
 
-    JobAnswer ask(TaskNode node, JobRequest.Action action, String id) {
+    static FleetSettings settings(String vm, double linkMbps) {
+        return new FleetSettings(
+                vm,
+                "dc",
+                linkMbps,
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                Optional.empty(),
+                Duration.ofSeconds(6),
+                Duration.ofMillis(400),
+                Duration.ofMillis(TAKE_TURNS_MILLIS),
+                MAINTENANCE,
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(120),
+                Duration.ofSeconds(6));
+    }
+
+    /** Returns a job of one step with so many tasks. */
+    static JobSpec spec(String id, String payload, int count) {
         StepSpec step =
                 new StepSpec(
-                        1,
+                        count,
                         new Resources(1_000, 100, 0),
                         500,
                         List.of(),
@@ -146,18 +177,24 @@
                         false,
                         0,
                         false);
-        CompletionStage<JobAnswer> answer =
-                node.answer(
-                        new JobRequest(
-                                action,
-                                "h.example",
-                                "/q/" + id,
-                                Optional.of(KEY),
-                                i -> new JobSpec(i, "payload", List.of(step), Schedule.ONCE)));
-        for (int i = 0; i < 300 && !answer.toCompletableFuture().isDone(); i++) {
+        return new JobSpec(id, payload, List.of(step), Schedule.ONCE);
+    }
+
+    static JobRequest request(JobRequest.Action action, String id, String key, int count) {
+        return new JobRequest(
+                action, HOST, "/q/" + id, Optional.ofNullable(key), i -> spec(i, "payload", count));
+    }
+
+    /** Asks about a job of one task. */
+    JobAnswer ask(TaskNode node, JobRequest.Action action, String id) {
+        return await(node.answer(request(action, id, KEY, 1)));
+    }
+
+    JobAnswer await(CompletionStage<JobAnswer> stage) {
+        for (int i = 0; i < 300 && !stage.toCompletableFuture().isDone(); i++) {
             pass(10);
         }
-        return answer.toCompletableFuture().join();
+        return stage.toCompletableFuture().join();
     }
 
     void pass(long millis) {
