Rename HalfDeafStore to FaultyStoreView

The class stands for how one process sees the store: commits, feeds or replies lost, the clock hidden, reads slow. Only the name and the summary line changed; no assertion is in the diff.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/ConfigurationAgeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/ConfigurationAgeTest.java
@@ -32,7 +32,7 @@
     /** The feed of the configuration stands still while a key is added. */
     @Test
     void noKeyOrQueueIsRefusedByAnOldConfiguration() {
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = node("a", view);
         pass(3_000);
         view.loseFeeds(true);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/HalfDeafStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FaultyStoreView.java
@@ -10,8 +10,8 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.runtime.supervision.Scheduler;
 
-/** A store to which one process has lost some of its connections, or reads not all or slowly. */
-final class HalfDeafStore implements RowStore {
+/** One process's faulty view of the store: calls or replies are lost, reads are slow or undated. */
+final class FaultyStoreView implements RowStore {
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
     private static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
@@ -26,7 +26,7 @@
     private String slowTable = "";
     private Duration slowTime = Duration.ZERO;
 
-    HalfDeafStore(RowStore store, Scheduler scheduler) {
+    FaultyStoreView(RowStore store, Scheduler scheduler) {
         this.store = store;
         this.scheduler = scheduler;
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LeaseReplyLostTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LeaseReplyLostTest.java
@@ -14,7 +14,7 @@
     /** The answer to a renewal is lost, and its second try finds the first one's row. */
     @Test
     void aLeaseIsNotOverLaterBecauseARenewalWasTriedAgain() {
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = node("a", view);
         pass(500);
         TaskNode b = runningNode("b");
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
@@ -54,7 +54,7 @@
     /** Its connections to the store are silent while another process becomes the holder. */
     @Test
     void aHolderWhoseLeaseIsOverTellsNoCountOfItsOwn() {
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = node("a", view);
         pass(500);
         TaskNode b = runningNode("b");
@@ -73,7 +73,7 @@
     /** The lease is renewed, but changes of the jobs do not come any more. */
     @Test
     void aHolderWhoseFeedOfTheJobsStandsStillTellsNoCount() {
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = node("a", view);
         pass(1_000);
         view.loseFeeds(true);
@@ -131,7 +131,7 @@
     /** The jobs are read at once, but how far they are takes long to read. */
     @Test
     void jobsThatCameWhileANewHolderReadAreInItsFirstCount() {
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         view.slowDownReads(JobRows.PROGRESS, Duration.ofSeconds(5));
         TaskNode a = node("a", view);
         pass(500);
@@ -153,7 +153,7 @@
     /** The store's answer does not say its time. */
     @Test
     void aCountOfUnknownAgeIsNotTold() {
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = runningNode("a");
         TaskNode b = node("b", view);
         pass(1_000);
