--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WithdrawnJobTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WithdrawnJobTest.java
@@ -15,7 +15,7 @@
     @Test
     void noTaskIsStartedLongAfterItsJobWasWithdrawnAlthoughTheHolderIsNotTold() {
         addWorker("w1", 1_000);
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = node("a", view);
         pass(500);
         TaskNode b = runningNode("b");
@@ -39,7 +39,7 @@
     @Test
     void tasksAreStartedAgainOnceChangesOfTheJobsCome() {
         addWorker("w1", 1_000);
-        HalfDeafStore view = new HalfDeafStore(store, scheduler);
+        FaultyStoreView view = new FaultyStoreView(store, scheduler);
         TaskNode a = node("a", view);
         pass(500);
         await(a.answer(request(Action.SUBMIT, JOB, "key", TASKS)));
