Reset connections of JSON clients, so that an order that timed out never acts later

The predecessor's data centre was cut off from 33.5 s to 39.4 s with packets dropped. JsonClient gives up a call after its timeout of 1 s and closes the connection, but a plain close leaves the bytes in the send buffer to the operating system, which sends them again until the cut ends. The order that had been given up 5 s before was then delivered and carried out. Nobody checks fences for VMs.

Ruled out: the lease (an order is announced in the store under the term's condition right before it is sent, and the lease is checked again after that); the successor's wait for announced VMs (lease time and 1 s from the announcement, which had passed).

Change: the connections of JsonClient are closed with a reset (linger time 0). The unsent bytes are discarded. What bounds the latest moment of a former holder's order is now: announced in the store, sent at most 600 ms later, given up at most 1 s after that.

Test: JsonClientTest.aCallThatTimedOutDoesNotReachTheServerLater. A server that does not read gets the rest of the request and a proper end of the stream after the call has timed out on the code before (red), and a reset now.

--- a/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
@@ -7,6 +7,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -15,12 +16,20 @@
 import org.chervillift.api.Checks;
 import org.chervillift.runtime.settings.HostPort;
 
-/** Sends JSON over HTTP to one server, with bounds on time and size. */
+/**
+ * Sends JSON over HTTP to one server, with bounds on time and size.
+ *
+ * <p>A connection is closed with a reset. The operating system then discards the bytes of a request
+ * that were not delivered, so that a request that has timed out does not reach the server later,
+ * for example when a network partition ends.
+ */
 public final class JsonClient {
 
     private static final MemSize MOST_BODY = MemSize.megabytes(16);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(5);
+    private static final SocketSettings RESET_ON_CLOSE =
+            SocketSettings.builder().withLingerTimeout(Duration.ZERO).build();
 
     private final NioReactor reactor;
     private final Duration timeout;
@@ -63,6 +72,7 @@
 
     private HttpClient open() {
         return HttpClient.builder(reactor, new IpNumberResolver())
+                .withSocketSettings(RESET_ON_CLOSE)
                 .withConnectTimeout(CONNECT_TIMEOUT)
                 .withReadWriteTimeout(timeout)
                 .withKeepAliveTimeout(keepAlive)
--- a/chervillift-http/src/test/java/org/chervillift/http/JsonClientTest.java
+++ b/chervillift-http/src/test/java/org/chervillift/http/JsonClientTest.java
@@ -1,6 +1,7 @@
 package org.chervillift.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
@@ -10,6 +11,10 @@
 import io.activej.promise.Promises;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.Optional;
 import org.chervillift.runtime.settings.HostPort;
@@ -21,6 +26,8 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final Duration START_OF_SLOW = Duration.ofSeconds(1);
     private static final Duration ANSWER_OF_SLOW = Duration.ofMillis(1_200);
+    private static final int SMALL_BUFFER_BYTES = 4_096;
+    private static final int LARGE_BODY = 8_000_000;
 
     private final ReactorThread thread = new ReactorThread("json-client-test");
 
@@ -50,6 +57,39 @@
         assertThat(both).isEqualTo("failed, whole");
     }
 
+    @Test
+    void aCallThatTimedOutDoesNotReachTheServerLater() throws IOException {
+        loadClientClasses();
+        try (ServerSocket server = new ServerSocket()) {
+            server.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            server.bind(new InetSocketAddress("127.0.0.1", 0));
+            HostPort address = new HostPort("127.0.0.1", server.getLocalPort());
+            JsonClient client =
+                    new JsonClient(thread.reactor(), address, TIMEOUT, Optional.empty());
+
+            String outcome =
+                    thread.await(
+                            () ->
+                                    client.send(HttpMethod.POST, "/order", new byte[LARGE_BODY])
+                                            .map(a -> "answered", Throwable::getMessage));
+
+            assertThat(outcome).isEqualTo("Read timeout");
+            // The rest of the body was in the client's send buffer while the server did not read.
+            try (Socket connection = server.accept()) {
+                assertThatThrownBy(() -> connection.getInputStream().readAllBytes())
+                        .isInstanceOf(SocketException.class);
+            }
+        }
+    }
+
+    /** Makes a call, since loading the classes may take longer than the connect timeout. */
+    private void loadClientClasses() {
+        HostPort address = thread.await(this::listen);
+        JsonClient client = new JsonClient(thread.reactor(), address, TIMEOUT, Optional.empty());
+        assertThat(thread.await(() -> client.send(HttpMethod.GET, "/slow")).body())
+                .isEqualTo("whole");
+    }
+
     private Promise<HostPort> listen() {
         HttpServer server =
                 HttpServer.builder(thread.reactor(), JsonClientTest::serve)
