Let a new holder drop unreachable workers of its predecessor after two lists of VMs

A begun step waits until all workers of its pool that the predecessor stored have reported or ended. Moves end ten workers a second in a surge, and the registry lists them for some seconds more: 17 of them refused connections. A worker that no list of this holder had named got 1.5 s, since it might be newer than the list.

Ruled out: the read of the jobs (0.5 s, before that), the lease, waiting for worker leases (those that answered had reported by 26.5 s).

Change: a worker of the predecessor that cannot be reached counts as ended when two consecutive lists of VMs lack it. It registered before this holder's first list, so it is not newer. Workers that answer are judged by their reports as before.

Test: TaskNodeTest.aNewHolderDoesNotWaitForWorkersThatEndedBeforeItsTerm, red before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -197,6 +197,16 @@
         predecessorWorkers.put(workerId, pool);
     }
 
+    /**
+     * Returns whether an earlier holder may have started tasks on a worker that this holder cannot
+     * reach: the registry does not list it, or the last call to it failed.
+     */
+    public boolean isUnreachablePredecessorWorker(String workerId, long now) {
+        WorkerRecord worker = workers.get(workerId);
+        boolean unreachable = worker == null || worker.unreachableMillis(now) > 0;
+        return unreachable && predecessorWorkers.containsKey(workerId);
+    }
+
     /** Adds or updates a worker as listed by the registry. */
     public void workerListed(WorkerEntry entry) {
         WorkerRecord worker = workers.get(entry.id());
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -173,9 +173,11 @@
     /**
      * Detects workers that no VM runs any more; each worker is one lifetime of a VM.
      *
-     * <p>A worker that was listed before counts as ended when two consecutive lists lack it. One
-     * that was never listed may be newer than the list, and gets more time. A list that names no
-     * worker for a VM that is up is ignored, except for VMs in standby, which are off.
+     * <p>A worker that was listed before counts as ended when two consecutive lists lack it. So
+     * does an unreachable worker of an earlier holder, since it registered before this holder's
+     * first list. Another worker that was never listed may be newer than the list, and gets more
+     * time. A list that names no worker for a VM that is up is ignored, except for VMs in standby,
+     * which are off.
      */
     private void detectEndedWorkers(List<ListedFleetVm> listed, long now) {
         Set<String> standby = standbyPools();
@@ -196,8 +198,10 @@
         for (String worker : missing) {
             Long since = missingSince.putIfAbsent(worker, now);
             boolean missingTwice = since != null;
-            boolean listedBefore = everListed.contains(worker);
-            if (missingTwice && (listedBefore || now - since >= UNLISTED_WORKER_GRACE_MILLIS)) {
+            boolean olderThanLists =
+                    everListed.contains(worker)
+                            || board.isUnreachablePredecessorWorker(worker, now);
+            if (missingTwice && (olderThanLists || now - since >= UNLISTED_WORKER_GRACE_MILLIS)) {
                 board.workerLifetimeEnded(worker);
             }
         }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
@@ -19,6 +19,9 @@
 
 class TaskNodeTest extends TaskNodeTestBase {
 
+    private static final long VM_LIST_INTERVAL_MILLIS = 300;
+    private static final int LISTS_UNTIL_ENDED = 2;
+
     @Test
     void aJobIsAcceptedRunAndReportedByAnyProcess() {
         addWorker("w1", 10_000);
@@ -149,6 +152,24 @@
         assertThat(scheduler.now().toEpochMilli() - releasedAt).isLessThan((calls + 1) * millis);
     }
 
+    /** A surge moves VMs all the time, and the registry still lists their former workers. */
+    @Test
+    void aNewHolderDoesNotWaitForWorkersThatEndedBeforeItsTerm() {
+        addWorker("w1", 1_000);
+        MemoryWorker ended = addWorker("w2", 1_000);
+        TaskNode a = startNodeAndWait("a");
+        TaskNode b = startNodeAndWait("b");
+        ask(b, JobRequest.Action.SUBMIT, JOB);
+        advanceMillis(100);
+        assertThat(fleet.starts()).as("one task of three waits").hasSize(2);
+
+        ended.crash();
+        a.drain();
+        advanceMillis(LISTS_UNTIL_ENDED * VM_LIST_INTERVAL_MILLIS + 500);
+
+        assertThat(fleet.starts()).as("the third task").hasSizeGreaterThan(2);
+    }
+
     @Test
     void aNewHolderMovesVmsAtOnceButWaitsForThoseThatItsPredecessorMoved() {
         addWorker("w1", 1_000);
