Drain VMs with long-running tasks from the start of a wave, each with a replacement

Of a step of 24 such tasks only two may be down at once, and they share no VM: a task that was stopped found no VM in its pool (24 cores waited at 24 and 25 s with 14 VMs), until one had been moved there 2.5 s later.

Ruled out: the cap of the wave (41, never reached after 8 s); the platform (all orders were done).

Change: FleetWavePlanner drains up to three VMs with long-running tasks in each pool beside the idle ones, outside the slots (a VM is down only once its maintenance begins). PoolPlanner gives the pool a replacement for each of them. TaskScheduler.drain stops a long-running task only when another worker can take it at once, unless the deadline is at risk. Placement keeps long-running tasks away from VMs that the wave still has to maintain.

Tests, red before: FleetWavePlannerTest.vmsWithLongRunningTasksAreDrainedWhileIdleVmsTakeAllSlots, PoolPlannerTest.aVmThatIsDrainedOfLongRunningTasksGetsAReplacementFirst, TaskSchedulerTest.aDrainedWorkerKeepsItsLongRunningTaskUntilAnotherWorkerCanTakeIt, aLongRunningTaskAvoidsWorkersThatAMaintenanceWaveIsAboutToDrain. drainingWorkersStopsNoMoreTasksOfAServiceThanAllowed has a third worker now, without which nothing may be stopped; it still allows one stop of two.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -11,7 +11,8 @@
  *
  * <p>Best fit keeps room for large tasks in a pool with many small ones: among equal workers, a
  * task goes to the one with the least free cores. Workers in the rack of the task's data come
- * first. Long-running tasks are spread instead: they go to the worker with the most free cores.
+ * first. Long-running tasks are spread instead: they go to the worker with the most free cores, and
+ * avoid workers that a maintenance wave is about to drain, so that they are stopped once only.
  */
 final class Placement {
 
@@ -64,6 +65,8 @@
                         w -> !spec.dataRack().isEmpty() && !w.rack().equals(spec.dataRack()));
         Comparator<WorkerRecord> besideUserTasks =
                 Comparator.comparing(w -> spec.fillsSpareCapacity() && w.servesUsers());
+        Comparator<WorkerRecord> soonDrained =
+                Comparator.comparing(w -> spec.longRunning() && w.isMaintenanceDue());
         Comparator<WorkerRecord> coupledTasksInRack =
                 Comparator.comparingLong(
                         w -> spec.tightlyCoupled() ? -task.step().runsInRack(w.rack()) : 0);
@@ -71,6 +74,7 @@
                 Comparator.comparingLong(w -> w.freeResources().milliCores());
         return failedHere
                 .thenComparing(awayFromData)
+                .thenComparing(soonDrained)
                 .thenComparing(besideUserTasks)
                 .thenComparing(coupledTasksInRack)
                 .thenComparing(spec.longRunning() ? freeMilliCores.reversed() : freeMilliCores)
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -127,6 +127,13 @@
         return othersDown < spec.mayMiss();
     }
 
+    /** Returns the number of tasks that have no run, or whose run is being stopped. */
+    long countNotRunning() {
+        return tasks.stream()
+                .filter(t -> t.runs().stream().allMatch(r -> r.phase() == Run.Phase.STOPPING))
+                .count();
+    }
+
     /** Returns whether a task has a run on a reachable worker that reports 100 percent. */
     static boolean isFullyRunning(TaskEntry task) {
         return task.runs().stream()
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -18,7 +18,6 @@
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.RunReport;
-import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.TaskId;
 import org.chervillift.api.tasks.WorkerEntry;
 
@@ -264,6 +263,15 @@
         Optional.ofNullable(workers.get(workerId)).ifPresent(w -> w.cordoned(value));
     }
 
+    /**
+     * Replaces the workers whose VMs are to be maintained; long-running tasks avoid them.
+     *
+     * @param workerIds the identifiers of these workers
+     */
+    public void setMaintenanceDue(Set<String> workerIds) {
+        workers.values().forEach(w -> w.maintenanceDue(workerIds.contains(w.id())));
+    }
+
     /**
      * Applies a worker's report.
      *
@@ -458,23 +466,41 @@
      * Drains a worker: stops its long-running runs, so that their tasks start on other workers, as
      * far as their steps allow tasks to be down.
      *
-     * @param stopFinite whether runs that end by themselves are stopped as well
+     * @param urgent whether runs that end by themselves are stopped as well, and long-running runs
+     *     although no other worker can take their tasks yet
      */
-    public void drain(String workerId, boolean stopFinite, long now) {
+    public void drain(String workerId, boolean urgent, long now) {
         WorkerRecord worker = workers.get(workerId);
         if (worker == null) {
             return;
         }
         for (Run run : worker.runs()) {
-            StepSpec spec = run.task().step().spec();
             boolean canStop =
-                    spec.longRunning() ? run.task().step().canStopOneMore(run) : stopFinite;
+                    run.task().step().spec().longRunning()
+                            ? canStopLongRunning(run, urgent, now)
+                            : urgent;
             if (canStop && run.phase() == Run.Phase.RUNNING) {
                 run.enterPhase(Run.Phase.STOPPING, now);
             }
         }
     }
 
+    private boolean canStopLongRunning(Run run, boolean urgent, long now) {
+        return run.task().step().canStopOneMore(run) && (urgent || hasReplacement(run, now));
+    }
+
+    /** Returns whether another worker could take the task of a run besides those that wait. */
+    private boolean hasReplacement(Run run, long now) {
+        StepEntry step = run.task().step();
+        long replacements =
+                workers.values().stream()
+                        .filter(w -> w != run.worker() && w.pool().equals(run.worker().pool()))
+                        .filter(w -> Placement.isEligible(step, w, now))
+                        .filter(w -> step.spec().footprint().fitsIn(w.freeResources()))
+                        .count();
+        return replacements > step.countNotRunning();
+    }
+
     /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
     public Map<String, String> workersInUse() {
         Map<String, String> inUse = new HashMap<>(predecessorWorkers);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -20,6 +20,7 @@
     private boolean reported;
     private boolean reachable;
     private boolean cordoned;
+    private boolean maintenanceDue;
     private long bornAtMillis;
     private long leaseEndsAt = Long.MIN_VALUE;
     private long acknowledgedEnd;
@@ -95,6 +96,15 @@
         cordoned = value;
     }
 
+    /** Returns whether maintenance of the worker's VM is ordered and has not begun. */
+    boolean isMaintenanceDue() {
+        return maintenanceDue;
+    }
+
+    void maintenanceDue(boolean value) {
+        maintenanceDue = value;
+    }
+
     long bornAtMillis() {
         return bornAtMillis;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,7 +18,9 @@
  *
  * <p>A wave may coincide with surges of several queues in turn: idle VMs go first, VMs of a pool
  * that is short of capacity wait as long as the deadline of the wave allows, and a VM is maintained
- * once it has no runs.
+ * once it has no runs. VMs with long-running tasks are drained from the start of the wave, a few in
+ * each pool at a time, since only a few tasks of a step may be down at once: the rest of these VMs
+ * could not be drained in the time that is left when all others are done.
  */
 public final class FleetWavePlanner {
 
@@ -29,6 +33,9 @@
     /** The share of the remaining time in which the wave should be completed. */
     private static final double TARGET_TIME_SHARE = 0.7;
 
+    /** How many VMs with long-running tasks are drained in a pool at a time. */
+    private static final int LONG_RUNNING_DRAINS_PER_POOL = 3;
+
     /** A pool that uses more than this share of its cores can spare no VM. */
     private static final double BUSY_CORE_SHARE = 0.9;
 
@@ -46,6 +53,11 @@
             maintained = Set.copyOf(maintained);
         }
 
+        /** Returns the VMs whose maintenance has not begun. */
+        public List<String> remainingVms() {
+            return order.vms().stream().filter(vm -> !maintained.contains(vm)).toList();
+        }
+
         private long deadline() {
             return startedAt + order.durationMillis();
         }
@@ -158,14 +170,30 @@
                         .sorted(maintenanceOrder(fleet.draining()))
                         .toList();
         List<String> maintain = new ArrayList<>();
-        List<String> drain = new ArrayList<>();
+        Set<String> drain = new LinkedHashSet<>(longRunningDrains(candidates));
+        int free = slots;
         for (VmView view : candidates) {
-            if (maintain.size() + drain.size() >= slots) {
+            if (free <= 0) {
                 break;
             }
             (view.load().isIdle() ? maintain : drain).add(view.vm().name());
+            free--;
+        }
+        return new Decision(maintain, List.copyOf(drain), deadlineAtRisk, false);
+    }
+
+    /** Returns the first VMs with long-running tasks of each pool; draining takes no slot. */
+    private static List<String> longRunningDrains(List<VmView> candidates) {
+        Map<String, Integer> drainsByPool = new HashMap<>();
+        List<String> drains = new ArrayList<>();
+        for (VmView view : candidates) {
+            if (view.load().longRunningRuns() > 0
+                    && drainsByPool.merge(view.vm().pool(), 1, Integer::sum)
+                            <= LONG_RUNNING_DRAINS_PER_POOL) {
+                drains.add(view.vm().name());
+            }
         }
-        return new Decision(maintain, drain, deadlineAtRisk, false);
+        return drains;
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
@@ -72,18 +72,24 @@
      * @param vms all VMs
      * @param loads the load of the pools by name
      * @param standby the pools whose VMs are off
-     * @param mayMove whether a VM may be moved
+     * @param draining the names of the VMs that are drained for maintenance
+     * @param mayOrder whether a VM may be ordered now
      */
     public List<Move> decide(
             Collection<VmView> vms,
             Map<String, PoolLoad> loads,
             Set<String> standby,
-            Predicate<VmView> mayMove,
+            Set<String> draining,
+            Predicate<VmView> mayOrder,
             long now) {
         Map<String, List<VmView>> pools =
                 vms.stream().collect(Collectors.groupingBy(v -> v.vm().pool()));
         Map<String, Integer> wanted = wantedSizes(loads, pools, now);
+        pools.forEach(
+                (pool, members) ->
+                        wanted.merge(pool, sizeWithReplacements(members, draining), Math::max));
         standby.forEach(wanted::remove);
+        Predicate<VmView> mayMove = v -> !draining.contains(v.vm().name()) && mayOrder.test(v);
         PlanningRound round = new PlanningRound(vms, standby, mayMove, now);
         round.fillShortPools(wanted);
         round.returnIdleVms();
@@ -118,6 +124,19 @@
         return wanted;
     }
 
+    /**
+     * Returns the size of a pool in which each VM that is drained of long-running tasks has a
+     * replacement; 0 if there is no such VM. Tasks of a step may have to run on different VMs, so a
+     * replacement is a VM without long-running tasks.
+     */
+    private static int sizeWithReplacements(List<VmView> pool, Set<String> draining) {
+        List<VmView> withLongRunning =
+                pool.stream().filter(v -> v.load().longRunningRuns() > 0).toList();
+        long drained =
+                withLongRunning.stream().filter(v -> draining.contains(v.vm().name())).count();
+        return drained == 0 ? 0 : Math.toIntExact(withLongRunning.size() + drained);
+    }
+
     /**
      * Returns whether tasks of a pool have waited for long, although it may have enough free cores:
      * the workers with free cores may be draining, lack a required label, or have reached the limit
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.chervillift.api.tasks.EndedRun;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.OrderAnswer;
@@ -414,6 +415,7 @@
         fixture.starts();
         fixture.report("w1");
         fixture.report("w2");
+        fixture.addWorker("w3", 2_000);
 
         fixture.scheduler.drain("w1", false, fixture.now);
         fixture.scheduler.drain("w2", false, fixture.now);
@@ -421,6 +423,42 @@
         assertThat(fixture.plan()).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
     }
 
+    /** Without another worker the task would be down for as long as moving a VM takes. */
+    @Test
+    void aDrainedWorkerKeepsItsLongRunningTaskUntilAnotherWorkerCanTakeIt() {
+        fixture.addWorker("w1", 1_000);
+        fixture.accept("a", step(1, 1_000, List.of(), false, true, 1));
+        fixture.starts();
+        fixture.report("w1");
+
+        fixture.scheduler.drain("w1", false, fixture.now);
+        assertThat(fixture.plan()).isEmpty();
+
+        fixture.addWorker("w2", 1_000);
+        fixture.scheduler.drain("w1", false, fixture.now);
+        assertThat(fixture.plan()).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
+    }
+
+    @Test
+    void anUrgentDrainStopsALongRunningTaskThatNoOtherWorkerCanTake() {
+        fixture.addWorker("w1", 1_000);
+        fixture.accept("a", step(1, 1_000, List.of(), false, true, 1));
+        fixture.starts();
+        fixture.report("w1");
+
+        fixture.scheduler.drain("w1", true, fixture.now);
+        assertThat(fixture.plan()).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
+    }
+
+    @Test
+    void aLongRunningTaskAvoidsWorkersThatAMaintenanceWaveIsAboutToDrain() {
+        fixture.addWorker("w1", 10_000);
+        fixture.addWorker("w2", 5_000);
+        fixture.scheduler.setMaintenanceDue(Set.of("w1"));
+        fixture.accept("a", step(1, 1_000, List.of(), false, true, 1));
+        assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w2");
+    }
+
     @Test
     void scheduledOccurrencesStartWhenTheyAreDue() {
         fixture.addWorker("w1", 10_000);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/FleetWavePlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/FleetWavePlannerTest.java
@@ -100,6 +100,19 @@
         assertThat(decide(Set.of(), 1, 0).maintain()).containsExactly("a");
     }
 
+    /** Only few tasks of a step may be down at once, so these VMs cannot all be drained last. */
+    @Test
+    void vmsWithLongRunningTasksAreDrainedWhileIdleVmsTakeAllSlots() {
+        for (int i = 0; i < 10; i++) {
+            vm("idle" + i, "q", Status.UP, WorkerLoad.IDLE);
+            vm("lasting" + i, "p", Status.UP, new WorkerLoad(0, 1, 5_000, 0));
+        }
+        pools.put("p", new PoolLoad(50_000, 0, 10 * VM_MILLI_CORES, 0));
+        Decision decision = decide(Set.of(), 2, 0);
+        assertThat(decision.maintain()).hasSize(2).allMatch(v -> v.startsWith("idle"));
+        assertThat(decision.drain()).hasSize(3).allMatch(v -> v.startsWith("lasting"));
+    }
+
     @Test
     void aWaveIsCompletedOnlyOnceAllVmsAreMaintainedAndUpAgain() {
         vm("a", "p", Status.MAINTENANCE, WorkerLoad.IDLE);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
@@ -48,7 +48,7 @@
     }
 
     private List<Move> decide(Map<String, PoolLoad> loads, long now) {
-        return planner.decide(vms, loads, Set.of("standby"), v -> true, now);
+        return planner.decide(vms, loads, Set.of("standby"), Set.of(), v -> true, now);
     }
 
     private void vmWithLabel(String name, String label) {
@@ -238,6 +238,19 @@
                 .containsExactly(tuple("p", "q"), tuple("p", "standby"));
     }
 
+    /** Tasks of one step that may not share a VM could not restart anywhere else. */
+    @Test
+    void aVmThatIsDrainedOfLongRunningTasksGetsAReplacementFirst() {
+        vms("p", 2, new WorkerLoad(0, 1, VM_MILLI_CORES / 10, 0));
+        vms("standby", 3, WorkerLoad.IDLE);
+        Map<String, PoolLoad> light =
+                Map.of("p", new PoolLoad(VM_MILLI_CORES / 5, 0, 2 * VM_MILLI_CORES, 0));
+        assertThat(decide(light, 0)).isEmpty();
+        assertThat(planner.decide(vms, light, Set.of("standby"), Set.of("p0"), v -> true, 100))
+                .extracting(Move::from, Move::to)
+                .containsExactly(tuple("standby", "p"));
+    }
+
     @Test
     void withoutStandbyVmsReturnToThePoolThatLentThem() {
         vms("p", 3, WorkerLoad.IDLE);
@@ -249,9 +262,17 @@
                 vms,
                 Map.of("p", new PoolLoad(3 * VM_MILLI_CORES, 0, 3 * VM_MILLI_CORES, 0)),
                 none,
+                Set.of(),
                 v -> true,
                 1_000);
-        assertThat(two.decide(vms, idle, none, v -> true, 1_001 + IDLE_BEFORE_RETURN_MILLIS))
+        assertThat(
+                        two.decide(
+                                vms,
+                                idle,
+                                none,
+                                Set.of(),
+                                v -> true,
+                                1_001 + IDLE_BEFORE_RETURN_MILLIS))
                 .extracting(Move::from, Move::to)
                 .containsExactly(tuple("p", "q"));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -234,6 +234,7 @@
     private Set<String> decideWaves(List<FleetWavePlanner.Progress> open, Round round) {
         Map<String, VmView> views = round.views();
         Set<String> draining = new HashSet<>();
+        board.setMaintenanceDue(workersToMaintain(open, views));
         FleetWavePlanner.Fleet fleet =
                 new FleetWavePlanner.Fleet(
                         views,
@@ -263,6 +264,15 @@
         return draining;
     }
 
+    private static Set<String> workersToMaintain(
+            List<FleetWavePlanner.Progress> open, Map<String, VmView> views) {
+        return open.stream()
+                .flatMap(w -> w.remainingVms().stream())
+                .filter(views::containsKey)
+                .map(vm -> views.get(vm).vm().worker())
+                .collect(Collectors.toSet());
+    }
+
     private static long countGone(FleetWavePlanner.Progress wave, Round round) {
         return wave.order().vms().stream().filter(round.gone()::contains).count();
     }
@@ -294,7 +304,8 @@
                         round.views().values(),
                         round.loads(),
                         round.standby(),
-                        v -> !draining.contains(v.vm().name()) && mayOrder(v, round),
+                        draining,
+                        v -> mayOrder(v, round),
                         round.now());
         for (Move move : moves) {
             String worker = round.views().get(move.vm()).vm().worker();
