Estimate the rate of arriving work over a window that adapts to steps in it

The rate of arriving work was smoothed over 1 s, so that a quarter of a second after a surge had begun it told 22% of the rate, and VMs were ordered in small numbers for 2 s.

Change: ArrivalRates averages over 2 s and halves the window while its halves differ by more than chance explains. Jobs count with the mean work of the last ones.

Test: ArrivalRatesTest.theFullRateOfASurgeIsKnownAfterAQuarterOfASecond, red before (the rate was below 80%).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ArrivalRates.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ArrivalRates.java
@@ -1,37 +1,45 @@
 package org.chervillift.core.tasks;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
 
 /**
- * The rate at which work arrives at each pool.
+ * Estimates the rate at which work arrives at each pool.
  *
- * <p>Detects the start of a surge early: work arriving per second, in core seconds, equals the
- * number of cores that the pool will need in steady state, once jobs end as fast as they arrive.
- * Running and waiting tasks show this demand only later.
+ * <p>Answers queues that surge in turn: a queue that was nearly idle suddenly receives many times
+ * as many jobs, and receives few again some seconds later. Work arriving per second, in core
+ * seconds, equals the number of cores that the pool will need in steady state, once jobs end as
+ * fast as they arrive. Running and waiting tasks show this demand only later.
+ *
+ * <p>The rate is averaged over a window that is halved while its two halves differ by more than
+ * chance explains. A step in the rate is thus detected within a few jobs, and a steady rate is
+ * averaged over many.
  */
 final class ArrivalRates {
 
-    /** The time over which the rate is smoothed. */
-    private static final double SMOOTHING_MILLIS = 1_000;
+    private static final long MAX_WINDOW_MILLIS = 2_000;
+    private static final long MIN_WINDOW_MILLIS = 250;
+
+    /**
+     * The halves of a window differ when the squared difference of their job counts exceeds this
+     * multiple of their sum, which is the variance of the difference at a constant rate.
+     */
+    private static final int SIGNIFICANT_VARIANCES = 3;
 
-    private final Map<String, Rate> ratesByPool = new HashMap<>();
+    private final Map<String, List<Arrival>> arrivalsByPool = new HashMap<>();
 
     /**
-     * An exponentially smoothed rate.
+     * The arrival of a job.
      *
-     * @param milliCores work per unit of time, in thousandths of a core
-     * @param updatedAt when the rate was last updated, in milliseconds
+     * @param work the work of the job, in thousandths of a core times milliseconds
+     * @param at when the job arrived, in milliseconds
      */
-    private record Rate(double milliCores, long updatedAt) {
-
-        double decayedAt(long now) {
-            return milliCores * Math.exp(-Math.max(0, now - updatedAt) / SMOOTHING_MILLIS);
-        }
-    }
+    private record Arrival(double work, long at) {}
 
     /**
      * Records the arrival of a job. Scheduled and long-running jobs are ignored, as they do not
@@ -46,16 +54,39 @@
         if (longRunning || !spec.schedule().equals(Schedule.ONCE)) {
             return;
         }
-        double rateOfJob = new Rate(work / SMOOTHING_MILLIS, arrivedAt).decayedAt(now);
-        ratesByPool.merge(
-                job.policy().pool(),
-                new Rate(rateOfJob, now),
-                (before, added) -> new Rate(before.decayedAt(now) + added.milliCores(), now));
+        recentArrivals(job.policy().pool(), now).add(new Arrival(work, arrivedAt));
+    }
+
+    private List<Arrival> recentArrivals(String pool, long now) {
+        List<Arrival> arrivals = arrivalsByPool.computeIfAbsent(pool, p -> new ArrayList<>());
+        arrivals.removeIf(a -> a.at() <= now - MAX_WINDOW_MILLIS);
+        return arrivals;
     }
 
     /** Returns the work that arrives at a pool per unit of time, in thousandths of a core. */
     long arrivingMilliCores(String pool, long now) {
-        Rate rate = ratesByPool.get(pool);
-        return rate == null ? 0 : Math.round(rate.decayedAt(now));
+        List<Arrival> arrivals = recentArrivals(pool, now);
+        double meanWork = arrivals.stream().mapToDouble(Arrival::work).average().orElse(0);
+        long window = currentRateWindowMillis(arrivals, now);
+        return Math.round(meanWork * countSince(arrivals, now - window) / window);
+    }
+
+    /** Returns the length of the window over which the rate seems to have been constant. */
+    private static long currentRateWindowMillis(List<Arrival> arrivals, long now) {
+        long window = MAX_WINDOW_MILLIS;
+        while (window > MIN_WINDOW_MILLIS) {
+            long count = countSince(arrivals, now - window);
+            long newer = countSince(arrivals, now - window / 2);
+            long difference = newer - (count - newer);
+            if (difference * difference <= SIGNIFICANT_VARIANCES * count) {
+                return window;
+            }
+            window /= 2;
+        }
+        return window;
+    }
+
+    private static long countSince(List<Arrival> arrivals, long since) {
+        return arrivals.stream().filter(a -> a.at() > since).count();
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/ArrivalRatesTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ArrivalRatesTest.java
@@ -14,6 +14,7 @@
     private static final int JOBS = 7;
     private static final int TASKS_PER_STEP = 4;
     private static final long ONE_CORE_MILLI_CORES = 1_000;
+    private static final long RUN_TIME_MILLIS = 1_000;
 
     private final SchedulerFixture fixture = new SchedulerFixture();
 
@@ -49,6 +50,19 @@
         assertThat(load().arrivingMilliCores()).isLessThan(before / 10);
     }
 
+    /** A VM that is ordered late in a surge serves only the rest of it. */
+    @Test
+    void theFullRateOfASurgeIsKnownAfterAQuarterOfASecond() {
+        long intervalMillis = 25;
+        for (int i = 0; i < 10; i++) {
+            fixture.accept("job" + i, step(TASKS_PER_STEP, ONE_CORE_MILLI_CORES));
+            fixture.now += intervalMillis;
+        }
+        long workPerJob = TASKS_PER_STEP * ONE_CORE_MILLI_CORES * RUN_TIME_MILLIS;
+        assertThat(load().arrivingMilliCores())
+                .isBetween(workPerJob / intervalMillis * 8 / 10, workPerJob / intervalMillis);
+    }
+
     @Test
     void longRunningTasksDoNotCountAsArrivingWork() {
         fixture.accept(
