--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -1,7 +1,6 @@
 package org.chervillift.core.tasks;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -32,14 +31,12 @@
  */
 public final class TaskScheduler {
 
-    private static final long STOP_RETRY_MILLIS = 400;
-
     private final SchedulerSettings settings;
     private final Consumer<SchedulerEvent> events;
     private final JobTable jobs = new JobTable();
     private final Set<JobEntry> liveJobs = new LinkedHashSet<>();
     private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
-    private final Map<String, String> predecessorWorkers = new HashMap<>();
+    private final PredecessorWorkers predecessor;
     private final RunRegistry runs = new RunRegistry();
     private final RunTimeEstimator runTimes = new RunTimeEstimator();
     private final JobRanking ranking = new JobRanking(runTimes);
@@ -48,10 +45,10 @@
     private final ReportHandler reportHandler;
     private final OrderAnswerHandler answerHandler;
     private final StartPlanner startPlanner;
+    private final StopPlanner stopPlanner;
     private final StalledRunDetector stalledRunDetector;
     private final PaceControl paceControl;
     private final StartGate startGate;
-    private final long predecessorLeasesEndAt;
     private Manifest manifest;
 
     /**
@@ -72,11 +69,12 @@
         this.lifecycle = new JobLifecycle(liveJobs, events);
         this.reportHandler = new ReportHandler(jobs, runs, lifecycle, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
+        this.stopPlanner = new StopPlanner(events);
         this.answerHandler = new OrderAnswerHandler(runs, events);
         this.stalledRunDetector = new StalledRunDetector(events);
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(lifecycle, this::runOf);
-        this.predecessorLeasesEndAt = now + settings.predecessorLeaseMillis();
+        this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
     }
 
     /** Applies a newer configuration. */
@@ -193,7 +191,7 @@
 
     /** Adds a worker on which an earlier holder may have started tasks. */
     public void addPredecessorWorker(String workerId, String pool) {
-        predecessorWorkers.put(workerId, pool);
+        predecessor.add(workerId, pool);
     }
 
     /**
@@ -203,7 +201,7 @@
     public boolean isUnreachablePredecessorWorker(String workerId, long now) {
         WorkerRecord worker = workers.get(workerId);
         boolean unreachable = worker == null || worker.unreachableMillis(now) > 0;
-        return unreachable && predecessorWorkers.containsKey(workerId);
+        return unreachable && predecessor.contains(workerId);
     }
 
     /** Adds or updates a worker as listed by the registry. */
@@ -231,7 +229,7 @@
 
     /** Closes all runs of a worker whose lifetime has ended. */
     public void workerLifetimeEnded(String workerId) {
-        predecessorWorkers.remove(workerId);
+        predecessor.remove(workerId);
         WorkerRecord worker = workers.get(workerId);
         if (worker != null && !worker.runs().isEmpty()) {
             events.accept(
@@ -286,7 +284,7 @@
         long before = worker.lastAppliedEnd();
         reportHandler.apply(worker, report, sentAt, now);
         worker.reported(true);
-        predecessorWorkers.remove(workerId);
+        predecessor.remove(workerId);
         return worker.lastAppliedEnd() > before;
     }
 
@@ -340,7 +338,11 @@
         orders.addAll(
                 startGate.releaseReady(
                         startPlanner.planStarts(
-                                liveJobs, workers.values(), manifest, s -> mayStart(s, now), now)));
+                                liveJobs,
+                                workers.values(),
+                                manifest,
+                                s -> predecessor.mayStart(s, now),
+                                now)));
         return orders;
     }
 
@@ -354,7 +356,7 @@
         closeRunsOfExpiredLeases(now);
         stalledRunDetector.check(workers.values(), now);
         liveJobs.forEach(j -> j.createDueOccurrences(wallMillis));
-        List<Order> orders = new ArrayList<>(stopOrders(now));
+        List<Order> orders = new ArrayList<>(stopPlanner.planStops(workers.values(), now));
         orders.addAll(paceControl.decide(workers.values(), now));
         return orders;
     }
@@ -413,35 +415,7 @@
 
     /** Returns when the last lease ends that this holder or its predecessor granted to a worker. */
     private long lastLeaseEndsAt(WorkerRecord worker) {
-        return Math.max(worker.leaseEndsAt(), predecessorLeasesEndAt);
-    }
-
-    private List<Order> stopOrders(long now) {
-        List<Order> orders = new ArrayList<>();
-        for (WorkerRecord worker : workers.values()) {
-            for (Run run : worker.runs()) {
-                boolean due = now - STOP_RETRY_MILLIS >= run.stopSentAt();
-                if (run.phase() == Run.Phase.STOPPING
-                        && worker.hasReported()
-                        && !run.stopConfirmedBefore(now)
-                        && due) {
-                    run.markStopSent(now);
-                    events.accept(SchedulerEvent.of(SchedulerEvent.Kind.STOP, run, ""));
-                    orders.add(new Order.Stop(worker.id(), run.task().id(), run.number()));
-                }
-            }
-        }
-        return orders;
-    }
-
-    /** Returns whether every run of a step that an earlier holder may have started is known. */
-    private boolean mayStart(StepEntry step, long now) {
-        if (!step.isBegunByPredecessor() || now > predecessorLeasesEndAt) {
-            return true;
-        }
-        JobEntry job = step.job();
-        Collection<String> pools = predecessorWorkers.values();
-        return !pools.contains(job.policy().pool()) && !pools.contains(job.job().policy().pool());
+        return Math.max(worker.leaseEndsAt(), predecessor.leasesEndAt());
     }
 
     /** Returns whether a worker has reported its runs to this holder. */
@@ -474,36 +448,12 @@
         if (worker == null) {
             return;
         }
-        for (Run run : worker.runs()) {
-            boolean canStop =
-                    run.task().step().spec().longRunning()
-                            ? canStopLongRunning(run, urgent, now)
-                            : urgent;
-            if (canStop && run.phase() == Run.Phase.RUNNING) {
-                run.enterPhase(Run.Phase.STOPPING, now);
-            }
-        }
-    }
-
-    private boolean canStopLongRunning(Run run, boolean urgent, long now) {
-        return run.task().step().canStopOneMore(run) && (urgent || hasReplacement(run, now));
-    }
-
-    /** Returns whether another worker could take the task of a run besides those that wait. */
-    private boolean hasReplacement(Run run, long now) {
-        StepEntry step = run.task().step();
-        long replacements =
-                workers.values().stream()
-                        .filter(w -> w != run.worker() && w.pool().equals(run.worker().pool()))
-                        .filter(w -> Placement.isEligible(step, w, now))
-                        .filter(w -> step.spec().footprint().fitsIn(w.freeResources()))
-                        .count();
-        return replacements > step.countNotRunning();
+        WorkerDrainer.stopRuns(worker, workers.values(), urgent, now);
     }
 
     /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
     public Map<String, String> workersInUse() {
-        Map<String, String> inUse = new HashMap<>(predecessorWorkers);
+        Map<String, String> inUse = new HashMap<>(predecessor.poolsByWorker());
         workers.values().stream()
                 .filter(w -> w.isListed() || !w.runs().isEmpty())
                 .forEach(w -> inUse.put(w.id(), w.pool()));
