Count towards a lease's expiry only time in which the store could be read

At 34.7 s another process took the lease, since its row had not changed for 3.7 s, although the holder was alive, still knew all jobs and wrote its renewal 8 ms later. The new holder was ready at 35.1 s and had all pools without known workers at 35 s, 12,000 cores of tasks waiting at 36 s.

Change: a process that could not read the store starts to count anew when it can (HolderElection .recordStoreReadable); a failed lease write needs an answer after it. The holder has at least the lease's duration to renew. If it died during the outage, its lease is taken that much later.

Tests: TaskNodeTest.theHolderKeepsItsLeaseOverAnOutageOfTheStore (eleven processes with timers at different times; red before), aLeaseIsTakenOverAlthoughItsHolderDiedDuringAnOutageOfTheStore.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -14,6 +14,10 @@
  * holder reads the jobs, because its renewals share the link with these reads. A process that
  * failed to read the jobs during its term waits longer before its next takeover, and a process on a
  * slow link waits before it takes a free lease, so that processes on faster links go first.
+ *
+ * <p>Only time in which this process could read the store counts towards the expiry of another
+ * process's lease. While the store is down nobody can renew, so its return would otherwise start a
+ * race in which the holder, which still knows all jobs, often loses.
  */
 public final class HolderElection {
 
@@ -35,6 +39,8 @@
     private Optional<HolderRow> currentRow = Optional.empty();
     private long rowVersion;
     private long rowUnchangedSince;
+    private long storeReadableSince = NEVER;
+    private boolean storeReadable = true;
     private long lastRenewedAt = NEVER;
     private boolean readingJobs;
     private boolean yieldsNextTerm;
@@ -80,6 +86,14 @@
         }
     }
 
+    /** Records whether this process can read the store now. */
+    public void recordStoreReadable(boolean readable, long now) {
+        if (readable && !storeReadable) {
+            storeReadableSince = now;
+        }
+        storeReadable = readable;
+    }
+
     /** Records that a write of this process succeeded. */
     public void writeSucceeded(HolderRow written, long writtenVersion, long sentAt, long now) {
         observe(Optional.of(written), writtenVersion, now);
@@ -137,7 +151,8 @@
             return renew ? renewal(held) : new Decision.Wait();
         }
         boolean ownFormerProcess = held.vm().equals(vm);
-        boolean free = now - rowUnchangedSince >= takeoverWaitMillis(held);
+        long confirmedSince = Math.max(rowUnchangedSince, storeReadableSince);
+        boolean free = storeReadable && now - confirmedSince >= takeoverWaitMillis(held);
         return ownFormerProcess || free ? takeOver(held.term()) : new Decision.Wait();
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -37,6 +37,7 @@
     private long termVersion;
     private long acquiredAt;
     private long noWriteBefore = Long.MIN_VALUE;
+    private long lastWriteFailureAt = Long.MIN_VALUE;
     private Optional<HolderRow> lastTriedRow = Optional.empty();
     private long firstTriedAt;
     private boolean leaseUncertain;
@@ -158,6 +159,7 @@
             return;
         }
         logLeaseCertainty();
+        election.recordStoreReadable(follower.hasAnswerSince(lastWriteFailureAt), nowMillis());
         writeLeaseIfDue();
         scheduler.schedule(TICK_INTERVAL, this::tick);
     }
@@ -216,7 +218,8 @@
     }
 
     private void onWriteFailure(Throwable fault) {
-        noWriteBefore = nowMillis() + WRITE_RETRY_DELAY.toMillis();
+        lastWriteFailureAt = nowMillis();
+        noWriteBefore = lastWriteFailureAt + WRITE_RETRY_DELAY.toMillis();
         EventLog.log(TaskEvent.LEASE_WRITE_FAILED, Field.of("why", fault.getMessage()));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -98,6 +98,11 @@
                 && (!failing || nowMillis() - failingSince < TOLERATED_FAILURE_MILLIS);
     }
 
+    /** Returns whether the last call succeeded, and an answer has come since a given time. */
+    boolean hasAnswerSince(long millis) {
+        return !failing && lastAnswerAt >= millis;
+    }
+
     /** Loads all partitions in parallel; changes are followed from the oldest version read. */
     private void loadAll() {
         PendingLoad load = new PendingLoad(partitions.size());
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
@@ -7,8 +7,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.chervillift.api.ChervilliftException;
 import org.chervillift.api.ErrorCode;
+import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobState;
@@ -22,6 +25,9 @@
     private static final long VM_LIST_INTERVAL_MILLIS = 300;
     private static final int LISTS_UNTIL_ENDED = 2;
 
+    /** Lets the periodic timers of the processes run at different times. */
+    private static final long TIMER_OFFSET_MILLIS = 37;
+
     @Test
     void aJobIsAcceptedRunAndReportedByAnyProcess() {
         addWorker("w1", 10_000);
@@ -222,6 +228,63 @@
                 .orElseThrow();
     }
 
+    /**
+     * Each process finds the lease expired when the store returns, and the holder is still there.
+     */
+    @Test
+    void theHolderKeepsItsLeaseOverAnOutageOfTheStore() {
+        addWorker("w1", 1_000);
+        startNodeAndWait("a");
+        for (int i = 0; i < 10; i++) {
+            advanceMillis(TIMER_OFFSET_MILLIS);
+            startNodeAndWait("b" + i);
+        }
+        String termBefore = storedTerm();
+        for (long outageMillis = 3_000; outageMillis < 4_000; outageMillis += 90) {
+            store.setFault(StoreFault.DOWN);
+            advanceMillis(outageMillis);
+            store.setFault(StoreFault.NONE);
+            advanceMillis(3_000);
+            assertThat(storedTerm())
+                    .as("term after an outage of %s ms", outageMillis)
+                    .isEqualTo(termBefore);
+        }
+    }
+
+    private String storedTerm() {
+        CompletableFuture<RowStore.Page> page =
+                store.scan(
+                                StoreLayout.HOLDER_TABLE,
+                                StoreLayout.HOLDER_PARTITION,
+                                RowStore.KeyRange.ALL)
+                        .toCompletableFuture();
+        advanceMillis(50);
+        return page.join().rows().stream()
+                .filter(r -> r.key().equals(StoreLayout.TERM_KEY))
+                .map(Row::value)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void aLeaseIsTakenOverAlthoughItsHolderDiedDuringAnOutageOfTheStore() {
+        addWorker("w1", 1_000);
+        DelayingStore connectionOfA = new DelayingStore(store);
+        startNode("a", connectionOfA);
+        advanceMillis(500);
+        TaskNode b = startNodeAndWait("b");
+        store.setFault(StoreFault.DOWN);
+        advanceMillis(2_000);
+        connectionOfA.hold(w -> true);
+        connectionOfA.stopFeeds();
+        advanceMillis(1_000);
+        store.setFault(StoreFault.NONE);
+        advanceMillis(4_000);
+        assertThat(ask(b, JobRequest.Action.SUBMIT, JOB)).isInstanceOf(JobAnswer.Accepted.class);
+        advanceMillis(2_000);
+        assertThat(fleet.starts()).isNotEmpty();
+    }
+
     @Test
     void vmsAreNotOrderedWhileTheOrdersCannotBeStored() {
         addWorker("w1", 1_000);
