Keep a VM drained while a task that was stopped on it waits for another VM

In the pool of the last ones a long-running task was stopped at 10.5, 14.6, 16.7 and 18.4 s, and started each time again on the VM that was being drained. The stopped task waits, so its pool counts as short and can spare no VM; the VM fell out of the wave's choice, was no longer cordoned, and was the one that could take the task. The service lost a task four times for nothing, and its next one was stopped only at 22.4 s.

Ruled out: the limit of tasks that may be down (one of 18, a restart takes 1.7 s: 15 s for the nine in the wave).

Change: a VM that is drained and has no other runs stays a candidate although its pool is short, is maintained when it is empty, and stays cordoned while no slot is free.

Test: FleetWavePlannerTest.aVmStaysDrainedWhileTheTaskThatWasStoppedOnItWaits, red before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
@@ -166,22 +166,37 @@
         List<VmView> candidates =
                 remaining.stream()
                         .filter(VmView::isUpWithoutOrder)
-                        .filter(v -> deadlineAtRisk || canBeSpared(v, fleet))
+                        .filter(
+                                v ->
+                                        deadlineAtRisk
+                                                || isDrainedOfLongRunningTasks(v, fleet)
+                                                || canBeSpared(v, fleet))
                         .sorted(maintenanceOrder(fleet.draining()))
                         .toList();
         List<String> maintain = new ArrayList<>();
         Set<String> drain = new LinkedHashSet<>(longRunningDrains(candidates));
         int free = slots;
         for (VmView view : candidates) {
-            if (free <= 0) {
-                break;
+            String name = view.vm().name();
+            if (free > 0) {
+                (view.load().isIdle() ? maintain : drain).add(name);
+                free--;
+            } else if (isDrainedOfLongRunningTasks(view, fleet)) {
+                drain.add(name);
             }
-            (view.load().isIdle() ? maintain : drain).add(view.vm().name());
-            free--;
         }
         return new Decision(maintain, List.copyOf(drain), deadlineAtRisk, false);
     }
 
+    /**
+     * Returns whether a VM is being drained, or has been drained, of long-running tasks. Such a VM
+     * stays drained until it is maintained: a task that was stopped on it may wait for another VM,
+     * and would return to this one.
+     */
+    private static boolean isDrainedOfLongRunningTasks(VmView view, Fleet fleet) {
+        return fleet.draining().contains(view.vm().name()) && view.load().finiteRuns() == 0;
+    }
+
     /** Returns the first VMs with long-running tasks of each pool; draining takes no slot. */
     private static List<String> longRunningDrains(List<VmView> candidates) {
         Map<String, Integer> drainsByPool = new HashMap<>();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/FleetWavePlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/FleetWavePlannerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +28,7 @@
 
     private final Map<String, VmView> vms = new HashMap<>();
     private final Map<String, PoolLoad> pools = new HashMap<>();
+    private final Set<String> draining = new HashSet<>();
 
     private void vm(String name, String pool, Status status, WorkerLoad load) {
         vm(name, pool, status, load, PendingOrder.NONE);
@@ -52,7 +54,7 @@
     private Decision decide(
             List<String> ordered, Set<String> gone, Set<String> maintained, int cap, long now) {
         WaveOrder order = new WaveOrder(1, ordered, DURATION_MILLIS, cap);
-        Fleet fleet = new Fleet(vms, pools, Set.of("standby"), gone, Set.of(), 2_000);
+        Fleet fleet = new Fleet(vms, pools, Set.of("standby"), gone, draining, 2_000);
         return FleetWavePlanner.decide(new Progress(order, 0, maintained), fleet, now);
     }
 
@@ -113,6 +115,21 @@
         assertThat(decision.drain()).hasSize(3).allMatch(v -> v.startsWith("lasting"));
     }
 
+    /** The task that was stopped makes its pool short, and went back to the VM again and again. */
+    @Test
+    void aVmStaysDrainedWhileTheTaskThatWasStoppedOnItWaits() {
+        vm("a", "p", Status.UP, WorkerLoad.IDLE);
+        vm("b", "q", Status.MAINTENANCE, WorkerLoad.IDLE);
+        draining.add("a");
+        pools.put("p", new PoolLoad(5_000, 5_000, 10 * VM_MILLI_CORES, 0));
+
+        Decision withoutSlot = decide(Set.of("b"), 1, 0);
+        assertThat(withoutSlot.maintain()).isEmpty();
+        assertThat(withoutSlot.drain()).containsExactly("a");
+        vm("b", "q", Status.UP, WorkerLoad.IDLE);
+        assertThat(decide(Set.of("b"), 1, 0).maintain()).containsExactly("a");
+    }
+
     @Test
     void aWaveIsCompletedOnlyOnceAllVmsAreMaintainedAndUpAgain() {
         vm("a", "p", Status.MAINTENANCE, WorkerLoad.IDLE);
