Say in one place whether a worker can take a task, and derive the pause after a failed lease write

WorkerDrainer.hasReplacement repeated the two conditions of Placement.choose; both call Placement.canTake now. HolderLeaseManager kept the time of the last failed write and the end of the pause after it; the second follows from the first. Two tests of drained workers share their set-up. No change of behaviour; no assertion changed.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -31,11 +31,16 @@
         StepEntry step = task.step();
         return pool.stream()
                 .filter(w -> !reserved.contains(w))
-                .filter(w -> isEligible(step, w, now))
-                .filter(w -> step.spec().footprint().fitsIn(w.freeResources()))
+                .filter(w -> canTake(step, w, now))
                 .min(preference(task));
     }
 
+    /** Returns whether a worker may run a task of a step, and has the capacity for it now. */
+    static boolean canTake(StepEntry step, WorkerRecord worker, long now) {
+        return isEligible(step, worker, now)
+                && step.spec().footprint().fitsIn(worker.freeResources());
+    }
+
     /** Returns whether a worker may run tasks of a step, provided that it has the capacity. */
     static boolean isEligible(StepEntry step, WorkerRecord worker, long now) {
         StepSpec spec = step.spec();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerDrainer.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerDrainer.java
@@ -45,8 +45,7 @@
         long replacements =
                 workers.stream()
                         .filter(w -> w != run.worker() && w.pool().equals(run.worker().pool()))
-                        .filter(w -> Placement.isEligible(step, w, now))
-                        .filter(w -> step.spec().footprint().fitsIn(w.freeResources()))
+                        .filter(w -> Placement.canTake(step, w, now))
                         .count();
         return replacements > step.countNotRunning();
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -423,13 +423,17 @@
         assertThat(fixture.plan()).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
     }
 
-    /** Without another worker the task would be down for as long as moving a VM takes. */
-    @Test
-    void aDrainedWorkerKeepsItsLongRunningTaskUntilAnotherWorkerCanTakeIt() {
+    private void startLongRunningTaskOnItsOnlyWorker() {
         fixture.addWorker("w1", 1_000);
         fixture.accept("a", step(1, 1_000, List.of(), false, true, 1));
         fixture.starts();
         fixture.report("w1");
+    }
+
+    /** Without another worker the task would be down for as long as moving a VM takes. */
+    @Test
+    void aDrainedWorkerKeepsItsLongRunningTaskUntilAnotherWorkerCanTakeIt() {
+        startLongRunningTaskOnItsOnlyWorker();
 
         fixture.scheduler.drain("w1", false, fixture.now);
         assertThat(fixture.plan()).isEmpty();
@@ -441,10 +445,7 @@
 
     @Test
     void anUrgentDrainStopsALongRunningTaskThatNoOtherWorkerCanTake() {
-        fixture.addWorker("w1", 1_000);
-        fixture.accept("a", step(1, 1_000, List.of(), false, true, 1));
-        fixture.starts();
-        fixture.report("w1");
+        startLongRunningTaskOnItsOnlyWorker();
 
         fixture.scheduler.drain("w1", true, fixture.now);
         assertThat(fixture.plan()).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -36,7 +36,6 @@
     private Optional<HolderController> holder = Optional.empty();
     private long termVersion;
     private long acquiredAt;
-    private long noWriteBefore = Long.MIN_VALUE;
     private long lastWriteFailureAt = Long.MIN_VALUE;
     private Optional<HolderRow> lastTriedRow = Optional.empty();
     private long firstTriedAt;
@@ -177,7 +176,7 @@
     }
 
     private void writeLeaseIfDue() {
-        if (stopped || writing || !follower.isLoaded() || nowMillis() < noWriteBefore) {
+        if (stopped || writing || !follower.isLoaded() || isBeforeWriteRetry()) {
             return;
         }
         if (holder.flatMap(HolderController::board).isPresent()) {
@@ -199,6 +198,10 @@
         }
     }
 
+    private boolean isBeforeWriteRetry() {
+        return nowMillis() < lastWriteFailureAt + WRITE_RETRY_DELAY.toMillis();
+    }
+
     private CompletionStage<Outcome> commit(Decision.Write write) {
         if (!lastTriedRow.equals(Optional.of(write.row()))) {
             lastTriedRow = Optional.of(write.row());
@@ -219,7 +222,6 @@
 
     private void onWriteFailure(Throwable fault) {
         lastWriteFailureAt = nowMillis();
-        noWriteBefore = lastWriteFailureAt + WRITE_RETRY_DELAY.toMillis();
         EventLog.log(TaskEvent.LEASE_WRITE_FAILED, Field.of("why", fault.getMessage()));
     }
 
