Log each run that is lost with its worker, with the cause and the crashes so far

The log named a lost worker and the number of its runs, not the runs, and 300 lines a second of event 7050 were not enough in the seconds after a crash. Event 7053 (decision LOST) now names each run, why its worker was lost, whether the run had begun, and how many workers have crashed under its task. Nothing is decided by the count yet.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -20,6 +20,7 @@
     private final JobTable jobs;
     private final RunRegistry runs;
     private final JobLifecycle lifecycle;
+    private final WorkerLossHandler losses;
     private final RunTimeEstimator runTimes;
     private final Consumer<SchedulerEvent> events;
 
@@ -27,11 +28,13 @@
             JobTable jobs,
             RunRegistry runs,
             JobLifecycle lifecycle,
+            WorkerLossHandler losses,
             RunTimeEstimator runTimes,
             Consumer<SchedulerEvent> events) {
         this.jobs = jobs;
         this.runs = runs;
         this.lifecycle = lifecycle;
+        this.losses = losses;
         this.runTimes = runTimes;
         this.events = events;
     }
@@ -42,7 +45,7 @@
      * @param sentAt when the call was sent that the report answers, in milliseconds
      */
     void apply(WorkerRecord worker, RunReport report, long sentAt, long now) {
-        checkLifetime(worker, report);
+        checkLifetime(worker, report, now);
         Set<Run> stillOpen = applyEnds(worker, report.ended(), now);
         for (RunningTask running : report.running()) {
             applyRunning(worker, running, now).ifPresent(stillOpen::add);
@@ -75,12 +78,12 @@
         return unappliedRuns;
     }
 
-    private void checkLifetime(WorkerRecord worker, RunReport report) {
+    private void checkLifetime(WorkerRecord worker, RunReport report, long now) {
         if (report.bornAtMillis() == 0 || report.bornAtMillis() == worker.bornAtMillis()) {
             return;
         }
         if (worker.bornAtMillis() != 0) {
-            startNewLifetime(worker, report.bornAtMillis());
+            startNewLifetime(worker, report.bornAtMillis(), now);
         } else {
             worker.startNewLifetime(report.bornAtMillis());
         }
@@ -89,7 +92,7 @@
     /**
      * Closes all runs of a worker that has restarted: nothing of its former lifetime still runs.
      */
-    void startNewLifetime(WorkerRecord worker, long bornAtMillis) {
+    void startNewLifetime(WorkerRecord worker, long bornAtMillis, long now) {
         events.accept(
                 new SchedulerEvent(
                         SchedulerEvent.Kind.LIFETIME,
@@ -97,7 +100,7 @@
                         "",
                         worker.id(),
                         "born=" + bornAtMillis + " before=" + worker.bornAtMillis()));
-        worker.runsCopy().forEach(runs::close);
+        losses.lifetimeEnded(worker, now);
         worker.startNewLifetime(bornAtMillis);
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -23,6 +23,7 @@
     private final int number;
     private final WorkerRecord worker;
     private final Resources footprint;
+    private final long openedAt;
     private final long startedAt;
     private Phase phase;
     private long phaseSince;
@@ -34,6 +35,7 @@
     private long paceSentAt = Long.MIN_VALUE / 2;
     private long lastProgressAt;
     private long lastListedAt;
+    private boolean begun;
 
     Run(TaskEntry task, int number, WorkerRecord worker, Phase phase, long now) {
         this.task = task;
@@ -42,6 +44,8 @@
         this.footprint = task.step().spec().footprint();
         this.phase = phase;
         this.phaseSince = now;
+        this.openedAt = now;
+        this.begun = phase == Phase.RUNNING || phase == Phase.STOPPING;
         this.lastProgressAt = now;
         this.startedAt = phase == Phase.STARTING ? now : 0;
     }
@@ -51,6 +55,16 @@
         return startedAt;
     }
 
+    /** Returns when this holder ordered or adopted the run, in milliseconds. */
+    long openedAt() {
+        return openedAt;
+    }
+
+    /** Returns whether the worker has confirmed or listed the run. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     TaskEntry task() {
         return task;
     }
@@ -77,6 +91,7 @@
     }
 
     void enterPhase(Phase next, long now) {
+        begun = begun || next == Phase.RUNNING;
         if (phase != next) {
             phase = next;
             phaseSince = now;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -35,6 +35,8 @@
         STANDSTILL,
         /** A worker has restarted, or its lifetime has ended. */
         LIFETIME,
+        /** A run was lost with its worker. */
+        LOST,
         /** A worker's lease has expired. */
         LEASE_OVER
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -16,6 +16,7 @@
     private final int index;
     private final List<Run> runs = new ArrayList<>(1);
     private final SortedSet<Integer> failedRuns = new TreeSet<>();
+    private final SortedSet<Integer> crashedRuns = new TreeSet<>();
     private final Set<String> failedWorkers = new HashSet<>();
     private boolean done;
     private int lastRunNumber;
@@ -65,6 +66,16 @@
         return failedRuns;
     }
 
+    /** Returns the numbers of the runs whose workers crashed. */
+    SortedSet<Integer> crashedRuns() {
+        return crashedRuns;
+    }
+
+    /** Records that the worker of a run crashed. */
+    void recordCrash(int run) {
+        crashedRuns.add(run);
+    }
+
     Set<String> failedWorkers() {
         return failedWorkers;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -46,6 +46,7 @@
     private final OrderAnswerHandler answerHandler;
     private final StartPlanner startPlanner;
     private final StopPlanner stopPlanner;
+    private final WorkerLossHandler losses;
     private final StalledRunDetector stalledRunDetector;
     private final PaceControl paceControl;
     private final StartGate startGate;
@@ -67,7 +68,8 @@
         this.manifest = Checks.notNull("manifest", manifest);
         this.events = Checks.notNull("events", events);
         this.lifecycle = new JobLifecycle(liveJobs, events);
-        this.reportHandler = new ReportHandler(jobs, runs, lifecycle, runTimes, events);
+        this.losses = new WorkerLossHandler(runs, events);
+        this.reportHandler = new ReportHandler(jobs, runs, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
         this.answerHandler = new OrderAnswerHandler(runs, events);
@@ -205,7 +207,7 @@
     }
 
     /** Adds or updates a worker as listed by the registry. */
-    public void workerListed(WorkerEntry entry) {
+    public void workerListed(WorkerEntry entry, long now) {
         WorkerRecord worker = workers.get(entry.id());
         if (worker == null) {
             workers.put(entry.id(), new WorkerRecord(entry));
@@ -215,11 +217,11 @@
                 entry.bornAtMillis() != 0
                         && worker.bornAtMillis() != 0
                         && entry.bornAtMillis() > worker.bornAtMillis();
-        worker.updateEntry(entry);
         if (restarted) {
-            reportHandler.startNewLifetime(worker, entry.bornAtMillis());
+            reportHandler.startNewLifetime(worker, entry.bornAtMillis(), now);
             worker.reported(false);
         }
+        worker.updateEntry(entry);
     }
 
     /** Marks a worker as unlisted; its runs may go on until its lease ends. */
@@ -228,7 +230,7 @@
     }
 
     /** Closes all runs of a worker whose lifetime has ended. */
-    public void workerLifetimeEnded(String workerId) {
+    public void workerLifetimeEnded(String workerId, long now) {
         predecessor.remove(workerId);
         WorkerRecord worker = workers.get(workerId);
         if (worker != null && !worker.runs().isEmpty()) {
@@ -239,7 +241,7 @@
                             "",
                             workerId,
                             "lifetime ended, runs=" + worker.runs().size()));
-            worker.runsCopy().forEach(runs::close);
+            losses.lifetimeEnded(worker, now);
         }
         if (worker != null) {
             worker.reported(false);
@@ -407,7 +409,7 @@
                                 "",
                                 worker.id(),
                                 "runs=" + worker.runs().size()));
-                worker.runsCopy().forEach(runs::close);
+                losses.leaseExpired(worker, now);
             }
         }
         workers.values().removeIf(w -> !w.isListed() && now > lastLeaseEndsAt(w));
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -0,0 +1,49 @@
+package org.chervillift.core.tasks;
+
+import java.util.function.Consumer;
+
+/**
+ * Closes the runs of lost workers, and records which tasks were running on a worker that crashed.
+ */
+final class WorkerLossHandler {
+
+    private final RunRegistry runs;
+    private final Consumer<SchedulerEvent> events;
+
+    WorkerLossHandler(RunRegistry runs, Consumer<SchedulerEvent> events) {
+        this.runs = runs;
+        this.events = events;
+    }
+
+    /** Closes all runs of a worker whose lifetime has ended: none of them can still exist. */
+    void lifetimeEnded(WorkerRecord worker, long now) {
+        closeRuns(worker, worker.isEndExpected() ? LossCause.PLANNED : LossCause.CRASH, now);
+    }
+
+    /** Closes all runs of a worker whose lease has expired: it has ended them itself. */
+    void leaseExpired(WorkerRecord worker, long now) {
+        closeRuns(worker, LossCause.LEASE_EXPIRED, now);
+    }
+
+    private void closeRuns(WorkerRecord worker, LossCause cause, long now) {
+        for (Run run : worker.runsCopy()) {
+            runs.close(run);
+            if (cause == LossCause.CRASH && run.hasBegun()) {
+                run.task().recordCrash(run.number());
+            }
+            events.accept(
+                    SchedulerEvent.of(SchedulerEvent.Kind.LOST, run, inputs(run, cause, now)));
+        }
+    }
+
+    private static String inputs(Run run, LossCause cause, long now) {
+        return "cause="
+                + cause
+                + " begun="
+                + run.hasBegun()
+                + " ageMillis="
+                + (now - run.openedAt())
+                + " crashes="
+                + run.task().crashedRuns().size();
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -96,6 +96,11 @@
         cordoned = value;
     }
 
+    /** Returns whether the worker's lifetime ends by its own notice, or by an order for its VM. */
+    boolean isEndExpected() {
+        return cordoned || entry.draining();
+    }
+
     /** Returns whether maintenance of the worker's VM is ordered and has not begun. */
     boolean isMaintenanceDue() {
         return maintenanceDue;
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -114,7 +114,7 @@
 
     /** Adds a worker that has reported and holds a lease. */
     void addWorker(String id, long milliCores) {
-        scheduler.workerListed(entry(id, milliCores));
+        scheduler.workerListed(entry(id, milliCores), now);
         report(id);
         scheduler.leaseGranted(id, now + LEASE_MILLIS);
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -83,7 +83,7 @@
         fixture.starts();
         fixture.addWorker("w2", 1_000);
 
-        fixture.scheduler.workerLifetimeEnded("w1");
+        fixture.scheduler.workerLifetimeEnded("w1", fixture.now);
 
         assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w2");
     }
@@ -234,7 +234,7 @@
         fixture.scheduler.workerUnlisted("w2");
         String busy = fixture.runningByWorker.keySet().iterator().next();
         assertThat(fixture.scheduler.workersInUse()).containsOnlyKeys(busy);
-        fixture.scheduler.workerLifetimeEnded(busy);
+        fixture.scheduler.workerLifetimeEnded(busy, fixture.now);
         assertThat(fixture.scheduler.workersInUse()).isEmpty();
     }
 
@@ -347,7 +347,7 @@
         successor.addWorker("w1", 2_000);
         TaskId old = new TaskId("old", 0, 0, 0);
         successor.runningByWorker.put("w2", List.of(new RunningTask(old, 1, "", 50, 0)));
-        successor.scheduler.workerListed(SchedulerFixture.entry("w2", 2_000));
+        successor.scheduler.workerListed(SchedulerFixture.entry("w2", 2_000), successor.now);
         successor.report("w2");
         assertThat(successor.starts()).isEmpty();
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -156,6 +156,7 @@
                 switch (note.kind()) {
                     case FINAL -> TaskEvent.JOB_ENDED;
                     case LIFETIME, LEASE_OVER -> TaskEvent.WORKER_CHANGED;
+                    case LOST -> TaskEvent.RUN_LOST;
                     default -> TaskEvent.TASK_DECISION;
                 };
         EventLog.log(
@@ -362,7 +363,7 @@
     }
 
     private void onWorkerListed(WorkerEntry entry) {
-        board.workerListed(entry);
+        board.workerListed(entry, context.nowMillis());
         WorkerSession session = workerSessions.get(entry.id());
         if (session != null) {
             session.update(entry);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -68,6 +68,8 @@
     JOB_ENDED(7051, Level.INFO, "A job has reached a final state."),
     /** A worker's lifetime or lease has changed. */
     WORKER_CHANGED(7052, Level.INFO, "A worker has a new lifetime, or its lease has expired."),
+    /** A run was lost with its worker. */
+    RUN_LOST(7053, Level.WARN, "A run was lost with its worker."),
     /** An order for a VM was sent. */
     VM_ORDERED(
             7060,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -202,7 +202,7 @@
                     everListed.contains(worker)
                             || board.isUnreachablePredecessorWorker(worker, now);
             if (missingTwice && (olderThanLists || now - since >= UNLISTED_WORKER_GRACE_MILLIS)) {
-                board.workerLifetimeEnded(worker);
+                board.workerLifetimeEnded(worker, now);
             }
         }
     }
