Give up a task under which three workers have crashed

Cause: a run that is lost with its worker was closed, and its task waited again as if it had never run. Only ends that a worker reports as failed counted towards giving up; a crash has no one left to report it.

Change: a confirmed run whose worker's lifetime ends without notice counts as a crash under its task. After three the job fails. Crashes are stored with the progress, and a task with a crash starts again only once that is stored, so that a new holder knows them. Workers that drain, or whose VM was ordered, have not crashed. A long-running task that has run for 10 s is cleared, since it may live through many crashes that are not its own.

--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -0,0 +1,62 @@
+package org.chervillift.core.tasks;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/**
+ * The runs of a task whose workers crashed.
+ *
+ * <p>A worker that crashes takes all of its runs with it, so a single crash says little about a
+ * task. A task under which several workers crash is likely to be what crashes them.
+ */
+final class CrashHistory {
+
+    /** The number of crashed workers after which a task is given up. */
+    static final int MAX_CRASHES = 3;
+
+    private final SortedSet<Integer> runs = new TreeSet<>();
+    private int storedCount;
+
+    /** Records that the worker of a run crashed; returns false if it is recorded already. */
+    boolean record(int run) {
+        return runs.add(run);
+    }
+
+    /** Restores what an earlier holder stored. */
+    void restore(Collection<Integer> storedRuns) {
+        runs.addAll(storedRuns);
+        storedCount = runs.size();
+    }
+
+    /** Forgets all crashes. */
+    void clear() {
+        runs.clear();
+        storedCount = 0;
+    }
+
+    /** Returns the numbers of the runs whose workers crashed. */
+    List<Integer> runs() {
+        return List.copyOf(runs);
+    }
+
+    int count() {
+        return runs.size();
+    }
+
+    /** Returns whether the task must not be started again. */
+    boolean isExhausted() {
+        return runs.size() >= MAX_CRASHES;
+    }
+
+    /** Returns whether a new holder would know all crashes. */
+    boolean isStored() {
+        return storedCount >= runs.size();
+    }
+
+    /** Records how many crashes are stored. */
+    void markStored(int count) {
+        storedCount = Math.max(storedCount, count);
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -57,6 +57,26 @@
         }
     }
 
+    /** Counts a worker that crashed under a run; the job fails once there are too many. */
+    void workerCrashed(TaskEntry task, int run, long now) {
+        JobEntry job = task.step().job();
+        if (job.state().isFinal() || task.isDone() || !task.crashes().record(run)) {
+            return;
+        }
+        changedJobs.add(job);
+        if (task.crashes().isExhausted()) {
+            end(job, JobState.FAILED, now);
+        }
+    }
+
+    /** Forgets the crashes of a task that has shown that it does not cause them. */
+    void clearCrashes(TaskEntry task) {
+        if (task.crashes().count() > 0) {
+            task.crashes().clear();
+            changedJobs.add(task.step().job());
+        }
+    }
+
     void cancel(JobEntry job, long now) {
         if (!job.state().isFinal()) {
             end(job, JobState.CANCELLED, now);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -35,14 +35,17 @@
     }
 
     /**
-     * The failed runs of a task.
+     * The runs of a task that failed, and those whose workers crashed.
      *
      * @param task the task's index
      * @param runs the numbers of the failed runs
+     * @param crashedRuns the numbers of the runs whose workers crashed; rows of earlier releases
+     *     lack them
      */
-    public record TaskFailures(int task, List<Integer> runs) {
+    public record TaskFailures(int task, List<Integer> runs, List<Integer> crashedRuns) {
         public TaskFailures {
             runs = List.copyOf(runs);
+            crashedRuns = crashedRuns == null ? List.of() : List.copyOf(crashedRuns);
         }
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -23,9 +23,18 @@
                 step.tasks().stream().filter(TaskEntry::isDone).map(TaskEntry::index).toList();
         List<TaskFailures> failures =
                 step.tasks().stream()
-                        .filter(t -> !t.isDone() && !t.failedRuns().isEmpty())
-                        .map(t -> new TaskFailures(t.index(), List.copyOf(t.failedRuns())))
+                        .filter(t -> !t.isDone() && hasFailures(t))
+                        .map(ProgressSnapshot::failuresOf)
                         .toList();
         return new StepProgress(step.occurrence(), step.number(), done, failures);
     }
+
+    private static boolean hasFailures(TaskEntry task) {
+        return !task.failedRuns().isEmpty() || task.crashes().count() > 0;
+    }
+
+    private static TaskFailures failuresOf(TaskEntry task) {
+        return new TaskFailures(
+                task.index(), List.copyOf(task.failedRuns()), task.crashes().runs());
+    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -17,6 +17,9 @@
     private static final long FAILED_SERVICE_DELAY_MILLIS = 200;
     private static final long UNKNOWN_JOB_TIMEOUT_MILLIS = 5_000;
 
+    /** A long-running task that has run for this long does not crash workers that start it. */
+    private static final long CRASH_PROBATION_MILLIS = 10_000;
+
     private final JobTable jobs;
     private final RunRegistry runs;
     private final JobLifecycle lifecycle;
@@ -175,6 +178,9 @@
         run.updateProgress(running.percent(), now);
         run.gauge(running.gauge());
         task.updateCheckpoint(running.checkpoint());
+        if (task.step().spec().longRunning() && now - run.openedAt() >= CRASH_PROBATION_MILLIS) {
+            lifecycle.clearCrashes(task);
+        }
         return Optional.of(run);
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -6,10 +6,12 @@
 import java.util.function.Function;
 
 /**
- * Holds back the first start orders of a step until the store records that the step has begun.
+ * Holds back start orders until the store records what a new holder must know of the task: that its
+ * step has begun, and which of its runs were lost in a crash of their worker.
  *
  * <p>When a holder is lost under load, its successor therefore knows which steps cannot have been
- * started. It starts these at once, even while some workers do not answer yet.
+ * started. It starts these at once, even while some workers do not answer yet. When holders are
+ * lost one after the other, each knows the crashes that its predecessors have seen.
  */
 final class StartGate {
 
@@ -27,7 +29,7 @@
         this.findRun = findRun;
     }
 
-    /** Returns whether starts are held back until their steps are stored as begun. */
+    /** Returns whether starts are held back until progress is stored. */
     boolean hasHeldStarts() {
         return !heldStarts.isEmpty();
     }
@@ -44,11 +46,11 @@
                 // The job was cancelled, or the worker is gone.
                 continue;
             }
-            StepEntry step = run.get().task().step();
-            if (step.isBegunStored()) {
+            TaskEntry task = run.get().task();
+            if (task.step().isBegunStored() && task.crashes().isStored()) {
                 ready.add(start);
             } else {
-                markBegun(step);
+                markBegun(task.step());
                 heldStarts.add(start);
             }
         }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -16,7 +16,7 @@
     private final int index;
     private final List<Run> runs = new ArrayList<>(1);
     private final SortedSet<Integer> failedRuns = new TreeSet<>();
-    private final SortedSet<Integer> crashedRuns = new TreeSet<>();
+    private final CrashHistory crashes = new CrashHistory();
     private final Set<String> failedWorkers = new HashSet<>();
     private boolean done;
     private int lastRunNumber;
@@ -66,20 +66,23 @@
         return failedRuns;
     }
 
-    /** Returns the numbers of the runs whose workers crashed. */
-    SortedSet<Integer> crashedRuns() {
-        return crashedRuns;
-    }
-
-    /** Records that the worker of a run crashed. */
-    void recordCrash(int run) {
-        crashedRuns.add(run);
+    /** Returns the runs whose workers crashed. */
+    CrashHistory crashes() {
+        return crashes;
     }
 
     Set<String> failedWorkers() {
         return failedWorkers;
     }
 
+    /** Restores the failed and crashed runs that an earlier holder stored. */
+    void restore(JobProgress.TaskFailures stored) {
+        failedRuns.addAll(stored.runs());
+        crashes.restore(stored.crashedRuns());
+        stored.runs().forEach(this::recordRunNumber);
+        stored.crashedRuns().forEach(this::recordRunNumber);
+    }
+
     int lastRunNumber() {
         return lastRunNumber;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -68,7 +68,7 @@
         this.manifest = Checks.notNull("manifest", manifest);
         this.events = Checks.notNull("events", events);
         this.lifecycle = new JobLifecycle(liveJobs, events);
-        this.losses = new WorkerLossHandler(runs, events);
+        this.losses = new WorkerLossHandler(runs, lifecycle, events);
         this.reportHandler = new ReportHandler(jobs, runs, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
@@ -131,13 +131,7 @@
                 job.markHasRun();
             }
             stored.done().forEach(i -> step.markDone(step.tasks().get(i)));
-            stored.failures()
-                    .forEach(
-                            f -> {
-                                TaskEntry task = step.tasks().get(f.task());
-                                task.failedRuns().addAll(f.runs());
-                                f.runs().forEach(task::recordRunNumber);
-                            });
+            stored.failures().forEach(f -> step.tasks().get(f.task()).restore(f));
         }
         if (progress.state().isFinal()) {
             job.state(progress.state());
@@ -462,7 +456,7 @@
         return inUse;
     }
 
-    /** Returns whether starts are held back until their steps are stored as begun. */
+    /** Returns whether starts are held back until progress is stored. */
     public boolean hasHeldStarts() {
         return startGate.hasHeldStarts();
     }
@@ -476,7 +470,7 @@
     /** Records that a snapshot of progress has been stored. */
     public void markStored(UnstoredProgress stored) {
         stored.unchangedJobs(settings.term()).forEach(lifecycle.changedJobs()::remove);
-        stored.markBegunStepsStored();
+        stored.markStepsStored();
         stored.acknowledgeEnds(workers);
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
@@ -64,13 +64,20 @@
         return unchanged;
     }
 
-    /** Marks the steps of this snapshot as stored as begun. */
-    void markBegunStepsStored() {
+    /** Marks the steps of this snapshot as stored as begun, and the crashes of their tasks. */
+    void markStepsStored() {
         progressByJob.forEach(
                 (job, stored) ->
                         stored.steps()
-                                .forEach(
-                                        s -> job.step(s.occurrence(), s.step()).markBegunStored()));
+                                .forEach(s -> markStored(job.step(s.occurrence(), s.step()), s)));
+    }
+
+    private static void markStored(StepEntry step, JobProgress.StepProgress stored) {
+        step.markBegunStored();
+        for (JobProgress.TaskFailures failures : stored.failures()) {
+            CrashHistory crashes = step.tasks().get(failures.task()).crashes();
+            crashes.markStored(failures.crashedRuns().size());
+        }
     }
 
     /** Acknowledges the ends of this snapshot, so that workers need not report them again. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -8,10 +8,12 @@
 final class WorkerLossHandler {
 
     private final RunRegistry runs;
+    private final JobLifecycle lifecycle;
     private final Consumer<SchedulerEvent> events;
 
-    WorkerLossHandler(RunRegistry runs, Consumer<SchedulerEvent> events) {
+    WorkerLossHandler(RunRegistry runs, JobLifecycle lifecycle, Consumer<SchedulerEvent> events) {
         this.runs = runs;
+        this.lifecycle = lifecycle;
         this.events = events;
     }
 
@@ -29,7 +31,7 @@
         for (Run run : worker.runsCopy()) {
             runs.close(run);
             if (cause == LossCause.CRASH && run.hasBegun()) {
-                run.task().recordCrash(run.number());
+                lifecycle.workerCrashed(run.task(), run.number(), now);
             }
             events.accept(
                     SchedulerEvent.of(SchedulerEvent.Kind.LOST, run, inputs(run, cause, now)));
@@ -44,6 +46,8 @@
                 + " ageMillis="
                 + (now - run.openedAt())
                 + " crashes="
-                + run.task().crashedRuns().size();
+                + run.task().crashes().count()
+                + " jobState="
+                + run.task().step().job().state();
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -120,6 +120,14 @@
     }
 
     static WorkerEntry entry(String id, long milliCores) {
+        return entry(id, milliCores, false);
+    }
+
+    static WorkerEntry drainingEntry(String id, long milliCores) {
+        return entry(id, milliCores, true);
+    }
+
+    private static WorkerEntry entry(String id, long milliCores, boolean draining) {
         return new WorkerEntry(
                 id,
                 1,
@@ -127,7 +135,7 @@
                 POOL,
                 "127.0.0.1:1",
                 "dc",
-                false,
+                draining,
                 0,
                 new Resources(milliCores, 10_000, 0),
                 List.of("a", "rack-1"));
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.OrderAnswer;
+import org.chervillift.api.tasks.Resources;
 import org.junit.jupiter.api.Test;
 
 /** Tests what becomes of tasks whose workers crash. */
@@ -38,6 +40,120 @@
         assertThat(fixture.scheduler.stateOf("a")).contains(JobState.FAILED);
     }
 
+    @Test
+    void aNewHolderKnowsTheCrashesThatItsPredecessorsSaw() {
+        int starts = 0;
+        JobProgress stored = null;
+        for (int term = 1; term <= WORKERS && !isFinal(stored); term++) {
+            SchedulerFixture holder = new SchedulerFixture(term, Resources.NONE);
+            addWorkers(holder);
+            holder.now += SchedulerFixture.LEASE_MILLIS + 1;
+            holder.accept("a", SchedulerFixture.step(1, 1_000));
+            if (stored != null) {
+                holder.scheduler.restore("a", stored);
+            }
+            grantLeases(holder);
+            List<Order.Start> orders = holder.starts();
+            starts += orders.size();
+            orders.forEach(o -> crash(holder, o.worker()));
+            stored = holder.scheduler.unstoredProgress().progress().get("a");
+        }
+
+        assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
+        assertThat(stored.state()).isEqualTo(JobState.FAILED);
+    }
+
+    @Test
+    void aTaskIsNotStartedAgainUntilTheCrashOfItsWorkerIsStored() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        Order.Start first = fixture.starts().getFirst();
+        crash(fixture, first.worker());
+
+        assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
+        assertThat(fixture.scheduler.hasHeldStarts()).isTrue();
+        fixture.store();
+        assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).hasSize(1);
+    }
+
+    @Test
+    void crashesAreRememberedWhileTheStoreIsDownAndStoredWhenItIsBack() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        Order.Start first = fixture.starts().getFirst();
+        crash(fixture, first.worker());
+        fixture.now += 2_000;
+        assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
+
+        fixture.store();
+        Order.Start second = fixture.starts().getFirst();
+        crash(fixture, second.worker());
+
+        JobProgress stored = fixture.scheduler.unstoredProgress().progress().get("a");
+        assertThat(stored.steps().getFirst().failures().getFirst().crashedRuns())
+                .containsExactly(1, 2);
+    }
+
+    @Test
+    void aWorkerThatDrainsOrIsDrainedForAnOrderHasNotCrashed() {
+        fixture.addWorker("w1", 1_000);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        fixture.starts();
+        fixture.scheduler.setCordoned("w1", true);
+        crash(fixture, "w1");
+        fixture.addWorker("w2", 1_000);
+        fixture.starts();
+        fixture.scheduler.workerListed(SchedulerFixture.drainingEntry("w2", 1_000), fixture.now);
+        crash(fixture, "w2");
+
+        assertThat(lostRuns()).hasSize(2).allMatch(e -> e.detail().contains("cause=PLANNED"));
+        assertThat(lostRuns()).allMatch(e -> e.detail().contains("crashes=0"));
+    }
+
+    @Test
+    void aStartThatTheWorkerDidNotConfirmIsNoCrashUnderTheTask() {
+        fixture.addWorker("w1", 1_000);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        Order start = fixture.orders().getFirst();
+        fixture.scheduler.applyAnswer(start, OrderAnswer.UNKNOWN, fixture.now);
+        crash(fixture, "w1");
+
+        assertThat(lostRuns())
+                .singleElement()
+                .matches(e -> e.detail().contains("begun=false"))
+                .matches(e -> e.detail().contains("crashes=0"));
+    }
+
+    @Test
+    void aLongRunningTaskThatHasRunForLongIsNoLongerSuspected() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000, List.of(), false, true, 0));
+        for (int i = 0; i < WORKERS; i++) {
+            Order.Start start = fixture.starts().getFirst();
+            fixture.now += 10_000;
+            fixture.report(start.worker());
+            grantLeases(fixture);
+            crash(fixture, start.worker());
+        }
+
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
+    }
+
+    private List<SchedulerEvent> lostRuns() {
+        return fixture.events.stream().filter(e -> e.kind() == SchedulerEvent.Kind.LOST).toList();
+    }
+
+    private static boolean isFinal(JobProgress progress) {
+        return progress != null && progress.state().isFinal();
+    }
+
+    private static void grantLeases(SchedulerFixture fixture) {
+        for (int i = 0; i < WORKERS; i++) {
+            fixture.scheduler.leaseGranted("w" + i, fixture.now + SchedulerFixture.LEASE_MILLIS);
+        }
+    }
+
     private static void addWorkers(SchedulerFixture fixture) {
         for (int i = 0; i < WORKERS; i++) {
             fixture.addWorker("w" + i, WORKER_MILLI_CORES);
