Let a task under which two workers crashed run alone, and keep suspects apart

Callers saw: tasks that shared a worker with one that crashes it were placed beside it again and again. With crashes counted, their jobs were given up for crashes that were not their own.

Cause: best fit places the tasks that waited together on one worker, in the same order, so the same tasks meet on the next worker.

Change: after one crash, tasks go to workers with the fewest such tasks. After two, a task gets a worker of its own: one is kept free until its runs have ended, a quarter of the pool at most, and the pool counts as one VM short. A task that finds none in 2.5 s starts beside others. It is given up after three crashes if it ran alone on the last worker, after four in any case.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -13,14 +13,29 @@
  */
 final class CrashHistory {
 
-    /** The number of crashed workers after which a task is given up. */
+    /**
+     * The number of crashed workers after which a task is given up, if it ran alone on the last
+     * one.
+     */
     static final int MAX_CRASHES = 3;
 
+    /** The number of crashed workers after which a task is given up in any case. */
+    static final int MAX_CRASHES_BESIDE_OTHERS = 4;
+
+    /** The number of crashed workers from which on a task runs alone on its worker. */
+    static final int CRASHES_BEFORE_ISOLATION = 2;
+
     private final SortedSet<Integer> runs = new TreeSet<>();
     private int storedCount;
+    private boolean aloneAtLastCrash;
 
-    /** Records that the worker of a run crashed; returns false if it is recorded already. */
-    boolean record(int run) {
+    /**
+     * Records that the worker of a run crashed; returns false if it is recorded already.
+     *
+     * @param alone whether no other run was on the worker
+     */
+    boolean record(int run, boolean alone) {
+        aloneAtLastCrash = alone;
         return runs.add(run);
     }
 
@@ -45,9 +60,19 @@
         return runs.size();
     }
 
+    /** Returns whether a worker has crashed under the task. */
+    boolean isSuspect() {
+        return !runs.isEmpty();
+    }
+
+    /** Returns whether the task must share its worker with no other task. */
+    boolean needsIsolation() {
+        return runs.size() >= CRASHES_BEFORE_ISOLATION;
+    }
+
     /** Returns whether the task must not be started again. */
     boolean isExhausted() {
-        return runs.size() >= MAX_CRASHES;
+        return runs.size() >= (aloneAtLastCrash ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS);
     }
 
     /** Returns whether a new holder would know all crashes. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -57,10 +57,14 @@
         }
     }
 
-    /** Counts a worker that crashed under a run; the job fails once there are too many. */
-    void workerCrashed(TaskEntry task, int run, long now) {
+    /**
+     * Counts a worker that crashed under a run; the job fails once there are too many.
+     *
+     * @param alone whether no other run was on the worker
+     */
+    void workerCrashed(TaskEntry task, int run, boolean alone, long now) {
         JobEntry job = task.step().job();
-        if (job.state().isFinal() || task.isDone() || !task.crashes().record(run)) {
+        if (job.state().isFinal() || task.isDone() || !task.crashes().record(run, alone)) {
             return;
         }
         changedJobs.add(job);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -45,7 +45,7 @@
                 capacity.merge(worker.pool(), worker.entry().capacity().milliCores(), Long::sum);
             }
         }
-        Map<String, Long> waiting = waitingByPool(live);
+        Map<String, Long> waiting = waitingByPool(live, largestWorkers(workers));
         Set<String> names = new HashSet<>(running.keySet());
         names.addAll(waiting.keySet());
         Map<String, PoolLoad> loads = new HashMap<>();
@@ -62,15 +62,18 @@
     }
 
     /** Returns the cores that waiting tasks request by pool, within the limits of the customers. */
-    private Map<String, Long> waitingByPool(Collection<JobEntry> live) {
+    private Map<String, Long> waitingByPool(
+            Collection<JobEntry> live, Map<String, Long> largestWorkers) {
         Map<String, Long> waiting = new HashMap<>();
         Map<String, Long> remainingLimits = new HashMap<>();
         for (JobEntry job : live) {
             String customer = job.job().customer();
             long remaining = remainingLimits.computeIfAbsent(customer, this::remainingLimitOf);
-            long requested = Math.min(remaining, waitingMilliCores(job));
+            String pool = job.policy().pool();
+            long wholeWorker = largestWorkers.getOrDefault(pool, 0L);
+            long requested = Math.min(remaining, waitingMilliCores(job, wholeWorker));
             remainingLimits.put(customer, remaining - requested);
-            waiting.merge(job.policy().pool(), requested, Long::sum);
+            waiting.merge(pool, requested, Long::sum);
         }
         return waiting;
     }
@@ -83,13 +86,26 @@
         return Math.max(0, customer.limit().milliCores() - runs.usageOf(name).milliCores());
     }
 
-    private static long waitingMilliCores(JobEntry job) {
+    private static long waitingMilliCores(JobEntry job, long wholeWorker) {
         return job.steps()
                 .filter(s -> !s.isDone() && s.isReady())
-                .mapToLong(
-                        s ->
-                                s.tasks().stream().filter(TaskEntry::isWaiting).count()
-                                        * s.spec().footprint().milliCores())
+                .flatMap(s -> s.tasks().stream())
+                .filter(TaskEntry::isWaiting)
+                .mapToLong(t -> requestedMilliCores(t, wholeWorker))
                 .sum();
     }
+
+    /** Returns the cores that a task needs to start: those of a worker if it must run alone. */
+    private static long requestedMilliCores(TaskEntry task, long wholeWorker) {
+        long footprint = task.step().spec().footprint().milliCores();
+        return task.crashes().needsIsolation() ? Math.max(footprint, wholeWorker) : footprint;
+    }
+
+    private static Map<String, Long> largestWorkers(Collection<WorkerRecord> workers) {
+        Map<String, Long> largest = new HashMap<>();
+        for (WorkerRecord worker : workers) {
+            largest.merge(worker.pool(), worker.entry().capacity().milliCores(), Math::max);
+        }
+        return largest;
+    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.Predicate;
 import org.chervillift.api.tasks.StepSpec;
 
 /**
@@ -13,6 +13,7 @@
  * task goes to the one with the least free cores. Workers in the rack of the task's data come
  * first. Long-running tasks are spread instead: they go to the worker with the most free cores, and
  * avoid workers that a maintenance wave is about to drain, so that they are stopped once only.
+ * Tasks that were on a worker when it crashed are kept apart from each other.
  */
 final class Placement {
 
@@ -24,14 +25,17 @@
      * Chooses a worker.
      *
      * @param pool the workers of the pool
-     * @param reserved workers kept free for steps that rank higher
+     * @param usable whether a worker is not kept free for another task
      */
     static Optional<WorkerRecord> choose(
-            TaskEntry task, Collection<WorkerRecord> pool, Set<WorkerRecord> reserved, long now) {
+            TaskEntry task,
+            Collection<WorkerRecord> pool,
+            Predicate<WorkerRecord> usable,
+            long now) {
         StepEntry step = task.step();
         return pool.stream()
-                .filter(w -> !reserved.contains(w))
                 .filter(w -> canTake(step, w, now))
+                .filter(usable)
                 .min(preference(task));
     }
 
@@ -61,6 +65,19 @@
                 || worker.entry().labels().contains(spec.requiredLabel());
     }
 
+    /**
+     * Compares workers for a task under which a worker has crashed: the tasks that were under the
+     * same crash go to different workers, so that a second crash shows which of them caused both.
+     */
+    private static Comparator<WorkerRecord> apartFromSuspects(TaskEntry task) {
+        if (!task.crashes().isSuspect()) {
+            return (a, b) -> 0;
+        }
+        return Comparator.comparingLong(WorkerRecord::suspectRuns)
+                .thenComparing(WorkerRecord::hasLongRunningRuns)
+                .thenComparing(w -> w.runs().size());
+    }
+
     private static Comparator<WorkerRecord> preference(TaskEntry task) {
         StepSpec spec = task.step().spec();
         Comparator<WorkerRecord> failedHere =
@@ -82,6 +99,7 @@
                 .thenComparing(soonDrained)
                 .thenComparing(besideUserTasks)
                 .thenComparing(coupledTasksInRack)
+                .thenComparing(apartFromSuspects(task))
                 .thenComparing(spec.longRunning() ? freeMilliCores.reversed() : freeMilliCores)
                 .thenComparing(WorkerRecord::id);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -17,6 +17,8 @@
     public enum Kind {
         /** An order to start a run is sent. */
         START,
+        /** A worker is kept free for a task under which workers have crashed. */
+        RESERVED,
         /** A worker refused an order to start, or did not answer it. */
         START_NOT_TAKEN,
         /** A run has ended. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -26,6 +26,7 @@
     private final JobRanking ranking;
     private final SchedulerSettings settings;
     private final Consumer<SchedulerEvent> events;
+    private final IsolationPlanner isolation;
 
     StartPlanner(
             RunRegistry runs,
@@ -38,6 +39,7 @@
         this.ranking = ranking;
         this.settings = settings;
         this.events = events;
+        this.isolation = new IsolationPlanner(events);
     }
 
     /**
@@ -61,6 +63,7 @@
                         .filter(mayStart)
                         .map(s -> new Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
+        isolation.beginRound(stepsOf(candidatesByPool.values()), workers);
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
                 (pool, candidates) -> {
@@ -73,6 +76,13 @@
 
     private record Candidate(StepEntry step, JobRanking.Rank rank) {}
 
+    private static Set<StepEntry> stepsOf(Collection<List<Candidate>> candidates) {
+        return candidates.stream()
+                .flatMap(List::stream)
+                .map(Candidate::step)
+                .collect(Collectors.toSet());
+    }
+
     private static boolean hasStartableTask(StepEntry step, long now) {
         return step.tasks().stream().anyMatch(t -> t.isWaiting() && t.notBefore() <= now);
     }
@@ -83,6 +93,7 @@
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
+        candidates.forEach(c -> isolation.reserve(c.step(), pool, now));
         Set<WorkerRecord> reserved = new HashSet<>();
         for (Candidate candidate : candidates) {
             StepEntry step = candidate.step();
@@ -111,7 +122,11 @@
             if (!isWithinLimit(step, 1, manifest)) {
                 return true;
             }
-            Optional<WorkerRecord> worker = Placement.choose(task, pool, reserved, now);
+            Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
+            if (worker.isEmpty() && task.crashes().needsIsolation()) {
+                // Waits for a worker of its own, which lower-ranked steps cannot take.
+                continue;
+            }
             if (worker.isEmpty()) {
                 return false;
             }
@@ -141,7 +156,7 @@
                         .orElse("");
         List<Run> placed = new ArrayList<>();
         for (TaskEntry task : step.tasks()) {
-            Optional<WorkerRecord> worker = Placement.choose(task, pool, reserved, now);
+            Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
             if (worker.isEmpty()) {
                 placed.forEach(runs::close);
                 return false;
@@ -155,6 +170,12 @@
         return true;
     }
 
+    private Optional<WorkerRecord> chooseWorker(
+            TaskEntry task, List<WorkerRecord> pool, Set<WorkerRecord> reserved, long now) {
+        return Placement.choose(
+                task, pool, w -> !reserved.contains(w) && isolation.mayStart(task, w, now), now);
+    }
+
     private Order.Start startRun(TaskEntry task, WorkerRecord worker, int number, long now) {
         return startOrder(runs.open(task, worker, number, Run.Phase.STARTING, now), now);
     }
@@ -169,7 +190,12 @@
                 SchedulerEvent.of(
                         SchedulerEvent.Kind.START,
                         run,
-                        "pool=" + worker.pool() + " free=" + worker.freeResources().milliCores()));
+                        "pool="
+                                + worker.pool()
+                                + " free="
+                                + worker.freeResources().milliCores()
+                                + " crashes="
+                                + task.crashes().count()));
         return new Order.Start(
                 worker.id(),
                 task.id(),
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -1,5 +1,6 @@
 package org.chervillift.core.tasks;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -28,19 +29,23 @@
     }
 
     private void closeRuns(WorkerRecord worker, LossCause cause, long now) {
-        for (Run run : worker.runsCopy()) {
+        List<Run> lost = worker.runsCopy();
+        for (Run run : lost) {
             runs.close(run);
             if (cause == LossCause.CRASH && run.hasBegun()) {
-                lifecycle.workerCrashed(run.task(), run.number(), now);
+                lifecycle.workerCrashed(run.task(), run.number(), lost.size() == 1, now);
             }
             events.accept(
-                    SchedulerEvent.of(SchedulerEvent.Kind.LOST, run, inputs(run, cause, now)));
+                    SchedulerEvent.of(
+                            SchedulerEvent.Kind.LOST, run, inputs(run, cause, lost.size(), now)));
         }
     }
 
-    private static String inputs(Run run, LossCause cause, long now) {
+    private static String inputs(Run run, LossCause cause, int runsLost, long now) {
         return "cause="
                 + cause
+                + " runsOnWorker="
+                + runsLost
                 + " begun="
                 + run.hasBegun()
                 + " ageMillis="
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -223,6 +223,16 @@
         return runs.stream().anyMatch(r -> r.task().step().spec().serves());
     }
 
+    /** Returns whether a task that runs until its job is cancelled runs on this worker. */
+    boolean hasLongRunningRuns() {
+        return runs.stream().anyMatch(r -> r.task().step().spec().longRunning());
+    }
+
+    /** Returns how many tasks run on this worker under which a worker has crashed before. */
+    long suspectRuns() {
+        return runs.stream().filter(r -> r.task().crashes().isSuspect()).count();
+    }
+
     String rack() {
         List<String> labels = entry.labels();
         return labels.size() > 1 ? labels.get(1) : "";
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -200,6 +200,15 @@
         return runningByWorker.computeIfAbsent(order.worker(), w -> new ArrayList<>());
     }
 
+    /** Returns the worker on which a task runs. */
+    String runningWorkerOf(TaskId task) {
+        return runningByWorker.entrySet().stream()
+                .filter(e -> e.getValue().stream().anyMatch(r -> r.task().equals(task)))
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Ends a task on its worker; the worker's next report includes the end. */
     void end(String worker, TaskId task, RunEnd runEnd) {
         List<RunningTask> list = runningByWorker.getOrDefault(worker, new ArrayList<>());
