Tell callers why a job has failed

Callers saw: a job that is given up reads as failed, like one whose own runs failed, with no word on which task or why.

Change: the holder keeps the failure (which task, failed or crashed its workers, how often), stores it with the progress, and every process tells it: the answer has a sentence in detail beside the state. Event 7051 has task, cause and count. Rows of earlier releases are read as before.

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/JobAnswer.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/JobAnswer.java
@@ -15,11 +15,11 @@
     /**
      * How far a job is.
      *
-     * @param state the state
+     * @param status the status
      */
-    record State(JobState state) implements JobAnswer {
+    record State(JobStatus status) implements JobAnswer {
         public State {
-            Checks.notNull("state", state);
+            Checks.notNull("status", status);
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -4,9 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.chervillift.api.tasks.AcceptedJob;
+import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
@@ -19,6 +22,7 @@
     private final long arrivedAt;
     private QueuePolicy policy;
     private JobState state = JobState.QUEUED;
+    private Optional<JobFailure> failure = Optional.empty();
     private boolean hasRun;
 
     /**
@@ -67,6 +71,19 @@
         state = next;
     }
 
+    /** Returns why the job has failed, if it has and that is known. */
+    Optional<JobFailure> failure() {
+        return failure;
+    }
+
+    void failure(Optional<JobFailure> reason) {
+        failure = reason;
+    }
+
+    JobStatus status() {
+        return new JobStatus(state, failure);
+    }
+
     StepEntry step(int occurrence, int number) {
         return occurrence(occurrence).get(number);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -1,8 +1,10 @@
 package org.chervillift.core.tasks;
 
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
 
 /** Changes the states of jobs, and tracks the jobs whose progress must be stored again. */
@@ -53,7 +55,7 @@
         }
         changedJobs.add(job);
         if (task.failedRuns().size() >= job.policy().maxAttempts()) {
-            end(job, JobState.FAILED, now);
+            fail(task, JobFailure.Cause.RUN_FAILED, task.failedRuns().size(), now);
         }
     }
 
@@ -69,7 +71,7 @@
         }
         changedJobs.add(job);
         if (task.crashes().isExhausted()) {
-            end(job, JobState.FAILED, now);
+            fail(task, JobFailure.Cause.WORKER_CRASHED, task.crashes().count(), now);
         }
     }
 
@@ -87,6 +89,12 @@
         }
     }
 
+    private void fail(TaskEntry task, JobFailure.Cause cause, int runs, long now) {
+        JobEntry job = task.step().job();
+        job.failure(Optional.of(new JobFailure(cause, task.id().toString(), runs)));
+        end(job, JobState.FAILED, now);
+    }
+
     private void end(JobEntry job, JobState state, long now) {
         job.state(state);
         liveJobs.remove(job);
@@ -95,6 +103,15 @@
                 .flatMap(t -> t.runs().stream())
                 .forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
         events.accept(
-                new SchedulerEvent(SchedulerEvent.Kind.FINAL, job.id(), "", "", "state=" + state));
+                new SchedulerEvent(
+                        SchedulerEvent.Kind.FINAL,
+                        job.id(),
+                        job.failure().map(JobFailure::task).orElse(""),
+                        "",
+                        "state=" + state + job.failure().map(JobLifecycle::inputs).orElse("")));
+    }
+
+    private static String inputs(JobFailure failure) {
+        return " cause=" + failure.cause() + " runs=" + failure.runs();
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -1,8 +1,11 @@
 package org.chervillift.core.tasks;
 
 import java.util.List;
+import java.util.Optional;
 import org.chervillift.api.Checks;
+import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 
 /**
  * The stored progress of a job, from which a new holder continues.
@@ -10,12 +13,25 @@
  * @param term the term of the holder that wrote the progress
  * @param state the job's state
  * @param steps the steps whose tasks may have been started; empty once the state is final
+ * @param failure why the job has failed; empty also in rows of earlier releases
  */
-public record JobProgress(long term, JobState state, List<StepProgress> steps) {
+public record JobProgress(
+        long term, JobState state, List<StepProgress> steps, Optional<JobFailure> failure) {
 
     public JobProgress {
         Checks.notNull("state", state);
         steps = List.copyOf(steps);
+        failure = failure == null ? Optional.empty() : failure;
+    }
+
+    /** Creates the progress of a job that has not failed. */
+    public JobProgress(long term, JobState state, List<StepProgress> steps) {
+        this(term, state, steps, Optional.empty());
+    }
+
+    /** Returns what callers are told. */
+    public JobStatus status() {
+        return new JobStatus(state, failure);
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobTable.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobTable.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.chervillift.api.tasks.AcceptedJob;
-import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 
 /**
  * All jobs by identifier.
@@ -21,7 +21,7 @@
     private final Map<String, EndedJob> endedJobs = new HashMap<>();
 
     /** A job that an earlier holder ended. */
-    private record EndedJob(JobState state, Supplier<Optional<AcceptedJob>> jobReader) {}
+    private record EndedJob(JobStatus status, Supplier<Optional<AcceptedJob>> jobReader) {}
 
     void put(JobEntry job) {
         entries.put(job.id(), job);
@@ -32,8 +32,8 @@
      *
      * @param jobReader reads the job; returns empty if it cannot be read
      */
-    void putEnded(String id, JobState state, Supplier<Optional<AcceptedJob>> jobReader) {
-        endedJobs.put(id, new EndedJob(state, jobReader));
+    void putEnded(String id, JobStatus status, Supplier<Optional<AcceptedJob>> jobReader) {
+        endedJobs.put(id, new EndedJob(status, jobReader));
     }
 
     boolean contains(String id) {
@@ -44,14 +44,15 @@
     Optional<JobEntry> find(String id) {
         EndedJob ended = endedJobs.remove(id);
         if (ended != null) {
-            ended.jobReader().get().ifPresent(job -> entries.put(id, toEntry(job, ended.state())));
+            ended.jobReader().get().ifPresent(job -> entries.put(id, toEntry(job, ended.status())));
         }
         return Optional.ofNullable(entries.get(id));
     }
 
-    private static JobEntry toEntry(AcceptedJob job, JobState state) {
+    private static JobEntry toEntry(AcceptedJob job, JobStatus status) {
         JobEntry entry = new JobEntry(job, job.policy(), 0);
-        entry.state(state);
+        entry.state(status.state());
+        entry.failure(status.failure());
         return entry;
     }
 
@@ -60,9 +61,9 @@
         return Optional.ofNullable(entries.get(id));
     }
 
-    /** Returns the state of a job that an earlier holder ended, while it has not been read. */
-    Optional<JobState> endedStateOf(String id) {
-        return Optional.ofNullable(endedJobs.get(id)).map(EndedJob::state);
+    /** Returns the status of a job that an earlier holder ended, while it has not been read. */
+    Optional<JobStatus> endedStatusOf(String id) {
+        return Optional.ofNullable(endedJobs.get(id)).map(EndedJob::status);
     }
 
     void remove(String id) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -15,7 +15,7 @@
         if (!job.state().isFinal()) {
             job.steps().filter(StepEntry::isBegun).map(ProgressSnapshot::step).forEach(steps::add);
         }
-        return new JobProgress(term, job.state(), steps);
+        return new JobProgress(term, job.state(), steps, job.failure());
     }
 
     private static StepProgress step(StepEntry step) {
@@ -34,7 +34,6 @@
     }
 
     private static TaskFailures failuresOf(TaskEntry task) {
-        return new TaskFailures(
-                task.index(), List.copyOf(task.failedRuns()), task.crashes().runs());
+        return new TaskFailures(task.index(), List.copyOf(task.failedRuns()), task.crashes().runs());
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -13,6 +13,7 @@
 import org.chervillift.api.Checks;
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.QueuePolicy;
@@ -110,9 +111,9 @@
      * @param jobReader reads the job when it is needed; returns empty if it cannot be read
      */
     public void acceptEnded(
-            String jobId, JobState state, Supplier<Optional<AcceptedJob>> jobReader) {
+            String jobId, JobStatus status, Supplier<Optional<AcceptedJob>> jobReader) {
         if (!jobs.contains(jobId)) {
-            jobs.putEnded(jobId, state, jobReader);
+            jobs.putEnded(jobId, status, jobReader);
         }
     }
 
@@ -135,6 +136,7 @@
         }
         if (progress.state().isFinal()) {
             job.state(progress.state());
+            job.failure(progress.failure());
             liveJobs.remove(job);
         } else if (!progress.steps().isEmpty()) {
             lifecycle.markStarted(job);
@@ -156,15 +158,17 @@
 
     /** Returns the state of a job, if it is known; a final state only once it is stored. */
     public Optional<JobState> stateOf(String jobId) {
-        return jobs.endedStateOf(jobId)
-                .or(
-                        () ->
-                                jobs.findLoaded(jobId)
-                                        .filter(
-                                                j ->
-                                                        !lifecycle.changedJobs().contains(j)
-                                                                || !j.isFinal())
-                                        .map(JobEntry::state));
+        return statusOf(jobId).map(JobStatus::state);
+    }
+
+    /** Returns the status of a job, if it is known; a final state only once it is stored. */
+    public Optional<JobStatus> statusOf(String jobId) {
+        return jobs.endedStatusOf(jobId)
+                .or(() -> jobs.findLoaded(jobId).filter(this::mayBeTold).map(JobEntry::status));
+    }
+
+    private boolean mayBeTold(JobEntry job) {
+        return !job.isFinal() || !lifecycle.changedJobs().contains(job);
     }
 
     /** Returns the customer of a job, if the job is known. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.chervillift.api.tasks.EndedRun;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
@@ -243,7 +244,7 @@
         List<String> read = new ArrayList<>();
         fixture.scheduler.acceptEnded(
                 "over",
-                JobState.COMPLETED,
+                JobStatus.of(JobState.COMPLETED),
                 () -> {
                     read.add("over");
                     return Optional.of(SchedulerFixture.job("over", step(1, 1_000)));
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -18,7 +18,6 @@
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.AcceptedJob;
-import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.JobProgress;
@@ -280,9 +279,9 @@
 
         private void accept(String id, String value, boolean knownToPredecessor) {
             Optional<JobProgress> stored = Optional.ofNullable(storedProgress.remove(id));
-            Optional<JobState> state = stored.map(JobProgress::state).filter(JobState::isFinal);
-            if (state.isPresent()) {
-                board.acceptEnded(id, state.get(), () -> decode(id, value));
+            Optional<JobProgress> ended = stored.filter(p -> p.state().isFinal());
+            if (ended.isPresent()) {
+                board.acceptEnded(id, ended.get().status(), () -> decode(id, value));
             } else {
                 decode(id, value).ifPresent(job -> accept(job, stored, knownToPredecessor));
             }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -24,6 +24,7 @@
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
@@ -59,7 +60,7 @@
             };
 
     /** What this process remembers of a job that exists. */
-    private record KnownJob(String customer, Optional<JobState> finalState) {}
+    private record KnownJob(String customer, Optional<JobStatus> finalStatus) {}
 
     /** The queue route, the customer and the job of a request. */
     private record RequestContext(QueueRoute route, Optional<Customer> customer, String jobId) {}
@@ -221,20 +222,20 @@
     private CompletionStage<AnswerWithBasis> read(RequestContext context) {
         String id = context.jobId();
         Optional<HolderBoard> currentBoard = holderBoard.get();
-        Optional<JobState> state = currentBoard.flatMap(h -> h.board().stateOf(id));
-        if (state.isPresent()) {
+        Optional<JobStatus> status = currentBoard.flatMap(h -> h.board().statusOf(id));
+        if (status.isPresent()) {
             boolean allowed =
                     isAllowed(context, currentBoard.get().board().customerOf(id).orElse(""));
             return completed(
-                    allowed ? new JobAnswer.State(state.get()) : new JobAnswer.NotAllowed(),
+                    allowed ? new JobAnswer.State(status.get()) : new JobAnswer.NotAllowed(),
                     currentBoard.get().basis());
         }
         return withAccessibleJob(
                 context,
                 job ->
-                        job.finalState().isPresent()
+                        job.finalStatus().isPresent()
                                 ? completed(
-                                        new JobAnswer.State(job.finalState().get()),
+                                        new JobAnswer.State(job.finalStatus().get()),
                                         new AnswerBasis.Memory())
                                 : readProgress(id, job));
     }
@@ -300,15 +301,16 @@
                 .thenApply(
                         page -> {
                             Optional<Row> row = page.rows().stream().findFirst();
-                            JobState state =
+                            JobStatus status =
                                     row.map(r -> Json.decode(r.value(), JobProgress.class))
-                                            .map(JobProgress::state)
-                                            .orElse(JobState.QUEUED);
-                            if (state.isFinal()) {
-                                knownJobs.put(id, new KnownJob(job.customer(), Optional.of(state)));
+                                            .map(JobProgress::status)
+                                            .orElse(JobStatus.of(JobState.QUEUED));
+                            if (status.state().isFinal()) {
+                                knownJobs.put(
+                                        id, new KnownJob(job.customer(), Optional.of(status)));
                             }
                             return new AnswerWithBasis(
-                                    new JobAnswer.State(state),
+                                    new JobAnswer.State(status),
                                     AnswerBasis.StoredRow.of(StoreLayout.PROGRESS_TABLE, row));
                         });
     }
--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -0,0 +1,44 @@
+package org.chervillift.daemon.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.chervillift.api.tasks.JobFailure;
+import org.chervillift.api.tasks.JobState;
+import org.chervillift.core.tasks.JobProgress;
+import org.chervillift.core.tasks.JobProgress.StepProgress;
+import org.chervillift.core.tasks.JobProgress.TaskFailures;
+import org.chervillift.http.Json;
+import org.junit.jupiter.api.Test;
+
+/** Tests the rows of progress that a holder leaves to its successor. */
+class JobProgressRowTest {
+
+    @Test
+    void crashesAndTheReasonOfAFailureAreStored() {
+        TaskFailures failures = new TaskFailures(2, List.of(1), List.of(3, 4));
+        JobFailure failure = new JobFailure(JobFailure.Cause.WORKER_CRASHED, "a.0.1.2", 3);
+        JobProgress progress =
+                new JobProgress(
+                        7,
+                        JobState.FAILED,
+                        List.of(new StepProgress(0, 1, List.of(0), List.of(failures))),
+                        Optional.of(failure));
+
+        assertThat(Json.decode(Json.encode(progress), JobProgress.class)).isEqualTo(progress);
+    }
+
+    @Test
+    void aRowOfAnEarlierReleaseIsReadWithoutCrashes() {
+        String row =
+                "{\"term\":3,\"state\":\"RUNNING\",\"steps\":[{\"occurrence\":0,\"step\":1,"
+                        + "\"done\":[0],\"failures\":[{\"task\":2,\"runs\":[1]}]}]}";
+
+        JobProgress progress = Json.decode(row, JobProgress.class);
+
+        assertThat(progress.failure()).isEmpty();
+        assertThat(progress.steps().getFirst().failures())
+                .containsExactly(new TaskFailures(2, List.of(1), List.of()));
+    }
+}
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobStateTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobStateTest.java
@@ -9,6 +9,7 @@
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.standin.tasks.StoreFault;
 import org.junit.jupiter.api.Test;
 
@@ -127,7 +128,7 @@
         fixture.advanceMillis(2_000);
         TaskNode fresh = fixture.startNodeAndWait("f");
         for (String id : ids) {
-            JobAnswer completed = new JobAnswer.State(JobState.COMPLETED);
+            JobAnswer completed = new JobAnswer.State(JobStatus.of(JobState.COMPLETED));
             assertThat(fixture.ask(other, Action.READ, id)).isEqualTo(completed);
             assertThat(fixture.ask(fresh, Action.READ, id)).isEqualTo(completed);
         }
@@ -140,6 +141,6 @@
     }
 
     private JobState state(TaskNode node) {
-        return ((JobAnswer.State) fixture.ask(node, Action.READ, JOB)).state();
+        return ((JobAnswer.State) fixture.ask(node, Action.READ, JOB)).status().state();
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LeaseRenewalReplyLostTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LeaseRenewalReplyLostTest.java
@@ -5,6 +5,7 @@
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.junit.jupiter.api.Test;
 
 class LeaseRenewalReplyLostTest extends TaskNodeTestBase {
@@ -33,7 +34,9 @@
         advanceMillis(850);
         ask(b, Action.CANCEL, JOB);
         advanceMillis(40);
-        assertThat(ask(b, Action.READ, JOB)).isEqualTo(new JobAnswer.State(JobState.CANCELLED));
-        assertThat(ask(a, Action.READ, JOB)).isEqualTo(new JobAnswer.State(JobState.CANCELLED));
+        assertThat(ask(b, Action.READ, JOB))
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.CANCELLED)));
+        assertThat(ask(a, Action.READ, JOB))
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.CANCELLED)));
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
@@ -15,6 +15,7 @@
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.standin.tasks.MemoryWorker;
 import org.chervillift.standin.tasks.SeenMove;
 import org.chervillift.standin.tasks.StoreFault;
@@ -40,7 +41,7 @@
 
         for (TaskNode node : nodes) {
             assertThat(ask(node, JobRequest.Action.READ, JOB))
-                    .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
+                    .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
         }
         assertThat(fleet.starts()).hasSize(3).doesNotHaveDuplicates();
     }
@@ -113,7 +114,7 @@
         assertThat(worker.runningCount()).isZero();
         advanceMillis(2_000);
         assertThat(ask(a, JobRequest.Action.READ, JOB))
-                .isEqualTo(new JobAnswer.State(JobState.CANCELLED));
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.CANCELLED)));
         assertThat(fleet.starts()).hasSize(3);
     }
 
@@ -129,7 +130,7 @@
         advanceMillis(4_000);
 
         assertThat(ask(b, JobRequest.Action.READ, JOB))
-                .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
         Set<String> tasks = new HashSet<>();
         fleet.starts().forEach(s -> tasks.add(s.substring(0, s.indexOf('#'))));
         assertThat(tasks).hasSize(3);
@@ -311,7 +312,7 @@
 
         assertThat(fleet.starts()).filteredOn(s -> s.endsWith("@w2")).hasSize(3);
         assertThat(ask(nodes.get(0), JobRequest.Action.READ, JOB))
-                .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
     }
 
     @Test
@@ -345,7 +346,7 @@
         ask(a, JobRequest.Action.SUBMIT, JOB);
         advanceMillis(2_000);
         assertThat(ask(a, JobRequest.Action.READ, JOB))
-                .isEqualTo(new JobAnswer.State(JobState.COMPLETED));
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
     }
 
     @Test
