Start nothing on a worker that has shrunk below what it runs

Cause: what a worker has free was its capacity less what runs, with nothing below zero. A worker that had lost its accelerators while they were in use looked free for a task that asks for none, and such a start leaves it over its capacity.

Change: a task fits if all open runs and the task fit together, in each resource.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -34,6 +34,7 @@
     }
 
     private static TaskFailures failuresOf(TaskEntry task) {
-        return new TaskFailures(task.index(), List.copyOf(task.failedRuns()), task.crashes().runs());
+        return new TaskFailures(
+                task.index(), List.copyOf(task.failedRuns()), task.crashes().runs());
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -171,6 +171,17 @@
         }
     }
 
+    /** Returns whether a run fits beside those that are open; none does while they exceed it. */
+    boolean hasRoomFor(Resources footprint) {
+        return usedResources.plus(footprint).fitsIn(entry.capacity());
+    }
+
+    /** Returns whether the open runs exceed the capacity, which may shrink while they run. */
+    boolean isOverCapacity() {
+        return !usedResources.fitsIn(entry.capacity());
+    }
+
+    /** Returns the capacity that open runs leave, with nothing below zero. */
     Resources freeResources() {
         return entry.capacity().minus(usedResources);
     }
