Drop a start that waited for the store if its worker has shrunk or drains meanwhile

Cause: the first start of a step waits until the store has the step as begun, and a start after a crash until the store has that. The worker was checked when the start was planned only; with a slow store that is seconds before it is sent.

Change: StartGate checks each start that waits against its worker again. One that the worker can no longer take is closed, as nothing was sent, and its task waits as before; a gang as a whole. The members of a gang are also let go together when only one of them waits for a crash to be stored.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -21,6 +21,8 @@
         RESERVED,
         /** A worker refused an order to start, or did not answer it. */
         START_NOT_TAKEN,
+        /** An order to start was not sent, since its worker can no longer take the task. */
+        START_DROPPED,
         /** A run has ended. */
         END,
         /** A worker reports a run unknown to the scheduler, such as one of an earlier holder. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -16,17 +17,26 @@
 final class StartGate {
 
     private final JobLifecycle lifecycle;
+    private final RunRegistry runs;
     private final Function<Order, Optional<Run>> findRun;
+    private final Consumer<SchedulerEvent> events;
     private final List<Order.Start> heldStarts = new ArrayList<>();
 
     /**
      * Creates a gate.
      *
      * @param findRun finds the run that an order refers to, if it is still open
+     * @param events receives each start that is dropped
      */
-    StartGate(JobLifecycle lifecycle, Function<Order, Optional<Run>> findRun) {
+    StartGate(
+            JobLifecycle lifecycle,
+            RunRegistry runs,
+            Function<Order, Optional<Run>> findRun,
+            Consumer<SchedulerEvent> events) {
         this.lifecycle = lifecycle;
+        this.runs = runs;
         this.findRun = findRun;
+        this.events = events;
     }
 
     /** Returns whether starts are held back until progress is stored. */
@@ -35,28 +45,71 @@
     }
 
     /** Returns the starts that may be sent now, among new ones and those held back so far. */
-    List<Order.Start> releaseReady(List<Order.Start> starts) {
+    List<Order.Start> releaseReady(List<Order.Start> starts, long now) {
+        heldStarts.forEach(s -> dropIfWorkerCannotTakeIt(s, now));
         List<Order.Start> ready = new ArrayList<>();
         List<Order.Start> all = new ArrayList<>(heldStarts);
         all.addAll(starts);
         heldStarts.clear();
         for (Order.Start start : all) {
-            Optional<Run> run = findRun.apply(start).filter(r -> r.phase() == Run.Phase.STARTING);
+            Optional<Run> run = startingRun(start);
             if (run.isEmpty()) {
-                // The job was cancelled, or the worker is gone.
+                // The job was cancelled, the worker is gone, or the start was dropped.
                 continue;
             }
-            TaskEntry task = run.get().task();
-            if (task.step().isBegunStored() && task.crashes().isStored()) {
+            StepEntry step = run.get().task().step();
+            if (step.isBegunStored() && areCrashesStored(run.get().task())) {
                 ready.add(start);
             } else {
-                markBegun(task.step());
+                markBegun(step);
                 heldStarts.add(start);
             }
         }
         return ready;
     }
 
+    private Optional<Run> startingRun(Order.Start start) {
+        return findRun.apply(start).filter(r -> r.phase() == Run.Phase.STARTING);
+    }
+
+    /** Returns whether the crashes are stored of all tasks that must start together. */
+    private static boolean areCrashesStored(TaskEntry task) {
+        StepEntry step = task.step();
+        return step.spec().gang()
+                ? step.tasks().stream().allMatch(t -> t.crashes().isStored())
+                : task.crashes().isStored();
+    }
+
+    /**
+     * Drops a start if its worker drains, does not answer, or has shrunk since the start was
+     * planned. The task then waits again; a gang waits as a whole.
+     */
+    private void dropIfWorkerCannotTakeIt(Order.Start start, long now) {
+        startingRun(start)
+                .filter(r -> !r.worker().acceptsTasks(now) || r.worker().isOverCapacity())
+                .ifPresent(this::drop);
+    }
+
+    private void drop(Run run) {
+        StepEntry step = run.task().step();
+        List<Run> dropped =
+                step.spec().gang()
+                        ? step.tasks().stream().flatMap(t -> t.runs().stream()).toList()
+                        : List.of(run);
+        for (Run r : dropped) {
+            runs.close(r);
+            events.accept(
+                    SchedulerEvent.of(
+                            SchedulerEvent.Kind.START_DROPPED,
+                            r,
+                            "cause=" + run.worker().id() + " capacity=" + capacityOf(run)));
+        }
+    }
+
+    private static long capacityOf(Run run) {
+        return run.worker().entry().capacity().milliCores();
+    }
+
     private void markBegun(StepEntry step) {
         if (!step.isBegun()) {
             step.markBegun();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -76,7 +76,7 @@
         this.answerHandler = new OrderAnswerHandler(runs, events);
         this.stalledRunDetector = new StalledRunDetector(events);
         this.paceControl = new PaceControl(events);
-        this.startGate = new StartGate(lifecycle, this::runOf);
+        this.startGate = new StartGate(lifecycle, runs, this::runOf, events);
         this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
     }
 
@@ -342,7 +342,8 @@
                                 workers.values(),
                                 manifest,
                                 s -> predecessor.mayStart(s, now),
-                                now)));
+                                now),
+                        now));
         return orders;
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCapacityTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCapacityTest.java
@@ -57,6 +57,44 @@
         assertThat(fixture.starts()).hasSize(3);
     }
 
+    @Test
+    void aStartThatWaitsForTheStoreIsNotSentOnceItsWorkerHasShrunk() {
+        addWorker(fixture, FULL);
+        fixture.accept("a", SchedulerFixture.step(3, 1_000));
+        assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
+        assertThat(fixture.scheduler.hasHeldStarts()).isTrue();
+
+        list(fixture, SHRUNK);
+        fixture.store();
+        assertThat(fixture.starts()).hasSize(1);
+        list(fixture, FULL);
+        assertThat(fixture.starts()).hasSize(2);
+    }
+
+    @Test
+    void aStartThatWaitsForTheStoreIsNotSentOnceItsWorkerDrains() {
+        fixture.addWorker("w1", 4_000);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
+
+        fixture.scheduler.workerListed(SchedulerFixture.drainingEntry("w1", 4_000), fixture.now);
+        fixture.store();
+        assertThat(fixture.starts()).isEmpty();
+    }
+
+    @Test
+    void aGangThatWaitsForTheStoreIsStartedWholeOrNotAtAllOnceAWorkerHasShrunk() {
+        addWorker(fixture, FULL);
+        fixture.accept("a", SchedulerFixture.step(3, 1_000, List.of(), true, false, 0));
+        assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
+
+        list(fixture, SHRUNK);
+        fixture.store();
+        assertThat(fixture.starts()).isEmpty();
+        list(fixture, FULL);
+        assertThat(fixture.starts()).hasSize(3);
+    }
+
     @Test
     void aNewHolderStartsNothingOnAWorkerThatShrankBelowWhatItRuns() {
         SchedulerFixture successor = new SchedulerFixture(2, Resources.NONE);
