Count the wait for a worker of its own only while starts are planned

Cause: the 2.5 s that a task waits for a worker of its own ran on while no start was planned. Change: a gap between two rounds does not count.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -28,7 +28,11 @@
     /** One worker of this many in a pool may be kept free. */
     private static final int WORKERS_PER_RESERVATION = 4;
 
+    /** Rounds further apart than this had none between them, such as in an outage of the store. */
+    private static final long MAX_ROUND_GAP_MILLIS = 500;
+
     private final Consumer<SchedulerEvent> events;
+    private long lastRoundAt = Long.MAX_VALUE;
     private final Map<TaskEntry, Reservation> reservations = new HashMap<>();
     private final Set<WorkerRecord> isolated = new HashSet<>();
 
@@ -53,8 +57,18 @@
         this.events = events;
     }
 
-    /** Drops the reservations of tasks that no longer wait, and finds the isolated workers. */
-    void beginRound(Collection<StepEntry> startableSteps, Collection<WorkerRecord> workers) {
+    /**
+     * Drops the reservations of tasks that no longer wait, and finds the isolated workers.
+     *
+     * <p>Time in which no starts were planned does not count as waiting.
+     */
+    void beginRound(
+            Collection<StepEntry> startableSteps, Collection<WorkerRecord> workers, long now) {
+        long gap = now - lastRoundAt;
+        if (gap > MAX_ROUND_GAP_MILLIS) {
+            reservations.replaceAll((t, r) -> new Reservation(r.worker(), r.since() + gap));
+        }
+        lastRoundAt = now;
         reservations.keySet().removeIf(t -> !t.isWaiting() || !startableSteps.contains(t.step()));
         isolated.clear();
         workers.stream().filter(IsolationPlanner::runsIsolatedTask).forEach(isolated::add);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -63,7 +63,7 @@
                         .filter(mayStart)
                         .map(s -> new Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
-        isolation.beginRound(stepsOf(candidatesByPool.values()), workers);
+        isolation.beginRound(stepsOf(candidatesByPool.values()), workers, now);
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
                 (pool, candidates) -> {
