--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -19,16 +19,32 @@
      */
     static final int MAX_CRASHES = 3;
 
-    /** The number of crashed workers after which a task is given up in any case. */
+    /** The number of crashed workers after which a task that ends by itself is given up. */
     static final int MAX_CRASHES_BESIDE_OTHERS = 4;
 
+    /**
+     * The number of crashed workers after which a long-running task is given up. Giving it up stops
+     * all other tasks of its service, which may serve users well.
+     */
+    static final int MAX_CRASHES_OF_SERVICES = 5;
+
     /** The number of crashed workers from which on a task runs alone on its worker. */
     static final int CRASHES_BEFORE_ISOLATION = 2;
 
     private final SortedSet<Integer> runs = new TreeSet<>();
+    private final boolean longRunning;
     private int storedCount;
     private boolean aloneAtLastCrash;
 
+    /**
+     * Creates an empty history.
+     *
+     * @param longRunning whether the task runs until its job is cancelled
+     */
+    CrashHistory(boolean longRunning) {
+        this.longRunning = longRunning;
+    }
+
     /**
      * Records that the worker of a run crashed; returns false if it is recorded already.
      *
@@ -72,7 +88,14 @@
 
     /** Returns whether the task must not be started again. */
     boolean isExhausted() {
-        return runs.size() >= (aloneAtLastCrash ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS);
+        return runs.size() >= maxCrashes();
+    }
+
+    private int maxCrashes() {
+        if (longRunning) {
+            return MAX_CRASHES_OF_SERVICES;
+        }
+        return aloneAtLastCrash ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS;
     }
 
     /** Returns whether a new holder would know all crashes. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -16,7 +16,7 @@
     private final int index;
     private final List<Run> runs = new ArrayList<>(1);
     private final SortedSet<Integer> failedRuns = new TreeSet<>();
-    private final CrashHistory crashes = new CrashHistory();
+    private final CrashHistory crashes;
     private final Set<String> failedWorkers = new HashSet<>();
     private boolean done;
     private int lastRunNumber;
@@ -26,6 +26,7 @@
     TaskEntry(StepEntry step, int index) {
         this.step = step;
         this.index = index;
+        this.crashes = new CrashHistory(step.spec().longRunning());
     }
 
     StepEntry step() {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -140,6 +140,31 @@
         assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
     }
 
+    @Test
+    void aServiceIsNotGivenUpWhenTheWorkerOfATaskThatRunsAloneCrashesByItself() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000, List.of(), false, true, 1));
+        for (int i = 0; i < 3; i++) {
+            crash(fixture, fixture.starts().getFirst().worker());
+        }
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
+    }
+
+    @Test
+    void aServiceThatCrashesEachWorkerIsNotStartedWithoutLimit() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000, List.of(), false, true, 1));
+        int starts = 0;
+        for (int i = 0; i < WORKERS; i++) {
+            for (Order.Start start : fixture.starts()) {
+                starts++;
+                crash(fixture, start.worker());
+            }
+        }
+        assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
+    }
+
     private List<SchedulerEvent> lostRuns() {
         return fixture.events.stream().filter(e -> e.kind() == SchedulerEvent.Kind.LOST).toList();
     }
