Store the starts of suspect tasks, so that a new holder counts crashes it did not see

Cause: crashes that a holder saw and had not stored were lost with it. Log: the second crash was seen at 4.996 s and the holder killed at 5.0 s; the fifth came at 23.964 s and the holder froze at 24.0 s. Its successors counted 1 and 3.

Change: once a worker has crashed under a task, its next start is stored together with the crash before it is sent: run, worker, and lifetime of the worker. A new holder counts a crash when that lifetime has ended; while the worker lives, its report tells of the run. What can still be lost is the first crash under a task.

Tests: WorkerCrashTest.aCrashThatTheHolderDidNotLiveToSeeIsCountedByItsSuccessor, aRunThatAPredecessorStartedIsNoCrashWhileItsWorkerLives; JobProgressRowTest reads and writes the new field.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -1,7 +1,9 @@
 package org.chervillift.core.tasks;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
 
@@ -33,6 +35,7 @@
 
     private final SortedSet<Integer> runs = new TreeSet<>();
     private final boolean longRunning;
+    private final Set<Integer> storedStarts = new HashSet<>();
     private int storedCount;
     private boolean aloneAtLastCrash;
 
@@ -98,13 +101,20 @@
         return aloneAtLastCrash ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS;
     }
 
-    /** Returns whether a new holder would know all crashes. */
-    boolean isStored() {
-        return storedCount >= runs.size();
+    /**
+     * Returns whether a new holder would know all crashes, and that a run was started, so that it
+     * notices a crash that this holder does not live to see.
+     *
+     * @param run the number of the run
+     */
+    boolean isStartStored(int run) {
+        return !isSuspect() || (storedCount >= runs.size() && storedStarts.contains(run));
     }
 
-    /** Records how many crashes are stored. */
-    void markStored(int count) {
-        storedCount = Math.max(storedCount, count);
+    /** Records what is stored of this task. */
+    void markStored(JobProgress.TaskFailures stored) {
+        storedCount = Math.max(storedCount, stored.crashedRuns().size());
+        storedStarts.clear();
+        stored.startedRuns().forEach(r -> storedStarts.add(r.run()));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -57,11 +57,29 @@
      * @param runs the numbers of the failed runs
      * @param crashedRuns the numbers of the runs whose workers crashed; rows of earlier releases
      *     lack them
+     * @param startedRuns the open runs of a task under which a worker has crashed; rows of earlier
+     *     releases lack them
      */
-    public record TaskFailures(int task, List<Integer> runs, List<Integer> crashedRuns) {
+    public record TaskFailures(
+            int task, List<Integer> runs, List<Integer> crashedRuns, List<StartedRun> startedRuns) {
         public TaskFailures {
             runs = List.copyOf(runs);
             crashedRuns = crashedRuns == null ? List.of() : List.copyOf(crashedRuns);
+            startedRuns = startedRuns == null ? List.of() : List.copyOf(startedRuns);
+        }
+    }
+
+    /**
+     * A run that has been started, or will be once this is stored.
+     *
+     * @param run the run's number
+     * @param worker the worker's identifier
+     * @param bornAtMillis when the worker's lifetime began, in milliseconds since 1970 UTC; 0 if
+     *     unknown
+     */
+    public record StartedRun(int run, String worker, long bornAtMillis) {
+        public StartedRun {
+            Checks.notBlank("worker", worker);
         }
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.chervillift.core.tasks.JobProgress.StartedRun;
 import org.chervillift.core.tasks.JobProgress.StepProgress;
 import org.chervillift.core.tasks.JobProgress.TaskFailures;
 
@@ -35,6 +36,19 @@
 
     private static TaskFailures failuresOf(TaskEntry task) {
         return new TaskFailures(
-                task.index(), List.copyOf(task.failedRuns()), task.crashes().runs());
+                task.index(),
+                List.copyOf(task.failedRuns()),
+                task.crashes().runs(),
+                startedRunsOf(task));
+    }
+
+    private static List<StartedRun> startedRunsOf(TaskEntry task) {
+        if (!task.crashes().isSuspect()) {
+            return List.of();
+        }
+        return task.runs().stream()
+                .filter(r -> r.phase() != Run.Phase.STOPPING)
+                .map(r -> new StartedRun(r.number(), r.worker().id(), r.worker().bornAtMillis()))
+                .toList();
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -8,7 +8,7 @@
 
 /**
  * Holds back start orders until the store records what a new holder must know of the task: that its
- * step has begun, and which of its runs were lost in a crash of their worker.
+ * step has begun, and after a crash of its worker that crash and the next start.
  *
  * <p>When a holder is lost under load, its successor therefore knows which steps cannot have been
  * started. It starts these at once, even while some workers do not answer yet. When holders are
@@ -58,10 +58,11 @@
                 continue;
             }
             StepEntry step = run.get().task().step();
-            if (step.isBegunStored() && areCrashesStored(run.get().task())) {
+            if (step.isBegunStored() && isStartStored(run.get())) {
                 ready.add(start);
             } else {
-                markBegun(step);
+                step.markBegun();
+                lifecycle.changedJobs().add(step.job());
                 heldStarts.add(start);
             }
         }
@@ -72,12 +73,12 @@
         return findRun.apply(start).filter(r -> r.phase() == Run.Phase.STARTING);
     }
 
-    /** Returns whether the crashes are stored of all tasks that must start together. */
-    private static boolean areCrashesStored(TaskEntry task) {
-        StepEntry step = task.step();
+    /** Returns whether the starts are stored of all suspects that must start together. */
+    private static boolean isStartStored(Run run) {
+        StepEntry step = run.task().step();
         return step.spec().gang()
-                ? step.tasks().stream().allMatch(t -> t.crashes().isStored())
-                : task.crashes().isStored();
+                ? step.tasks().stream().allMatch(t -> t.crashes().isStartStored(run.number()))
+                : run.task().crashes().isStartStored(run.number());
     }
 
     /**
@@ -109,11 +110,4 @@
     private static long capacityOf(Run run) {
         return run.worker().entry().capacity().milliCores();
     }
-
-    private void markBegun(StepEntry step) {
-        if (!step.isBegun()) {
-            step.markBegun();
-            lifecycle.changedJobs().add(step.job());
-        }
-    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -82,6 +82,7 @@
         crashes.restore(stored.crashedRuns());
         stored.runs().forEach(this::recordRunNumber);
         stored.crashedRuns().forEach(this::recordRunNumber);
+        stored.startedRuns().forEach(r -> recordRunNumber(r.run()));
     }
 
     int lastRunNumber() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -38,6 +38,7 @@
     private final Set<JobEntry> liveJobs = new LinkedHashSet<>();
     private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
     private final PredecessorWorkers predecessor;
+    private final InheritedStarts inheritedStarts;
     private final RunRegistry runs = new RunRegistry();
     private final RunTimeEstimator runTimes = new RunTimeEstimator();
     private final JobRanking ranking = new JobRanking(runTimes);
@@ -69,6 +70,7 @@
         this.manifest = Checks.notNull("manifest", manifest);
         this.events = Checks.notNull("events", events);
         this.lifecycle = new JobLifecycle(liveJobs, events);
+        this.inheritedStarts = new InheritedStarts(lifecycle, events);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
         this.reportHandler = new ReportHandler(jobs, runs, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
@@ -132,7 +134,11 @@
                 job.markHasRun();
             }
             stored.done().forEach(i -> step.markDone(step.tasks().get(i)));
-            stored.failures().forEach(f -> step.tasks().get(f.task()).restore(f));
+            for (JobProgress.TaskFailures failures : stored.failures()) {
+                TaskEntry task = step.tasks().get(failures.task());
+                task.restore(failures);
+                failures.startedRuns().forEach(r -> inheritedStarts.add(task, r));
+            }
         }
         if (progress.state().isFinal()) {
             job.state(progress.state());
@@ -230,6 +236,7 @@
     /** Closes all runs of a worker whose lifetime has ended. */
     public void workerLifetimeEnded(String workerId, long now) {
         predecessor.remove(workerId);
+        inheritedStarts.lifetimeEnded(workerId, now);
         WorkerRecord worker = workers.get(workerId);
         if (worker != null && !worker.runs().isEmpty()) {
             events.accept(
@@ -282,6 +289,7 @@
             return false;
         }
         long before = worker.lastAppliedEnd();
+        inheritedStarts.workerReported(workerId, report, now);
         reportHandler.apply(worker, report, sentAt, now);
         worker.reported(true);
         predecessor.remove(workerId);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
@@ -75,8 +75,7 @@
     private static void markStored(StepEntry step, JobProgress.StepProgress stored) {
         step.markBegunStored();
         for (JobProgress.TaskFailures failures : stored.failures()) {
-            CrashHistory crashes = step.tasks().get(failures.task()).crashes();
-            crashes.markStored(failures.crashedRuns().size());
+            step.tasks().get(failures.task()).crashes().markStored(failures);
         }
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -38,6 +38,7 @@
     final Map<String, List<RunningTask>> runningByWorker = new HashMap<>();
     final Map<String, List<EndedRun>> endedByWorker = new HashMap<>();
     final Map<String, Long> lastEndNumber = new HashMap<>();
+    final Map<String, JobProgress> lastStored = new HashMap<>();
     long now = 1_000;
 
     SchedulerFixture() {
@@ -234,6 +235,8 @@
     }
 
     void store() {
-        scheduler.markStored(scheduler.unstoredProgress());
+        UnstoredProgress unstored = scheduler.unstoredProgress();
+        lastStored.putAll(unstored.progress());
+        scheduler.markStored(unstored);
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -94,6 +94,61 @@
                 .containsExactly(1, 2);
     }
 
+    @Test
+    void aCrashThatTheHolderDidNotLiveToSeeIsCountedByItsSuccessor() {
+        int starts = 0;
+        JobProgress stored = null;
+        List<String> started = List.of();
+        for (int term = 1; term <= WORKERS && !isFinal(stored); term++) {
+            SchedulerFixture holder = new SchedulerFixture(term, Resources.NONE);
+            for (String worker : started) {
+                holder.scheduler.addPredecessorWorker(worker, SchedulerFixture.POOL);
+            }
+            holder.accept("a", SchedulerFixture.step(1, 1_000));
+            if (stored != null) {
+                holder.scheduler.restore("a", stored);
+            }
+            String worker = "w" + term;
+            holder.addWorker(worker, WORKER_MILLI_CORES);
+            for (String lost : started) {
+                holder.scheduler.workerLifetimeEnded(lost, holder.now);
+            }
+            starts += holder.starts().size();
+            if (term == 1) {
+                crash(holder, worker);
+                holder.addWorker("spare", WORKER_MILLI_CORES);
+                starts += holder.starts().size();
+                worker = "spare";
+            }
+            holder.store();
+            stored = progressOf(holder);
+            started = List.of(worker);
+        }
+
+        assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
+        assertThat(stored.state()).isEqualTo(JobState.FAILED);
+    }
+
+    @Test
+    void aRunThatAPredecessorStartedIsNoCrashWhileItsWorkerLives() {
+        JobProgress.StartedRun started = new JobProgress.StartedRun(2, "w1", 1);
+        JobProgress.TaskFailures failures =
+                new JobProgress.TaskFailures(0, List.of(), List.of(1), List.of(started));
+        JobProgress stored =
+                new JobProgress(
+                        1,
+                        JobState.RUNNING,
+                        List.of(new JobProgress.StepProgress(0, 0, List.of(), List.of(failures))));
+        SchedulerFixture holder = new SchedulerFixture(2, Resources.NONE);
+        holder.accept("a", SchedulerFixture.step(1, 1_000));
+        holder.scheduler.restore("a", stored);
+        holder.addWorker("w1", WORKER_MILLI_CORES);
+        holder.scheduler.workerUnlisted("w1");
+        holder.scheduler.workerLifetimeEnded("w1", holder.now);
+
+        assertThat(holder.events).noneMatch(e -> e.kind() == SchedulerEvent.Kind.LOST);
+    }
+
     @Test
     void aWorkerThatDrainsOrIsDrainedForAnOrderHasNotCrashed() {
         fixture.addWorker("w1", 1_000);
@@ -169,6 +224,11 @@
         return fixture.events.stream().filter(e -> e.kind() == SchedulerEvent.Kind.LOST).toList();
     }
 
+    /** Returns the progress of the job as stored, although nothing has changed since. */
+    private static JobProgress progressOf(SchedulerFixture holder) {
+        return holder.lastStored.get("a");
+    }
+
     private static boolean isFinal(JobProgress progress) {
         return progress != null && progress.state().isFinal();
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -7,6 +7,7 @@
 import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.core.tasks.JobProgress;
+import org.chervillift.core.tasks.JobProgress.StartedRun;
 import org.chervillift.core.tasks.JobProgress.StepProgress;
 import org.chervillift.core.tasks.JobProgress.TaskFailures;
 import org.chervillift.http.Json;
@@ -17,7 +18,9 @@
 
     @Test
     void crashesAndTheReasonOfAFailureAreStored() {
-        TaskFailures failures = new TaskFailures(2, List.of(1), List.of(3, 4));
+        TaskFailures failures =
+                new TaskFailures(
+                        2, List.of(1), List.of(3, 4), List.of(new StartedRun(5, "w1", 1_700_000L)));
         JobFailure failure = new JobFailure(JobFailure.Cause.WORKER_CRASHED, "a.0.1.2", 3);
         JobProgress progress =
                 new JobProgress(
@@ -39,6 +42,6 @@
 
         assertThat(progress.failure()).isEmpty();
         assertThat(progress.steps().getFirst().failures())
-                .containsExactly(new TaskFailures(2, List.of(1), List.of()));
+                .containsExactly(new TaskFailures(2, List.of(1), List.of(), List.of()));
     }
 }
