Retry a relayed request that may have run only at the entry VM that took it

Cause: an entry VM tries four upstreams. One that it relays to tried four of its own for each of these, so one call could crash sixteen.

Change: the second entry VM answers that the request may have run; the first one, which knows all attempts, decides.

Test: RequestFlowTest.aRelayedRequestThatCrashesItsUpstreamIsNotSentToAnotherOneByTheSecondEntryVm, red on the commit before.

--- a/chervillift-core/src/main/java/org/chervillift/core/requests/RequestFlow.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/requests/RequestFlow.java
@@ -143,7 +143,10 @@
                 RequestFlow ambiguous =
                         new RequestFlow(
                                 facts, phase, attempts, Optional.of(m.code()), claim, triedTargets);
-                yield facts.idempotent()
+                // A relayed request is retried by the entry VM that relayed it, and only there:
+                // otherwise a request that crashes its upstreams would reach the square of the
+                // attempts of one entry VM.
+                yield facts.idempotent() && !facts.relayed()
                         ? ambiguous.retry(m.code(), retryContext, now)
                         : ambiguous.giveUp(m.code(), retryContext);
             }
--- a/chervillift-core/src/test/java/org/chervillift/core/requests/RequestFlowTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/requests/RequestFlowTest.java
@@ -20,6 +20,7 @@
 import org.chervillift.core.retry.RetryPolicy;
 import org.chervillift.core.routing.RoutingDecision;
 import org.chervillift.core.routing.Upstream;
+import org.junit.jupiter.api.Test;
 
 class RequestFlowTest {
 
@@ -53,6 +54,30 @@
         assertThat(sends).isLessThanOrEqualTo(RetryPolicy.DEFAULT.mostAttempts());
     }
 
+    @Test
+    void aRelayedRequestThatCrashesItsUpstreamIsNotSentToAnotherOneByTheSecondEntryVm() {
+        RetryContext retryContext =
+                new RetryContext(RetryPolicy.DEFAULT, new RetryBudget(0.1, 5), new Random(1));
+        RequestFacts relayed =
+                new RequestFacts(
+                        "pool", true, Optional.empty(), "d", true, Instant.EPOCH.plusSeconds(5));
+        reset();
+
+        RequestFlow.Step step = RequestFlow.start(relayed, retryContext, Instant.EPOCH);
+        apply(step, true);
+        Upstream upstream = new Upstream("u1", "pool", "dc", "127.0.0.1:1", 8, false);
+        FlowEvent chosen = new FlowEvent.TargetChosen(new RoutingDecision.ToUpstream(upstream));
+        step = step.flow().handle(chosen, retryContext, Instant.EPOCH);
+        apply(step, true);
+        AttemptResult lost = new AttemptResult.MayHaveRun(ErrorCode.UPSTREAM_FAILED);
+        step = step.flow().handle(new FlowEvent.AttemptEnded(lost), retryContext, Instant.EPOCH);
+        apply(step, true);
+
+        assertThat(sends).isEqualTo(1);
+        assertThat(answers).isEqualTo(1);
+        assertThat(step.flow().phase()).isEqualTo(RequestFlow.Phase.DONE);
+    }
+
     private void reset() {
         otherActions.clear();
         answers = 0;
