Start no task by what workers said of themselves long ago

Cause: starts were suspended while changes of the jobs were not received. The table of workers was used whatever its age: where the store serves one table and not the other, a worker that had shrunk or begun to drain went on getting tasks.

Change: both copies must be younger than the same bound. The workers' feed is asked each second for it, also when nothing changes. Events 7037 and 7038 give both ages.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -173,7 +173,7 @@
         return Math.min(MAX_LEASE_YIELD_MILLIS, Math.round(millis));
     }
 
-    /** Returns the maximum age of the copy of the jobs for starting tasks, in milliseconds. */
+    /** Returns the maximum age of the copies of jobs and workers for starts, in milliseconds. */
     long maxCopyAgeMillis() {
         return Math.max(MIN_COPY_AGE_LIMIT_MILLIS, cancelWithin.toMillis() - START_ORDER_MILLIS);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -44,6 +44,9 @@
     /** Long poll for job changes; while no job arrives, the board's age is refreshed this often. */
     private static final Duration JOBS_FOLLOW_WAIT = Duration.ofMillis(400);
 
+    /** Long poll for changes of workers, which refreshes the age of their copy likewise. */
+    private static final Duration WORKERS_FOLLOW_WAIT = Duration.ofMillis(1_000);
+
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
     private static final long MAX_RESTORED_WAIT_MILLIS = 60_000;
 
@@ -97,7 +100,7 @@
                         context.store(),
                         context.rows().workerTable(),
                         List.of(RowStore.COMMON_PART),
-                        TableFollower.DEFAULT_POLL_WAIT,
+                        WORKERS_FOLLOW_WAIT,
                         context.scheduler(),
                         new WorkersListener());
     }
@@ -114,13 +117,15 @@
     private HolderBoard currentBoard() {
         AnswerBasis.Board basis =
                 new AnswerBasis.Board(
-                        term(), copyAgeMillis(context.nowMillis()), context.leaseAgeMillis());
+                        term(),
+                        copyAgeMillis(jobsFollower, context.nowMillis()),
+                        context.leaseAgeMillis());
         return new HolderBoard(board, jobsFollower.asOfStoreMillis(), basis);
     }
 
-    /** Returns the age of this process's copy of the jobs and cancellations, in milliseconds. */
-    private long copyAgeMillis(long now) {
-        return context.storeClock().get().storeMillisAt(now) - jobsFollower.asOfStoreMillis();
+    /** Returns the age of this process's copy of a table, in milliseconds. */
+    private long copyAgeMillis(TableFollower follower, long now) {
+        return context.storeClock().get().storeMillisAt(now) - follower.asOfStoreMillis();
     }
 
     void start() {
@@ -466,17 +471,24 @@
         openWorkerSessions();
     }
 
-    /** Plans orders; starts no task while job cancellations may not have reached this process. */
+    /**
+     * Plans orders; starts no task while cancellations of jobs, or notices of workers that drain or
+     * shrink, may not have reached this process.
+     */
     private List<Order> planOrders(long now, long wallMillis) {
-        boolean copyIsCurrent = copyAgeMillis(now) <= context.settings().maxCopyAgeMillis();
-        if (copyIsCurrent != startsEnabled) {
-            startsEnabled = copyIsCurrent;
+        long jobsAge = copyAgeMillis(jobsFollower, now);
+        long workersAge = copyAgeMillis(workersFollower, now);
+        boolean copiesAreCurrent =
+                Math.max(jobsAge, workersAge) <= context.settings().maxCopyAgeMillis();
+        if (copiesAreCurrent != startsEnabled) {
+            startsEnabled = copiesAreCurrent;
             EventLog.log(
-                    copyIsCurrent ? TaskEvent.STARTS_RESUMED : TaskEvent.STARTS_SUSPENDED,
+                    copiesAreCurrent ? TaskEvent.STARTS_RESUMED : TaskEvent.STARTS_SUSPENDED,
                     Field.of("term", term()),
-                    Field.of("copyAgeMillis", copyAgeMillis(now)));
+                    Field.of("jobsAgeMillis", jobsAge),
+                    Field.of("workersAgeMillis", workersAge));
         }
-        return copyIsCurrent
+        return copiesAreCurrent
                 ? board.plan(now, wallMillis)
                 : board.planWithoutStarts(now, wallMillis);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -54,10 +54,16 @@
             "The fleet lease may have expired; the job board is not used for answers."),
     /** The lease was renewed late, but in time. */
     LEASE_CONFIRMED(7036, Level.INFO, "The lease was renewed before another process took it."),
-    /** New jobs and cancellations may not be known to this process. */
-    STARTS_SUSPENDED(7037, Level.WARN, "Changes of the jobs are not received; no task is started."),
-    /** Changes of the jobs are received again. */
-    STARTS_RESUMED(7038, Level.INFO, "Changes of the jobs are received again; tasks are started."),
+    /** Cancellations of jobs, or notices of workers, may not be known to this process. */
+    STARTS_SUSPENDED(
+            7037,
+            Level.WARN,
+            "Changes of the jobs or workers are not received; no task is started."),
+    /** Changes of the jobs and workers are received again. */
+    STARTS_RESUMED(
+            7038,
+            Level.INFO,
+            "Changes of the jobs and workers are received again; tasks are started."),
     /** A worker does not respond. */
     WORKER_UNREACHABLE(7040, Level.WARN, "A worker does not respond."),
     /** A worker responds again. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FaultInjectingStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FaultInjectingStore.java
@@ -20,6 +20,7 @@
     private final Scheduler scheduler;
     private boolean commitsLost;
     private boolean feedsLost;
+    private String lostTable = "";
     private boolean clockHidden;
     private boolean commitRepliesLost;
     private int conflictCount;
@@ -39,6 +40,11 @@
         feedsLost = value;
     }
 
+    /** Loses all reads of one table. */
+    void setTableLost(String table) {
+        lostTable = table;
+    }
+
     /** If set, commits take effect, but the connection breaks before the reply. */
     void setCommitRepliesLost(boolean value) {
         commitRepliesLost = value;
@@ -60,6 +66,9 @@
 
     @Override
     public CompletionStage<Page> scan(String table, String partition, KeyRange range, int maxRows) {
+        if (table.equals(lostTable)) {
+            return failAfter(CALL_TIMEOUT);
+        }
         if (!table.equals(delayedTable)) {
             return store.scan(table, partition, range, maxRows).thenApply(this::hideClockIfSet);
         }
@@ -93,7 +102,9 @@
 
     @Override
     public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
-        return feedsLost ? failAfter(POLL_TIMEOUT) : store.follow(table, afterVersion, wait);
+        return feedsLost || table.equals(lostTable)
+                ? failAfter(POLL_TIMEOUT)
+                : store.follow(table, afterVersion, wait);
     }
 
     private <T> CompletionStage<T> failAfter(Duration timeout) {
