Split the sessions with workers and their registry off HolderController

WorkerSessions follows the registry, stores which workers may have runs, and keeps a session with each. No behaviour changes.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -6,26 +6,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
-import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.RowStore.Change;
 import org.chervillift.api.platform.RowStore.KeyRange;
-import org.chervillift.api.platform.RowStore.Outcome;
-import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.Manifest;
-import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.Order;
 import org.chervillift.core.tasks.SchedulerEvent;
 import org.chervillift.core.tasks.SchedulerSettings;
 import org.chervillift.core.tasks.TaskScheduler;
-import org.chervillift.daemon.tasks.StoreLayout.HeldWorker;
 import org.chervillift.daemon.tasks.StoreLayout.HeldWorkers;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
@@ -44,10 +38,6 @@
     /** Long poll for job changes; while no job arrives, the board's age is refreshed this often. */
     private static final Duration JOBS_FOLLOW_WAIT = Duration.ofMillis(400);
 
-    /** Long poll for changes of workers, which refreshes the age of their copy likewise. */
-    private static final Duration WORKERS_FOLLOW_WAIT = Duration.ofMillis(1_000);
-
-    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
     private static final long MAX_RESTORED_WAIT_MILLIS = 60_000;
 
     private final HolderContext context;
@@ -58,16 +48,13 @@
     private final VmController vmController;
     private final HolderStatusPublisher statusPublisher;
     private final TableFollower jobsFollower;
-    private final TableFollower workersFollower;
-    private final Map<String, WorkerSession> workerSessions = new HashMap<>();
+    private final WorkerSessions workerSessions;
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
     private final Runnable manifestListener = this::onManifestChange;
-    private Map<String, String> storedWorkers = Map.of();
     private final List<Runnable> deferredActions = new ArrayList<>();
     private int pendingReads = 2;
     private int jobRowCount;
     private long startedAt;
-    private boolean storingWorkers;
     private boolean planScheduled;
     private boolean startsEnabled = true;
     private boolean ready;
@@ -95,14 +82,7 @@
                         JOBS_FOLLOW_WAIT,
                         context.scheduler(),
                         new JobsListener());
-        this.workersFollower =
-                new TableFollower(
-                        context.store(),
-                        context.rows().workerTable(),
-                        List.of(RowStore.COMMON_PART),
-                        WORKERS_FOLLOW_WAIT,
-                        context.scheduler(),
-                        new WorkersListener());
+        this.workerSessions = new WorkerSessions(context, board, this::replanSoon);
     }
 
     long term() {
@@ -118,14 +98,14 @@
         AnswerBasis.Board basis =
                 new AnswerBasis.Board(
                         term(),
-                        copyAgeMillis(jobsFollower, context.nowMillis()),
+                        copyAgeMillis(jobsFollower.asOfStoreMillis(), context.nowMillis()),
                         context.leaseAgeMillis());
         return new HolderBoard(board, jobsFollower.asOfStoreMillis(), basis);
     }
 
-    /** Returns the age of this process's copy of a table, in milliseconds. */
-    private long copyAgeMillis(TableFollower follower, long now) {
-        return context.storeClock().get().storeMillisAt(now) - follower.asOfStoreMillis();
+    /** Returns the age of a copy that has all changes up to a time of the store. */
+    private long copyAgeMillis(long asOfStoreMillis, long now) {
+        return context.storeClock().get().storeMillisAt(now) - asOfStoreMillis;
     }
 
     void start() {
@@ -133,7 +113,7 @@
         manifests.addChangeListener(manifestListener);
         readPredecessorState();
         jobsFollower.start();
-        workersFollower.start();
+        workerSessions.start();
         vmController.load();
     }
 
@@ -145,8 +125,7 @@
         statusPublisher.stop();
         advice.stop();
         jobsFollower.stop();
-        workersFollower.stop();
-        workerSessions.values().forEach(WorkerSession::stop);
+        workerSessions.stop();
     }
 
     private void onManifestChange() {
@@ -201,7 +180,7 @@
         pendingReads--;
         if (pendingReads == 0) {
             runDeferredActions();
-            storeWorkers();
+            workerSessions.onPredecessorRead();
         }
     }
 
@@ -325,116 +304,12 @@
                 Field.of("term", term()),
                 Field.of("rows", jobRowCount),
                 Field.of("readMillis", context.nowMillis() - startedAt));
-        openWorkerSessions();
+        workerSessions.onJobsLoaded();
         vmController.start();
         tick();
         statusPublisher.start();
     }
 
-    /** Applies the rows of the worker registry to the board. */
-    private final class WorkersListener implements TableFollower.Listener {
-
-        @Override
-        public void loaded(List<Row> rows) {
-            Map<String, WorkerEntry> listed = new TreeMap<>();
-            for (Row row : rows) {
-                context.rows()
-                        .worker(row.key().key(), row.value())
-                        .ifPresent(w -> listed.put(w.id(), w));
-            }
-            List.copyOf(workerSessions.keySet()).stream()
-                    .filter(id -> !listed.containsKey(id))
-                    .forEach(HolderController.this::onWorkerUnlisted);
-            listed.values().forEach(HolderController.this::onWorkerListed);
-            storeWorkers();
-        }
-
-        @Override
-        public void changed(List<Change> changes) {
-            for (Change change : changes) {
-                String id = change.key().key();
-                Optional<WorkerEntry> entry =
-                        change.value().flatMap(v -> context.rows().worker(id, v));
-                if (entry.isPresent()) {
-                    onWorkerListed(entry.get());
-                } else {
-                    onWorkerUnlisted(id);
-                }
-            }
-            storeWorkers();
-            replanSoon();
-        }
-    }
-
-    private void onWorkerListed(WorkerEntry entry) {
-        board.workerListed(entry, context.nowMillis());
-        WorkerSession session = workerSessions.get(entry.id());
-        if (session != null) {
-            session.update(entry);
-        }
-    }
-
-    private void onWorkerUnlisted(String id) {
-        board.workerUnlisted(id);
-    }
-
-    /** Stores which workers may have runs, before the first order is sent to a new worker. */
-    private void storeWorkers() {
-        Map<String, String> inUse = board.workersInUse();
-        if (storingWorkers || stopped || pendingReads > 0) {
-            return;
-        }
-        if (inUse.equals(storedWorkers)) {
-            openWorkerSessions();
-            return;
-        }
-        storingWorkers = true;
-        List<HeldWorker> list =
-                new TreeMap<>(inUse)
-                        .entrySet().stream()
-                                .map(e -> new HeldWorker(e.getKey(), e.getValue()))
-                                .toList();
-        Write write =
-                Write.put(StoreLayout.WORKERS_KEY, Json.encode(new HeldWorkers(term(), list)));
-        context.fencedStore()
-                .commit(write)
-                .whenComplete(
-                        (outcome, fault) -> {
-                            storingWorkers = false;
-                            boolean stored = fault == null && outcome instanceof Outcome.Committed;
-                            if (stored) {
-                                storedWorkers = inUse;
-                                storeWorkers();
-                            } else if (!stopped) {
-                                context.scheduler().schedule(RETRY_DELAY, this::storeWorkers);
-                            }
-                        });
-    }
-
-    /** Opens sessions with the workers; their reports can be matched only once jobs are loaded. */
-    private void openWorkerSessions() {
-        if (!ready) {
-            return;
-        }
-        for (WorkerEntry entry : board.listedWorkers()) {
-            if (storedWorkers.containsKey(entry.id()) && !workerSessions.containsKey(entry.id())) {
-                WorkerSession session =
-                        new WorkerSession(context, board, entry, this::replanSoon, this::onFenced);
-                workerSessions.put(entry.id(), session);
-                session.start();
-            }
-        }
-        List.copyOf(workerSessions.keySet()).stream()
-                .filter(id -> !board.knowsWorker(id))
-                .forEach(id -> workerSessions.remove(id).stop());
-    }
-
-    private void onFenced() {
-        EventLog.log(
-                TaskEvent.LEASE_LOST,
-                Field.of("why", "a worker has accepted orders of a newer holder"));
-    }
-
     private void tick() {
         if (stopped) {
             return;
@@ -462,13 +337,10 @@
         }
         advice.askNext();
         for (Order order : planOrders(context.nowMillis(), System.currentTimeMillis())) {
-            WorkerSession session = workerSessions.get(order.worker());
-            if (session != null) {
-                session.send(order);
-            }
+            workerSessions.send(order);
         }
         progress.scheduleWrite();
-        openWorkerSessions();
+        workerSessions.openSessions();
     }
 
     /**
@@ -476,8 +348,8 @@
      * shrink, may not have reached this process.
      */
     private List<Order> planOrders(long now, long wallMillis) {
-        long jobsAge = copyAgeMillis(jobsFollower, now);
-        long workersAge = copyAgeMillis(workersFollower, now);
+        long jobsAge = copyAgeMillis(jobsFollower.asOfStoreMillis(), now);
+        long workersAge = copyAgeMillis(workerSessions.asOfStoreMillis(), now);
         boolean copiesAreCurrent =
                 Math.max(jobsAge, workersAge) <= context.settings().maxCopyAgeMillis();
         if (copiesAreCurrent != startsEnabled) {
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -0,0 +1,202 @@
+package org.chervillift.daemon.tasks;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.chervillift.api.Checks;
+import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowStore;
+import org.chervillift.api.platform.RowStore.Change;
+import org.chervillift.api.platform.RowStore.Outcome;
+import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.api.tasks.WorkerEntry;
+import org.chervillift.core.tasks.Order;
+import org.chervillift.core.tasks.TaskScheduler;
+import org.chervillift.daemon.tasks.StoreLayout.HeldWorker;
+import org.chervillift.daemon.tasks.StoreLayout.HeldWorkers;
+import org.chervillift.http.Json;
+import org.chervillift.runtime.events.EventLog;
+import org.chervillift.runtime.events.Field;
+
+/**
+ * Follows the worker registry, and keeps a session with each worker.
+ *
+ * <p>Which workers may have runs is stored before the first order is sent to a new worker, so that
+ * a new holder knows whom to ask.
+ */
+final class WorkerSessions {
+
+    /** Long poll for changes of workers; while nothing changes, their age is refreshed so often. */
+    private static final Duration FOLLOW_WAIT = Duration.ofMillis(1_000);
+
+    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+
+    private final HolderContext context;
+    private final TaskScheduler board;
+    private final Runnable onChange;
+    private final TableFollower follower;
+    private final Map<String, WorkerSession> sessions = new HashMap<>();
+    private Map<String, String> storedWorkers = Map.of();
+    private boolean predecessorKnown;
+    private boolean jobsKnown;
+    private boolean storing;
+    private boolean stopped;
+
+    /**
+     * Creates sessions with no worker.
+     *
+     * @param onChange called after each change of the board
+     */
+    WorkerSessions(HolderContext context, TaskScheduler board, Runnable onChange) {
+        this.context = Checks.notNull("context", context);
+        this.board = Checks.notNull("board", board);
+        this.onChange = Checks.notNull("onChange", onChange);
+        this.follower =
+                new TableFollower(
+                        context.store(),
+                        context.rows().workerTable(),
+                        List.of(RowStore.COMMON_PART),
+                        FOLLOW_WAIT,
+                        context.scheduler(),
+                        new RegistryListener());
+    }
+
+    void start() {
+        follower.start();
+    }
+
+    void stop() {
+        stopped = true;
+        follower.stop();
+        sessions.values().forEach(WorkerSession::stop);
+    }
+
+    /** Allows storing the workers, once those of earlier holders are on the board. */
+    void onPredecessorRead() {
+        predecessorKnown = true;
+        storeWorkers();
+    }
+
+    /** Opens sessions from now on: reports of workers can be matched once jobs are loaded. */
+    void onJobsLoaded() {
+        jobsKnown = true;
+        openSessions();
+    }
+
+    /** Returns the store's time up to which all changes of the registry are known. */
+    long asOfStoreMillis() {
+        return follower.asOfStoreMillis();
+    }
+
+    /** Sends an order to its worker, if there is a session with it. */
+    void send(Order order) {
+        WorkerSession session = sessions.get(order.worker());
+        if (session != null) {
+            session.send(order);
+        }
+    }
+
+    /** Applies the rows of the worker registry to the board. */
+    private final class RegistryListener implements TableFollower.Listener {
+
+        @Override
+        public void loaded(List<Row> rows) {
+            Map<String, WorkerEntry> listed = new TreeMap<>();
+            for (Row row : rows) {
+                context.rows()
+                        .worker(row.key().key(), row.value())
+                        .ifPresent(w -> listed.put(w.id(), w));
+            }
+            List.copyOf(sessions.keySet()).stream()
+                    .filter(id -> !listed.containsKey(id))
+                    .forEach(board::workerUnlisted);
+            listed.values().forEach(WorkerSessions.this::onWorkerListed);
+            storeWorkers();
+        }
+
+        @Override
+        public void changed(List<Change> changes) {
+            for (Change change : changes) {
+                String id = change.key().key();
+                Optional<WorkerEntry> entry =
+                        change.value().flatMap(v -> context.rows().worker(id, v));
+                if (entry.isPresent()) {
+                    onWorkerListed(entry.get());
+                } else {
+                    board.workerUnlisted(id);
+                }
+            }
+            storeWorkers();
+            onChange.run();
+        }
+    }
+
+    private void onWorkerListed(WorkerEntry entry) {
+        board.workerListed(entry, context.nowMillis());
+        WorkerSession session = sessions.get(entry.id());
+        if (session != null) {
+            session.update(entry);
+        }
+    }
+
+    private void storeWorkers() {
+        Map<String, String> inUse = board.workersInUse();
+        if (storing || stopped || !predecessorKnown) {
+            return;
+        }
+        if (inUse.equals(storedWorkers)) {
+            openSessions();
+            return;
+        }
+        storing = true;
+        context.fencedStore()
+                .commit(workersWrite(inUse))
+                .whenComplete(
+                        (outcome, fault) -> {
+                            storing = false;
+                            if (fault == null && outcome instanceof Outcome.Committed) {
+                                storedWorkers = inUse;
+                                storeWorkers();
+                            } else if (!stopped) {
+                                context.scheduler().schedule(RETRY_DELAY, this::storeWorkers);
+                            }
+                        });
+    }
+
+    private Write workersWrite(Map<String, String> poolsByWorker) {
+        List<HeldWorker> workers =
+                new TreeMap<>(poolsByWorker)
+                        .entrySet().stream()
+                                .map(e -> new HeldWorker(e.getKey(), e.getValue()))
+                                .toList();
+        return Write.put(
+                StoreLayout.WORKERS_KEY, Json.encode(new HeldWorkers(context.term(), workers)));
+    }
+
+    /** Opens sessions with workers that are stored, and closes those with workers that are gone. */
+    void openSessions() {
+        if (!jobsKnown) {
+            return;
+        }
+        for (WorkerEntry entry : board.listedWorkers()) {
+            if (storedWorkers.containsKey(entry.id()) && !sessions.containsKey(entry.id())) {
+                WorkerSession session =
+                        new WorkerSession(context, board, entry, onChange, this::onFenced);
+                sessions.put(entry.id(), session);
+                session.start();
+            }
+        }
+        List.copyOf(sessions.keySet()).stream()
+                .filter(id -> !board.knowsWorker(id))
+                .forEach(id -> sessions.remove(id).stop());
+    }
+
+    private void onFenced() {
+        EventLog.log(
+                TaskEvent.LEASE_LOST,
+                Field.of("why", "a worker has accepted orders of a newer holder"));
+    }
+}
