--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -372,31 +372,7 @@
 
     /** Returns the next request to the advice service, if a step waits for tickets. */
     public Optional<AdviceRequest> nextAdviceRequest(long now) {
-        for (JobEntry job : liveJobs) {
-            if (!job.policy().advised()) {
-                continue;
-            }
-            List<WorkerRecord> pool =
-                    workers.values().stream()
-                            .filter(w -> w.pool().equals(job.policy().pool()))
-                            .toList();
-            Optional<StepEntry> step =
-                    job.steps()
-                            .filter(s -> !s.isDone() && s.isReady())
-                            .filter(s -> s.advice().needsTickets(pool, s.waitingCount(), now))
-                            .filter(s -> !s.advice().nextWorkersToAsk(pool, now).isEmpty())
-                            .findFirst();
-            if (step.isPresent()) {
-                StepEntry s = step.get();
-                return Optional.of(
-                        new AdviceRequest(
-                                job.id(),
-                                s.occurrence(),
-                                s.number(),
-                                s.advice().nextWorkersToAsk(pool, now)));
-            }
-        }
-        return Optional.empty();
+        return AdvicePlanner.nextRequest(liveJobs, workers.values(), now);
     }
 
     /** Applies an answer of the advice service: tickets for the workers that may run the step. */
