Keep tasks of the same round off a worker on which a task starts that must run alone

Cause: which workers run such a task was found once at the start of a round. Change: a start adds its worker.

Test: IsolationPlannerTest.noTaskOfTheSameRoundJoinsOneThatRunsAlone, red on the commit before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -32,9 +32,9 @@
     private static final long MAX_ROUND_GAP_MILLIS = 500;
 
     private final Consumer<SchedulerEvent> events;
-    private long lastRoundAt = Long.MAX_VALUE;
     private final Map<TaskEntry, Reservation> reservations = new HashMap<>();
     private final Set<WorkerRecord> isolated = new HashSet<>();
+    private long lastRoundAt = Long.MAX_VALUE;
 
     /**
      * The wait of a task for a worker of its own.
@@ -153,6 +153,13 @@
                         "crashes=" + task.crashes().count() + " runs=" + worker.runs().size()));
     }
 
+    /** Keeps other tasks off a worker on which a task starts that must run alone. */
+    void recordStart(TaskEntry task, WorkerRecord worker) {
+        if (task.crashes().needsIsolation()) {
+            isolated.add(worker);
+        }
+    }
+
     /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
     boolean mayStart(TaskEntry task, WorkerRecord worker, long now) {
         if (isReservedForOther(task, worker)) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -161,7 +161,7 @@
                 placed.forEach(runs::close);
                 return false;
             }
-            placed.add(runs.open(task, worker.get(), number, Run.Phase.STARTING, now));
+            placed.add(openRun(task, worker.get(), number, now));
         }
         for (Run run : placed) {
             run.task().updateCheckpoint(checkpoint);
@@ -177,7 +177,12 @@
     }
 
     private Order.Start startRun(TaskEntry task, WorkerRecord worker, int number, long now) {
-        return startOrder(runs.open(task, worker, number, Run.Phase.STARTING, now), now);
+        return startOrder(openRun(task, worker, number, now), now);
+    }
+
+    private Run openRun(TaskEntry task, WorkerRecord worker, int number, long now) {
+        isolation.recordStart(task, worker);
+        return runs.open(task, worker, number, Run.Phase.STARTING, now);
     }
 
     private Order.Start startOrder(Run run, long now) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
@@ -90,6 +90,18 @@
         assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w3");
     }
 
+    @Test
+    void noTaskOfTheSameRoundJoinsOneThatRunsAlone() {
+        fixture.addWorker("w1", 4_000);
+        fixture.accept("a", SchedulerFixture.step(1, TASK_MILLI_CORES));
+        crashTwice("a");
+        fixture.accept("b", SchedulerFixture.step(1, TASK_MILLI_CORES));
+        fixture.now += SchedulerFixture.LEASE_MILLIS + 1;
+        fixture.addWorker("w3", 4_000);
+
+        assertThat(fixture.starts()).hasSize(1);
+    }
+
     @Test
     void aWorkerIsKeptFreeUntilItsOtherTasksHaveEnded() {
         fixture.addWorker("w1", 4_000);
