Count starts that a crashed worker had not confirmed, once two crashes are confirmed

Cause, as far as traced: a crash counted only under runs that the worker had confirmed. Where two faulty tasks start on a worker at once, it is gone 10 ms later, and with it answers that were on their way.

Change: such starts count towards the limit, but only beside two confirmed crashes, since most are orders to workers that were gone. They isolate nothing.

Tests: WorkerCrashTest.aTaskThatCrashesWorkersBeforeTheyConfirmItIsNotStartedWithoutLimit (red when they are not counted), aTaskIsNotGivenUpForOrdersToWorkersThatWereGone.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -1,6 +1,5 @@
 package org.chervillift.core.tasks;
 
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -33,7 +32,11 @@
     /** The number of crashed workers from which on a task runs alone on its worker. */
     static final int CRASHES_BEFORE_ISOLATION = 2;
 
+    /** The number of confirmed crashes without which a task is not given up. */
+    static final int MIN_CONFIRMED_CRASHES = 2;
+
     private final SortedSet<Integer> runs = new TreeSet<>();
+    private final SortedSet<Integer> unconfirmedRuns = new TreeSet<>();
     private final boolean longRunning;
     private final Set<Integer> storedStarts = new HashSet<>();
     private int storedCount;
@@ -58,15 +61,26 @@
         return runs.add(run);
     }
 
+    /**
+     * Records that a worker crashed that had not confirmed a run; returns false if it is recorded
+     * already. The run may have begun and crashed the worker, or the worker may have been gone.
+     */
+    boolean recordUnconfirmed(int run) {
+        aloneAtLastCrash = false;
+        return unconfirmedRuns.add(run);
+    }
+
     /** Restores what an earlier holder stored. */
-    void restore(Collection<Integer> storedRuns) {
-        runs.addAll(storedRuns);
+    void restore(JobProgress.TaskFailures stored) {
+        runs.addAll(stored.crashedRuns());
+        unconfirmedRuns.addAll(stored.unconfirmedCrashes());
         storedCount = runs.size();
     }
 
     /** Forgets all crashes. */
     void clear() {
         runs.clear();
+        unconfirmedRuns.clear();
         storedCount = 0;
     }
 
@@ -75,6 +89,12 @@
         return List.copyOf(runs);
     }
 
+    /** Returns the numbers of the runs that a crashed worker had not confirmed. */
+    List<Integer> unconfirmedRuns() {
+        return List.copyOf(unconfirmedRuns);
+    }
+
+    /** Returns the number of the runs whose workers crashed. */
     int count() {
         return runs.size();
     }
@@ -91,7 +111,8 @@
 
     /** Returns whether the task must not be started again. */
     boolean isExhausted() {
-        return runs.size() >= maxCrashes();
+        return runs.size() >= MIN_CONFIRMED_CRASHES
+                && runs.size() + unconfirmedRuns.size() >= maxCrashes();
     }
 
     private int maxCrashes() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -66,10 +66,21 @@
      */
     void workerCrashed(TaskEntry task, int run, boolean alone, long now) {
         JobEntry job = task.step().job();
-        if (job.state().isFinal() || task.isDone() || !task.crashes().record(run, alone)) {
-            return;
+        if (!job.state().isFinal() && !task.isDone() && task.crashes().record(run, alone)) {
+            onCrashRecorded(task, now);
         }
-        changedJobs.add(job);
+    }
+
+    /** Counts a worker that crashed and had not confirmed a run, which may have begun. */
+    void workerCrashedUnconfirmed(TaskEntry task, int run, long now) {
+        JobEntry job = task.step().job();
+        if (!job.state().isFinal() && !task.isDone() && task.crashes().recordUnconfirmed(run)) {
+            onCrashRecorded(task, now);
+        }
+    }
+
+    private void onCrashRecorded(TaskEntry task, long now) {
+        changedJobs.add(task.step().job());
         if (task.crashes().isExhausted()) {
             fail(task, JobFailure.Cause.WORKER_CRASHED, task.crashes().count(), now);
         }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -55,16 +55,24 @@
      *
      * @param task the task's index
      * @param runs the numbers of the failed runs
-     * @param crashedRuns the numbers of the runs whose workers crashed; rows of earlier releases
-     *     lack them
-     * @param startedRuns the open runs of a task under which a worker has crashed; rows of earlier
-     *     releases lack them
+     * @param crashedRuns the numbers of the runs whose workers crashed
+     * @param unconfirmedCrashes the numbers of the runs whose workers crashed before they had
+     *     confirmed the run
+     * @param startedRuns the open runs of a task under which a worker has crashed
      */
     public record TaskFailures(
-            int task, List<Integer> runs, List<Integer> crashedRuns, List<StartedRun> startedRuns) {
+            int task,
+            List<Integer> runs,
+            List<Integer> crashedRuns,
+            List<Integer> unconfirmedCrashes,
+            List<StartedRun> startedRuns) {
+
+        /** Creates failures; rows of earlier releases have failed runs only. */
         public TaskFailures {
             runs = List.copyOf(runs);
             crashedRuns = crashedRuns == null ? List.of() : List.copyOf(crashedRuns);
+            unconfirmedCrashes =
+                    unconfirmedCrashes == null ? List.of() : List.copyOf(unconfirmedCrashes);
             startedRuns = startedRuns == null ? List.of() : List.copyOf(startedRuns);
         }
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -39,6 +39,7 @@
                 task.index(),
                 List.copyOf(task.failedRuns()),
                 task.crashes().runs(),
+                task.crashes().unconfirmedRuns(),
                 startedRunsOf(task));
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -79,9 +79,10 @@
     /** Restores the failed and crashed runs that an earlier holder stored. */
     void restore(JobProgress.TaskFailures stored) {
         failedRuns.addAll(stored.runs());
-        crashes.restore(stored.crashedRuns());
+        crashes.restore(stored);
         stored.runs().forEach(this::recordRunNumber);
         stored.crashedRuns().forEach(this::recordRunNumber);
+        stored.unconfirmedCrashes().forEach(this::recordRunNumber);
         stored.startedRuns().forEach(r -> recordRunNumber(r.run()));
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -32,8 +32,8 @@
         List<Run> lost = worker.runsCopy();
         for (Run run : lost) {
             runs.close(run);
-            if (cause == LossCause.CRASH && run.hasBegun()) {
-                lifecycle.workerCrashed(run.task(), run.number(), lost.size() == 1, now);
+            if (cause == LossCause.CRASH) {
+                recordCrash(run, lost.size() == 1, now);
             }
             events.accept(
                     SchedulerEvent.of(
@@ -41,6 +41,14 @@
         }
     }
 
+    private void recordCrash(Run run, boolean alone, long now) {
+        if (run.hasBegun()) {
+            lifecycle.workerCrashed(run.task(), run.number(), alone, now);
+        } else {
+            lifecycle.workerCrashedUnconfirmed(run.task(), run.number(), now);
+        }
+    }
+
     private static String inputs(Run run, LossCause cause, int runsLost, long now) {
         return "cause="
                 + cause
@@ -52,6 +60,8 @@
                 + (now - run.openedAt())
                 + " crashes="
                 + run.task().crashes().count()
+                + " unconfirmed="
+                + run.task().crashes().unconfirmedRuns().size()
                 + " jobState="
                 + run.task().step().job().state();
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -133,7 +133,7 @@
     void aRunThatAPredecessorStartedIsNoCrashWhileItsWorkerLives() {
         JobProgress.StartedRun started = new JobProgress.StartedRun(2, "w1", 1);
         JobProgress.TaskFailures failures =
-                new JobProgress.TaskFailures(0, List.of(), List.of(1), List.of(started));
+                new JobProgress.TaskFailures(0, List.of(), List.of(1), List.of(), List.of(started));
         JobProgress stored =
                 new JobProgress(
                         1,
@@ -179,6 +179,40 @@
                 .matches(e -> e.detail().contains("crashes=0"));
     }
 
+    @Test
+    void aTaskThatCrashesWorkersBeforeTheyConfirmItIsNotStartedWithoutLimit() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        int starts = 0;
+        for (int i = 0; i < WORKERS; i++) {
+            boolean confirmed = i < 2;
+            List<Order> orders = fixture.orders();
+            for (Order start : orders) {
+                starts++;
+                fixture.scheduler.applyAnswer(
+                        start, confirmed ? OrderAnswer.DONE : OrderAnswer.UNKNOWN, fixture.now);
+                crash(fixture, start.worker());
+            }
+        }
+
+        assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
+    }
+
+    @Test
+    void aTaskIsNotGivenUpForOrdersToWorkersThatWereGone() {
+        addWorkers(fixture);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        crash(fixture, fixture.starts().getFirst().worker());
+        for (int i = 0; i < 6; i++) {
+            Order start = fixture.orders().getFirst();
+            fixture.scheduler.applyAnswer(start, OrderAnswer.UNKNOWN, fixture.now);
+            crash(fixture, start.worker());
+        }
+
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
+    }
+
     @Test
     void aLongRunningTaskThatHasRunForLongIsNoLongerSuspected() {
         addWorkers(fixture);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -20,7 +20,11 @@
     void crashesAndTheReasonOfAFailureAreStored() {
         TaskFailures failures =
                 new TaskFailures(
-                        2, List.of(1), List.of(3, 4), List.of(new StartedRun(5, "w1", 1_700_000L)));
+                        2,
+                        List.of(1),
+                        List.of(3, 4),
+                        List.of(6),
+                        List.of(new StartedRun(5, "w1", 1_700_000L)));
         JobFailure failure = new JobFailure(JobFailure.Cause.WORKER_CRASHED, "a.0.1.2", 3);
         JobProgress progress =
                 new JobProgress(
@@ -42,6 +46,6 @@
 
         assertThat(progress.failure()).isEmpty();
         assertThat(progress.steps().getFirst().failures())
-                .containsExactly(new TaskFailures(2, List.of(1), List.of(), List.of()));
+                .containsExactly(new TaskFailures(2, List.of(1), List.of(), List.of(), List.of()));
     }
 }
