Derive the wait for a worker of its own from the time that a VM takes to move

The 2.5 s were right for a move of 1.5 s only, and workers that were lost counted towards the workers that may be kept free. The wait is a move and 1 s now; only workers that accept tasks count. No behaviour changes where a move takes 1.5 s and all workers are up.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -22,8 +22,8 @@
  */
 final class IsolationPlanner {
 
-    /** Longer than a VM takes to join a pool that has no worker to spare. */
-    private static final long MAX_WAIT_MILLIS = 2_500;
+    /** The time until a pool without a worker to spare has ordered a VM, and the VM is used. */
+    private static final long VM_ORDER_MILLIS = 1_000;
 
     /** One worker of this many in a pool may be kept free. */
     private static final int WORKERS_PER_RESERVATION = 4;
@@ -31,6 +31,7 @@
     /** Rounds further apart than this had none between them, such as in an outage of the store. */
     private static final long MAX_ROUND_GAP_MILLIS = 500;
 
+    private final long maxWaitMillis;
     private final Consumer<SchedulerEvent> events;
     private final Map<TaskEntry, Reservation> reservations = new HashMap<>();
     private final Set<WorkerRecord> isolated = new HashSet<>();
@@ -44,16 +45,18 @@
      */
     private record Reservation(Optional<WorkerRecord> worker, long since) {
 
-        boolean isExpired(long now) {
-            return now - since > MAX_WAIT_MILLIS;
-        }
-
         boolean reserves(WorkerRecord other) {
             return worker.filter(w -> w == other).isPresent();
         }
     }
 
-    IsolationPlanner(Consumer<SchedulerEvent> events) {
+    /**
+     * Creates a planner without reservations.
+     *
+     * @param vmMoveMillis how long a VM takes to join a pool, in milliseconds
+     */
+    IsolationPlanner(long vmMoveMillis, Consumer<SchedulerEvent> events) {
+        this.maxWaitMillis = VM_ORDER_MILLIS + vmMoveMillis;
         this.events = events;
     }
 
@@ -91,12 +94,16 @@
         Reservation before = reservations.get(task);
         long since = before == null ? now : before.since();
         Optional<WorkerRecord> worker = Optional.empty();
-        if (now - since <= MAX_WAIT_MILLIS) {
+        if (!hasWaitedTooLong(since, now)) {
             worker = keptWorker(task, now).or(() -> reserveNewWorker(task, pool, now));
         }
         reservations.put(task, new Reservation(worker, since));
     }
 
+    private boolean hasWaitedTooLong(long since, long now) {
+        return now - since > maxWaitMillis;
+    }
+
     private Optional<WorkerRecord> keptWorker(TaskEntry task, long now) {
         return Optional.ofNullable(reservations.get(task))
                 .flatMap(Reservation::worker)
@@ -105,7 +112,7 @@
 
     private Optional<WorkerRecord> reserveNewWorker(
             TaskEntry task, List<WorkerRecord> pool, long now) {
-        if (!mayReserveOneMore(pool)) {
+        if (!mayReserveOneMore(pool, now)) {
             return Optional.empty();
         }
         Optional<WorkerRecord> chosen = choose(task, pool, now);
@@ -113,14 +120,14 @@
         return chosen;
     }
 
-    private boolean mayReserveOneMore(List<WorkerRecord> pool) {
+    private boolean mayReserveOneMore(List<WorkerRecord> pool, long now) {
+        long usable = pool.stream().filter(w -> w.acceptsTasks(now)).count();
         long reserved =
                 reservations.values().stream()
                         .flatMap(r -> r.worker().stream())
                         .filter(pool::contains)
                         .count();
-        return reserved < Math.ceilDiv(pool.size(), WORKERS_PER_RESERVATION)
-                && reserved < pool.size() - 1;
+        return reserved < Math.ceilDiv(usable, WORKERS_PER_RESERVATION) && reserved < usable - 1;
     }
 
     private Optional<WorkerRecord> choose(TaskEntry task, List<WorkerRecord> pool, long now) {
@@ -170,7 +177,7 @@
             return !isolated.contains(worker);
         }
         return worker.runs().isEmpty()
-                || (reservation.isExpired(now) && !isolated.contains(worker));
+                || (hasWaitedTooLong(reservation.since(), now) && !isolated.contains(worker));
     }
 
     private boolean isReservedForOther(TaskEntry task, WorkerRecord worker) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerSettings.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerSettings.java
@@ -8,11 +8,14 @@
  * @param term the term of this holder, which is also its fencing token
  * @param predecessorLeaseMillis how long worker leases granted by an earlier holder may last
  * @param stopTimeoutMillis how long a worker may take to stop a run
+ * @param vmMoveMillis how long a VM takes to join another pool
  */
-public record SchedulerSettings(long term, long predecessorLeaseMillis, long stopTimeoutMillis) {
+public record SchedulerSettings(
+        long term, long predecessorLeaseMillis, long stopTimeoutMillis, long vmMoveMillis) {
     public SchedulerSettings {
         Checks.inRange("term", term, 1, Integer.MAX_VALUE);
         Checks.notNegative("predecessorLeaseMillis", predecessorLeaseMillis);
         Checks.notNegative("stopTimeoutMillis", stopTimeoutMillis);
+        Checks.notNegative("vmMoveMillis", vmMoveMillis);
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -39,7 +39,7 @@
         this.ranking = ranking;
         this.settings = settings;
         this.events = events;
-        this.isolation = new IsolationPlanner(events);
+        this.isolation = new IsolationPlanner(settings.vmMoveMillis(), events);
     }
 
     /**
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -48,7 +48,7 @@
     SchedulerFixture(long term, Resources limit) {
         scheduler =
                 new TaskScheduler(
-                        new SchedulerSettings(term, LEASE_MILLIS, 400),
+                        new SchedulerSettings(term, LEASE_MILLIS, 400, 1_500),
                         manifest(limit),
                         events::add,
                         now);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -68,7 +68,8 @@
                 new SchedulerSettings(
                         context.term(),
                         settings.predecessorLeaseMillis(),
-                        settings.workerStopTimeout().toMillis());
+                        settings.workerStopTimeout().toMillis(),
+                        settings.moveTime().toMillis());
         this.board = new TaskScheduler(boardSettings, manifest, this::log, context.nowMillis());
         this.progress = new ProgressWriter(context, board, this::replanSoon);
         this.advice = new AdviceRequester(context, board, this::replanSoon);
