Let a task run alone for 2 s, and on half of a pool's workers at most

An idle worker was isolated without any bound.

Change: isolation ends after 2 s without a crash, others may then join; isolated workers and those kept free are half of the usable workers at most. A task that has waited too long starts beside others and isolates nothing.

Test: IsolationPlannerTest.aPoolGoesOnServingWhileManyServicesMustStartAlone, red on the commit before. aServiceIsNotGivenUpForCrashesThatItsTasksShareWithOthers plans for 3 s between two crashes now, since tasks no longer all start at once; it asks for the same.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -3,30 +3,32 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /**
  * Gives each task under which several workers have crashed a worker of its own.
  *
  * <p>When a worker crashes, all tasks on it are under the same crash, and only one of them may have
- * caused it. A task that runs alone cannot take others down with it. If it completes, it was not
- * the cause; if its worker crashes as well, it was.
+ * caused it. A task that starts alone cannot take others down with it. If it keeps running, it was
+ * not the cause, and others may join it; if its worker crashes as well, it was.
  *
- * <p>A worker is kept free for such a task until its other runs have ended. A task that gets no
- * worker of its own in time starts beside others.
+ * <p>A worker is kept free for such a task until its other runs have ended. Where many tasks crash
+ * their workers, half of a pool goes on serving the others: a task that gets no worker of its own
+ * in time starts beside others.
  */
 final class IsolationPlanner {
 
+    /** How long a task runs alone. A task that crashes the workers that start it does so sooner. */
+    private static final long ISOLATION_MILLIS = 2_000;
+
     /** The time until a pool without a worker to spare has ordered a VM, and the VM is used. */
     private static final long VM_ORDER_MILLIS = 1_000;
 
-    /** One worker of this many in a pool may be kept free. */
-    private static final int WORKERS_PER_RESERVATION = 4;
+    /** One worker of this many in a pool may be isolated or kept free. */
+    private static final long WORKERS_PER_ISOLATED_ONE = 2;
 
     /** Rounds further apart than this had none between them, such as in an outage of the store. */
     private static final long MAX_ROUND_GAP_MILLIS = 500;
@@ -34,7 +36,7 @@
     private final long maxWaitMillis;
     private final Consumer<SchedulerEvent> events;
     private final Map<TaskEntry, Reservation> reservations = new HashMap<>();
-    private final Set<WorkerRecord> isolated = new HashSet<>();
+    private final Map<WorkerRecord, Long> isolatedUntil = new HashMap<>();
     private long lastRoundAt = Long.MAX_VALUE;
 
     /**
@@ -61,27 +63,27 @@
     }
 
     /**
-     * Drops the reservations of tasks that no longer wait, and finds the isolated workers.
+     * Drops the reservations of tasks that no longer wait, and ends isolations that are over.
      *
      * <p>Time in which no starts were planned does not count as waiting.
      */
-    void beginRound(
-            Collection<StepEntry> startableSteps, Collection<WorkerRecord> workers, long now) {
+    void beginRound(Collection<StepEntry> startableSteps, long now) {
         long gap = now - lastRoundAt;
         if (gap > MAX_ROUND_GAP_MILLIS) {
             reservations.replaceAll((t, r) -> new Reservation(r.worker(), r.since() + gap));
         }
         lastRoundAt = now;
         reservations.keySet().removeIf(t -> !t.isWaiting() || !startableSteps.contains(t.step()));
-        isolated.clear();
-        workers.stream().filter(IsolationPlanner::runsIsolatedTask).forEach(isolated::add);
+        isolatedUntil
+                .entrySet()
+                .removeIf(e -> now >= e.getValue() || !runsTaskToIsolate(e.getKey()));
     }
 
-    private static boolean runsIsolatedTask(WorkerRecord worker) {
+    private static boolean runsTaskToIsolate(WorkerRecord worker) {
         return worker.runs().stream().anyMatch(r -> r.task().crashes().needsIsolation());
     }
 
-    /** Reserves workers of a pool for the tasks of a step that must run alone. */
+    /** Reserves workers of a pool for the tasks of a step that must start alone. */
     void reserve(StepEntry step, List<WorkerRecord> pool, long now) {
         for (TaskEntry task : step.tasks()) {
             if (task.isWaiting() && task.crashes().needsIsolation()) {
@@ -112,7 +114,7 @@
 
     private Optional<WorkerRecord> reserveNewWorker(
             TaskEntry task, List<WorkerRecord> pool, long now) {
-        if (!mayReserveOneMore(pool, now)) {
+        if (!mayIsolateOneMore(pool, now)) {
             return Optional.empty();
         }
         Optional<WorkerRecord> chosen = choose(task, pool, now);
@@ -120,14 +122,10 @@
         return chosen;
     }
 
-    private boolean mayReserveOneMore(List<WorkerRecord> pool, long now) {
+    private boolean mayIsolateOneMore(List<WorkerRecord> pool, long now) {
         long usable = pool.stream().filter(w -> w.acceptsTasks(now)).count();
-        long reserved =
-                reservations.values().stream()
-                        .flatMap(r -> r.worker().stream())
-                        .filter(pool::contains)
-                        .count();
-        return reserved < Math.ceilDiv(usable, WORKERS_PER_RESERVATION) && reserved < usable - 1;
+        long taken = pool.stream().filter(w -> isIsolated(w) || isReserved(w)).count();
+        return taken < Math.max(1, usable / WORKERS_PER_ISOLATED_ONE);
     }
 
     private Optional<WorkerRecord> choose(TaskEntry task, List<WorkerRecord> pool, long now) {
@@ -143,7 +141,11 @@
         return Placement.isEligible(step, worker, now)
                 && step.spec().footprint().fitsIn(worker.entry().capacity())
                 && !worker.hasLongRunningRuns()
-                && !isolated.contains(worker);
+                && !isIsolated(worker);
+    }
+
+    private boolean isIsolated(WorkerRecord worker) {
+        return isolatedUntil.containsKey(worker);
     }
 
     private boolean isReserved(WorkerRecord worker) {
@@ -160,28 +162,26 @@
                         "crashes=" + task.crashes().count() + " runs=" + worker.runs().size()));
     }
 
-    /** Keeps other tasks off a worker on which a task starts that must run alone. */
-    void recordStart(TaskEntry task, WorkerRecord worker) {
-        if (task.crashes().needsIsolation()) {
-            isolated.add(worker);
-        }
-    }
-
     /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
     boolean mayStart(TaskEntry task, WorkerRecord worker, long now) {
-        if (isReservedForOther(task, worker)) {
+        if (isReservedForOther(task, worker) || isIsolated(worker)) {
             return false;
         }
         Reservation reservation = reservations.get(task);
-        if (reservation == null) {
-            return !isolated.contains(worker);
-        }
-        return worker.runs().isEmpty()
-                || (hasWaitedTooLong(reservation.since(), now) && !isolated.contains(worker));
+        return reservation == null
+                || (reservation.reserves(worker) && worker.runs().isEmpty())
+                || hasWaitedTooLong(reservation.since(), now);
     }
 
     private boolean isReservedForOther(TaskEntry task, WorkerRecord worker) {
         return reservations.entrySet().stream()
                 .anyMatch(e -> e.getKey() != task && e.getValue().reserves(worker));
     }
+
+    /** Keeps other tasks off a worker on which a task starts alone that needs that. */
+    void recordStart(TaskEntry task, WorkerRecord worker, long now) {
+        if (task.crashes().needsIsolation() && worker.runs().isEmpty()) {
+            isolatedUntil.put(worker, now + ISOLATION_MILLIS);
+        }
+    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -63,7 +63,7 @@
                         .filter(mayStart)
                         .map(s -> new Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
-        isolation.beginRound(stepsOf(candidatesByPool.values()), workers, now);
+        isolation.beginRound(stepsOf(candidatesByPool.values()), now);
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
                 (pool, candidates) -> {
@@ -181,7 +181,7 @@
     }
 
     private Run openRun(TaskEntry task, WorkerRecord worker, int number, long now) {
-        isolation.recordStart(task, worker);
+        isolation.recordStart(task, worker, now);
         return runs.open(task, worker, number, Run.Phase.STARTING, now);
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
@@ -68,8 +68,10 @@
         fixture.addWorker("w3", 4_000);
         fixture.addWorker("w4", 4_000);
         fixture.addWorker("w5", 4_000);
-        fixture.now += 3_000;
-        fixture.starts();
+        for (int i = 0; i < 30; i++) {
+            fixture.starts();
+            advance("w3", "w4", "w5");
+        }
         crash(fixture.runningWorkerOf(new TaskId("a", 0, 0, 0)));
 
         fixture.store();
@@ -119,6 +121,47 @@
                 .allMatch(l -> l.size() == 1);
     }
 
+    @Test
+    void aPoolGoesOnServingWhileManyServicesMustStartAlone() {
+        int services = 4;
+        for (int i = 0; i < services; i++) {
+            fixture.accept(
+                    "service" + i,
+                    SchedulerFixture.step(1, TASK_MILLI_CORES, List.of(), false, true, 0));
+        }
+        for (int crash = 1; crash <= 2; crash++) {
+            fixture.addWorker("old" + crash, services * TASK_MILLI_CORES);
+            assertThat(fixture.starts()).hasSize(services);
+            crash("old" + crash);
+        }
+        for (int i = 0; i < services; i++) {
+            fixture.addWorker("w" + i, services * TASK_MILLI_CORES);
+        }
+        fixture.accept("backlog", SchedulerFixture.step(10, TASK_MILLI_CORES));
+
+        int started = 0;
+        for (int i = 0; i < 30; i++) {
+            started += startsOf("backlog");
+            advance("w0", "w1", "w2", "w3");
+        }
+        assertThat(started).isGreaterThanOrEqualTo(services * services / 2);
+        assertThat(fixture.runningByWorker.values())
+                .allMatch(l -> l.size() <= services)
+                .anyMatch(l -> l.stream().anyMatch(r -> r.task().job().equals("service3")));
+    }
+
+    private void advance(String... workers) {
+        fixture.now += STEP_MILLIS;
+        for (String worker : workers) {
+            fixture.scheduler.leaseGranted(worker, fixture.now + SchedulerFixture.LEASE_MILLIS);
+        }
+    }
+
+    private int startsOf(String job) {
+        return Math.toIntExact(
+                fixture.starts().stream().filter(s -> s.task().job().equals(job)).count());
+    }
+
     @Test
     void aTaskThatGetsNoWorkerOfItsOwnStartsBesideOthersInTime() {
         fixture.addWorker("w1", 4_000);
