Give up a service only for crashes of workers that its task had to itself

Crashes beside others were counted as if they were proof.

Change: a long-running task is given up after five crashes of which it was alone in three, and waits for a worker of its own twice as long as others. So a service that crashes its workers is still started five times at the most where its pool has workers to spare; where it has not, it may be started more often. The stored crashes are one record now, with the runs that were alone.

Test: WorkerCrashTest.aServiceIsNotGivenUpForCrashesOfWorkersThatItSharedHoweverMany, of a case that the code before gives up at the fifth crash; the bound for a service that runs alone is held by aServiceThatCrashesEachWorkerIsNotStartedWithoutLimit.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import org.chervillift.core.tasks.JobProgress.StartedRun;
+import org.chervillift.core.tasks.JobProgress.TaskCrashes;
 
 /**
  * The runs of a task whose workers crashed.
@@ -14,6 +16,9 @@
  */
 final class CrashHistory {
 
+    /** The number of crashed workers from which on a task starts alone on its worker. */
+    static final int CRASHES_BEFORE_ISOLATION = 2;
+
     /**
      * The number of crashed workers after which a task is given up, if it ran alone on the last
      * one.
@@ -29,18 +34,18 @@
      */
     static final int MAX_CRASHES_OF_SERVICES = 5;
 
-    /** The number of crashed workers from which on a task runs alone on its worker. */
-    static final int CRASHES_BEFORE_ISOLATION = 2;
+    /** The number of workers that must have crashed under a long-running task that ran alone. */
+    static final int MIN_CRASHES_ALONE_OF_SERVICES = 3;
 
     /** The number of confirmed crashes without which a task is not given up. */
     static final int MIN_CONFIRMED_CRASHES = 2;
 
-    private final SortedSet<Integer> runs = new TreeSet<>();
-    private final SortedSet<Integer> unconfirmedRuns = new TreeSet<>();
     private final boolean longRunning;
+    private final SortedSet<Integer> confirmed = new TreeSet<>();
+    private final Set<Integer> alone = new HashSet<>();
+    private final SortedSet<Integer> unconfirmed = new TreeSet<>();
     private final Set<Integer> storedStarts = new HashSet<>();
     private int storedCount;
-    private boolean aloneAtLastCrash;
 
     /**
      * Creates an empty history.
@@ -54,11 +59,13 @@
     /**
      * Records that the worker of a run crashed; returns false if it is recorded already.
      *
-     * @param alone whether no other run was on the worker
+     * @param wasAlone whether no other run was on the worker
      */
-    boolean record(int run, boolean alone) {
-        aloneAtLastCrash = alone;
-        return runs.add(run);
+    boolean record(int run, boolean wasAlone) {
+        if (wasAlone) {
+            alone.add(run);
+        }
+        return confirmed.add(run);
     }
 
     /**
@@ -66,60 +73,76 @@
      * already. The run may have begun and crashed the worker, or the worker may have been gone.
      */
     boolean recordUnconfirmed(int run) {
-        aloneAtLastCrash = false;
-        return unconfirmedRuns.add(run);
+        return unconfirmed.add(run);
     }
 
     /** Restores what an earlier holder stored. */
-    void restore(JobProgress.TaskFailures stored) {
-        runs.addAll(stored.crashedRuns());
-        unconfirmedRuns.addAll(stored.unconfirmedCrashes());
-        storedCount = runs.size();
+    void restore(TaskCrashes stored) {
+        confirmed.addAll(stored.confirmed());
+        alone.addAll(stored.alone());
+        unconfirmed.addAll(stored.unconfirmed());
+        storedCount = confirmed.size();
+    }
+
+    /**
+     * Returns what is to be stored.
+     *
+     * @param started the open runs of the task
+     */
+    TaskCrashes toStored(List<StartedRun> started) {
+        return new TaskCrashes(
+                List.copyOf(confirmed),
+                alone.stream().sorted().toList(),
+                List.copyOf(unconfirmed),
+                isSuspect() ? started : List.of());
     }
 
     /** Forgets all crashes. */
     void clear() {
-        runs.clear();
-        unconfirmedRuns.clear();
+        confirmed.clear();
+        alone.clear();
+        unconfirmed.clear();
         storedCount = 0;
     }
 
-    /** Returns the numbers of the runs whose workers crashed. */
-    List<Integer> runs() {
-        return List.copyOf(runs);
+    /** Returns the number of the runs whose workers crashed after they had confirmed them. */
+    int count() {
+        return confirmed.size();
     }
 
-    /** Returns the numbers of the runs that a crashed worker had not confirmed. */
-    List<Integer> unconfirmedRuns() {
-        return List.copyOf(unconfirmedRuns);
+    /** Returns the number of the runs that a crashed worker had not confirmed. */
+    int unconfirmedCount() {
+        return unconfirmed.size();
     }
 
-    /** Returns the number of the runs whose workers crashed. */
-    int count() {
-        return runs.size();
+    boolean isEmpty() {
+        return confirmed.isEmpty() && unconfirmed.isEmpty();
     }
 
     /** Returns whether a worker has crashed under the task. */
     boolean isSuspect() {
-        return !runs.isEmpty();
+        return !confirmed.isEmpty();
     }
 
-    /** Returns whether the task must share its worker with no other task. */
+    /** Returns whether the task must start alone on its worker. */
     boolean needsIsolation() {
-        return runs.size() >= CRASHES_BEFORE_ISOLATION;
+        return confirmed.size() >= CRASHES_BEFORE_ISOLATION;
     }
 
     /** Returns whether the task must not be started again. */
     boolean isExhausted() {
-        return runs.size() >= MIN_CONFIRMED_CRASHES
-                && runs.size() + unconfirmedRuns.size() >= maxCrashes();
-    }
-
-    private int maxCrashes() {
+        int crashes = confirmed.size() + unconfirmed.size();
         if (longRunning) {
-            return MAX_CRASHES_OF_SERVICES;
+            return crashes >= MAX_CRASHES_OF_SERVICES
+                    && alone.size() >= MIN_CRASHES_ALONE_OF_SERVICES;
         }
-        return aloneAtLastCrash ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS;
+        return confirmed.size() >= MIN_CONFIRMED_CRASHES
+                && crashes >= (wasAloneAtLastCrash() ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS);
+    }
+
+    private boolean wasAloneAtLastCrash() {
+        boolean lastIsConfirmed = unconfirmed.isEmpty() || unconfirmed.last() < confirmed.last();
+        return lastIsConfirmed && alone.contains(confirmed.last());
     }
 
     /**
@@ -129,13 +152,13 @@
      * @param run the number of the run
      */
     boolean isStartStored(int run) {
-        return !isSuspect() || (storedCount >= runs.size() && storedStarts.contains(run));
+        return !isSuspect() || (storedCount >= confirmed.size() && storedStarts.contains(run));
     }
 
     /** Records what is stored of this task. */
-    void markStored(JobProgress.TaskFailures stored) {
-        storedCount = Math.max(storedCount, stored.crashedRuns().size());
+    void markStored(TaskCrashes stored) {
+        storedCount = Math.max(storedCount, stored.confirmed().size());
         storedStarts.clear();
-        stored.startedRuns().forEach(r -> storedStarts.add(r.run()));
+        stored.started().forEach(r -> storedStarts.add(r.run()));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -17,7 +17,8 @@
  *
  * <p>A worker is kept free for such a task until its other runs have ended. Where many tasks crash
  * their workers, half of a pool goes on serving the others: a task that gets no worker of its own
- * in time starts beside others.
+ * in time starts beside others. Long-running tasks wait twice as long for one, since a service
+ * loses more by crashes than by the absence of a task.
  */
 final class IsolationPlanner {
 
@@ -96,14 +97,15 @@
         Reservation before = reservations.get(task);
         long since = before == null ? now : before.since();
         Optional<WorkerRecord> worker = Optional.empty();
-        if (!hasWaitedTooLong(since, now)) {
+        if (!hasWaitedTooLong(task, since, now)) {
             worker = keptWorker(task, now).or(() -> reserveNewWorker(task, pool, now));
         }
         reservations.put(task, new Reservation(worker, since));
     }
 
-    private boolean hasWaitedTooLong(long since, long now) {
-        return now - since > maxWaitMillis;
+    private boolean hasWaitedTooLong(TaskEntry task, long since, long now) {
+        boolean longRunning = task.step().spec().longRunning();
+        return now - since > (longRunning ? 2 * maxWaitMillis : maxWaitMillis);
     }
 
     private Optional<WorkerRecord> keptWorker(TaskEntry task, long now) {
@@ -170,7 +172,7 @@
         Reservation reservation = reservations.get(task);
         return reservation == null
                 || (reservation.reserves(worker) && worker.runs().isEmpty())
-                || hasWaitedTooLong(reservation.since(), now);
+                || hasWaitedTooLong(task, reservation.since(), now);
     }
 
     private boolean isReservedForOther(TaskEntry task, WorkerRecord worker) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -88,7 +88,7 @@
 
     /** Forgets the crashes of a task that has shown that it does not cause them. */
     void clearCrashes(TaskEntry task) {
-        if (task.crashes().count() > 0) {
+        if (!task.crashes().isEmpty()) {
             task.crashes().clear();
             changedJobs.add(task.step().job());
         }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -55,25 +55,38 @@
      *
      * @param task the task's index
      * @param runs the numbers of the failed runs
-     * @param crashedRuns the numbers of the runs whose workers crashed
-     * @param unconfirmedCrashes the numbers of the runs whose workers crashed before they had
-     *     confirmed the run
-     * @param startedRuns the open runs of a task under which a worker has crashed
+     * @param crashes the crashes under the task; rows of earlier releases lack them
      */
-    public record TaskFailures(
-            int task,
-            List<Integer> runs,
-            List<Integer> crashedRuns,
-            List<Integer> unconfirmedCrashes,
-            List<StartedRun> startedRuns) {
-
-        /** Creates failures; rows of earlier releases have failed runs only. */
+    public record TaskFailures(int task, List<Integer> runs, TaskCrashes crashes) {
         public TaskFailures {
             runs = List.copyOf(runs);
-            crashedRuns = crashedRuns == null ? List.of() : List.copyOf(crashedRuns);
-            unconfirmedCrashes =
-                    unconfirmedCrashes == null ? List.of() : List.copyOf(unconfirmedCrashes);
-            startedRuns = startedRuns == null ? List.of() : List.copyOf(startedRuns);
+            crashes = crashes == null ? TaskCrashes.NONE : crashes;
+        }
+    }
+
+    /**
+     * The runs of a task whose workers crashed, and what may follow.
+     *
+     * @param confirmed the numbers of the runs that the workers had confirmed
+     * @param alone those of them that had their worker to themselves
+     * @param unconfirmed the numbers of the runs that the workers had not confirmed
+     * @param started the open runs of a task under which a worker has crashed
+     */
+    public record TaskCrashes(
+            List<Integer> confirmed,
+            List<Integer> alone,
+            List<Integer> unconfirmed,
+            List<StartedRun> started) {
+
+        /** No crash. */
+        public static final TaskCrashes NONE =
+                new TaskCrashes(List.of(), List.of(), List.of(), List.of());
+
+        public TaskCrashes {
+            confirmed = List.copyOf(confirmed);
+            alone = List.copyOf(alone);
+            unconfirmed = List.copyOf(unconfirmed);
+            started = List.copyOf(started);
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -31,22 +31,17 @@
     }
 
     private static boolean hasFailures(TaskEntry task) {
-        return !task.failedRuns().isEmpty() || task.crashes().count() > 0;
+        return !task.failedRuns().isEmpty() || !task.crashes().isEmpty();
     }
 
     private static TaskFailures failuresOf(TaskEntry task) {
         return new TaskFailures(
                 task.index(),
                 List.copyOf(task.failedRuns()),
-                task.crashes().runs(),
-                task.crashes().unconfirmedRuns(),
-                startedRunsOf(task));
+                task.crashes().toStored(startedRunsOf(task)));
     }
 
     private static List<StartedRun> startedRunsOf(TaskEntry task) {
-        if (!task.crashes().isSuspect()) {
-            return List.of();
-        }
         return task.runs().stream()
                 .filter(r -> r.phase() != Run.Phase.STOPPING)
                 .map(r -> new StartedRun(r.number(), r.worker().id(), r.worker().bornAtMillis()))
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -79,11 +79,11 @@
     /** Restores the failed and crashed runs that an earlier holder stored. */
     void restore(JobProgress.TaskFailures stored) {
         failedRuns.addAll(stored.runs());
-        crashes.restore(stored);
+        crashes.restore(stored.crashes());
         stored.runs().forEach(this::recordRunNumber);
-        stored.crashedRuns().forEach(this::recordRunNumber);
-        stored.unconfirmedCrashes().forEach(this::recordRunNumber);
-        stored.startedRuns().forEach(r -> recordRunNumber(r.run()));
+        stored.crashes().confirmed().forEach(this::recordRunNumber);
+        stored.crashes().unconfirmed().forEach(this::recordRunNumber);
+        stored.crashes().started().forEach(r -> recordRunNumber(r.run()));
     }
 
     int lastRunNumber() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -137,7 +137,7 @@
             for (JobProgress.TaskFailures failures : stored.failures()) {
                 TaskEntry task = step.tasks().get(failures.task());
                 task.restore(failures);
-                failures.startedRuns().forEach(r -> inheritedStarts.add(task, r));
+                failures.crashes().started().forEach(r -> inheritedStarts.add(task, r));
             }
         }
         if (progress.state().isFinal()) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
@@ -75,7 +75,7 @@
     private static void markStored(StepEntry step, JobProgress.StepProgress stored) {
         step.markBegunStored();
         for (JobProgress.TaskFailures failures : stored.failures()) {
-            step.tasks().get(failures.task()).crashes().markStored(failures);
+            step.tasks().get(failures.task()).crashes().markStored(failures.crashes());
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -61,7 +61,7 @@
                 + " crashes="
                 + run.task().crashes().count()
                 + " unconfirmed="
-                + run.task().crashes().unconfirmedRuns().size()
+                + run.task().crashes().unconfirmedCount()
                 + " jobState="
                 + run.task().step().job().state();
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
@@ -145,6 +145,10 @@
             advance("w0", "w1", "w2", "w3");
         }
         assertThat(started).isGreaterThanOrEqualTo(services * services / 2);
+        for (int i = 0; i < 25; i++) {
+            fixture.starts();
+            advance("w0", "w1", "w2", "w3");
+        }
         assertThat(fixture.runningByWorker.values())
                 .allMatch(l -> l.size() <= services)
                 .anyMatch(l -> l.stream().anyMatch(r -> r.task().job().equals("service3")));
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -6,6 +6,8 @@
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.Resources;
+import org.chervillift.api.tasks.RunningTask;
+import org.chervillift.api.tasks.TaskId;
 import org.junit.jupiter.api.Test;
 
 /** Tests what becomes of tasks whose workers crash. */
@@ -90,7 +92,7 @@
         crash(fixture, second.worker());
 
         JobProgress stored = fixture.scheduler.unstoredProgress().progress().get("a");
-        assertThat(stored.steps().getFirst().failures().getFirst().crashedRuns())
+        assertThat(stored.steps().getFirst().failures().getFirst().crashes().confirmed())
                 .containsExactly(1, 2);
     }
 
@@ -133,7 +135,11 @@
     void aRunThatAPredecessorStartedIsNoCrashWhileItsWorkerLives() {
         JobProgress.StartedRun started = new JobProgress.StartedRun(2, "w1", 1);
         JobProgress.TaskFailures failures =
-                new JobProgress.TaskFailures(0, List.of(), List.of(1), List.of(), List.of(started));
+                new JobProgress.TaskFailures(
+                        0,
+                        List.of(),
+                        new JobProgress.TaskCrashes(
+                                List.of(1), List.of(), List.of(), List.of(started)));
         JobProgress stored =
                 new JobProgress(
                         1,
@@ -254,6 +260,26 @@
         assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
     }
 
+    @Test
+    void aServiceIsNotGivenUpForCrashesOfWorkersThatItSharedHoweverMany() {
+        fixture.accept("a", SchedulerFixture.step(1, 1_000, List.of(), false, true, 1));
+        fixture.accept("b", SchedulerFixture.step(1, 1_000));
+        for (int i = 0; i < WORKERS; i++) {
+            fixture.now += SchedulerFixture.LEASE_MILLIS + 1;
+            String worker = "w" + i;
+            fixture.runningByWorker.put(worker, List.of(running("a", i), running("b", i)));
+            fixture.addWorker(worker, WORKER_MILLI_CORES);
+            crash(fixture, worker);
+        }
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
+        assertThat(fixture.scheduler.stateOf("b")).contains(JobState.FAILED);
+    }
+
+    private static RunningTask running(String job, int run) {
+        return new RunningTask(new TaskId(job, 0, 0, 0), run + 1, "", 100, 0);
+    }
+
     private List<SchedulerEvent> lostRuns() {
         return fixture.events.stream().filter(e -> e.kind() == SchedulerEvent.Kind.LOST).toList();
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -9,6 +9,7 @@
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.JobProgress.StartedRun;
 import org.chervillift.core.tasks.JobProgress.StepProgress;
+import org.chervillift.core.tasks.JobProgress.TaskCrashes;
 import org.chervillift.core.tasks.JobProgress.TaskFailures;
 import org.chervillift.http.Json;
 import org.junit.jupiter.api.Test;
@@ -18,13 +19,13 @@
 
     @Test
     void crashesAndTheReasonOfAFailureAreStored() {
-        TaskFailures failures =
-                new TaskFailures(
-                        2,
-                        List.of(1),
+        TaskCrashes crashes =
+                new TaskCrashes(
                         List.of(3, 4),
+                        List.of(4),
                         List.of(6),
-                        List.of(new StartedRun(5, "w1", 1_700_000L)));
+                        List.of(new StartedRun(7, "w1", 1_700_000L)));
+        TaskFailures failures = new TaskFailures(2, List.of(1), crashes);
         JobFailure failure = new JobFailure(JobFailure.Cause.WORKER_CRASHED, "a.0.1.2", 3);
         JobProgress progress =
                 new JobProgress(
@@ -46,6 +47,6 @@
 
         assertThat(progress.failure()).isEmpty();
         assertThat(progress.steps().getFirst().failures())
-                .containsExactly(new TaskFailures(2, List.of(1), List.of(), List.of(), List.of()));
+                .containsExactly(new TaskFailures(2, List.of(1), TaskCrashes.NONE));
     }
 }
