Wait for a worker that is kept free until its last runs end

Change: a task waits twice as long while a worker is kept free for it.

Test: IsolationPlannerTest.aTaskWaitsForTheWorkerThatIsKeptFreeForItWhileItsLastRunEnds, red on the commit before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -17,8 +17,8 @@
  *
  * <p>A worker is kept free for such a task until its other runs have ended. Where many tasks crash
  * their workers, half of a pool goes on serving the others: a task that gets no worker of its own
- * in time starts beside others. Long-running tasks wait twice as long for one, since a service
- * loses more by crashes than by the absence of a task.
+ * in time starts beside others. A task waits twice as long while a worker is kept free for it, and
+ * so do long-running tasks, since a service loses more by crashes than by the absence of a task.
  */
 final class IsolationPlanner {
 
@@ -94,24 +94,21 @@
     }
 
     private void reserve(TaskEntry task, List<WorkerRecord> pool, long now) {
-        Reservation before = reservations.get(task);
-        long since = before == null ? now : before.since();
+        Reservation before =
+                reservations.getOrDefault(task, new Reservation(Optional.empty(), now));
         Optional<WorkerRecord> worker = Optional.empty();
-        if (!hasWaitedTooLong(task, since, now)) {
-            worker = keptWorker(task, now).or(() -> reserveNewWorker(task, pool, now));
+        if (!hasWaitedTooLong(task, before, now)) {
+            worker =
+                    before.worker()
+                            .filter(w -> canBecomeFree(task, w, now))
+                            .or(() -> reserveNewWorker(task, pool, now));
         }
-        reservations.put(task, new Reservation(worker, since));
+        reservations.put(task, new Reservation(worker, before.since()));
     }
 
-    private boolean hasWaitedTooLong(TaskEntry task, long since, long now) {
-        boolean longRunning = task.step().spec().longRunning();
-        return now - since > (longRunning ? 2 * maxWaitMillis : maxWaitMillis);
-    }
-
-    private Optional<WorkerRecord> keptWorker(TaskEntry task, long now) {
-        return Optional.ofNullable(reservations.get(task))
-                .flatMap(Reservation::worker)
-                .filter(w -> canBecomeFree(task, w, now));
+    private boolean hasWaitedTooLong(TaskEntry task, Reservation reservation, long now) {
+        boolean longer = task.step().spec().longRunning() || reservation.worker().isPresent();
+        return now - reservation.since() > (longer ? 2 * maxWaitMillis : maxWaitMillis);
     }
 
     private Optional<WorkerRecord> reserveNewWorker(
@@ -172,7 +169,7 @@
         Reservation reservation = reservations.get(task);
         return reservation == null
                 || (reservation.reserves(worker) && worker.runs().isEmpty())
-                || hasWaitedTooLong(task, reservation.since(), now);
+                || hasWaitedTooLong(task, reservation, now);
     }
 
     private boolean isReservedForOther(TaskEntry task, WorkerRecord worker) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
@@ -189,6 +189,37 @@
         assertThat(starts).extracting(o -> o.task().job()).containsExactly("a");
     }
 
+    @Test
+    void aTaskWaitsForTheWorkerThatIsKeptFreeForItWhileItsLastRunEnds() {
+        fixture.addWorker("w1", 4_000);
+        fixture.accept("a", SchedulerFixture.step(1, TASK_MILLI_CORES));
+        crashTwice("a");
+        fixture.accept("b", SchedulerFixture.step(2, TASK_MILLI_CORES));
+        for (int i = 0; i < 2; i++) {
+            fixture.runningByWorker.put(
+                    "w" + (3 + i),
+                    new ArrayList<>(
+                            List.of(new RunningTask(new TaskId("b", 0, 0, i), 1, "", 50, 0))));
+            fixture.addWorker("w" + (3 + i), 4_000);
+        }
+        for (int i = 0; i < 35; i++) {
+            assertThat(fixture.starts()).isEmpty();
+            advance("w3", "w4");
+            fixture.runningByWorker.replaceAll(IsolationPlannerTest::withProgress);
+            fixture.report("w3");
+            fixture.report("w4");
+        }
+        fixture.endAll("w3", RunEnd.DONE);
+        assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w3");
+    }
+
+    private static List<RunningTask> withProgress(String worker, List<RunningTask> running) {
+        return new ArrayList<>(
+                running.stream()
+                        .map(r -> new RunningTask(r.task(), r.run(), "", r.percent() + 1, 0))
+                        .toList());
+    }
+
     @Test
     void aTaskThatMustRunAloneWaitsForAWorkerOfItsOwnAfterAnOutageOfTheStore() {
         fixture.addWorker("w1", 4_000);
