Bound the wait for a worker of its own where VMs move slowly

With a move of 5 s a service's task would have waited for 12 s. No task waits for more than 5 s now.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -28,13 +28,16 @@
     /** The time until a pool without a worker to spare has ordered a VM, and the VM is used. */
     private static final long VM_ORDER_MILLIS = 1_000;
 
+    /** No task waits longer: a service whose task is absent for longer has lost it. */
+    private static final long MAX_WAIT_MILLIS = 5_000;
+
     /** One worker of this many in a pool may be isolated or kept free. */
     private static final long WORKERS_PER_ISOLATED_ONE = 2;
 
     /** Rounds further apart than this had none between them, such as in an outage of the store. */
     private static final long MAX_ROUND_GAP_MILLIS = 500;
 
-    private final long maxWaitMillis;
+    private final long waitMillis;
     private final Consumer<SchedulerEvent> events;
     private final Map<TaskEntry, Reservation> reservations = new HashMap<>();
     private final Map<WorkerRecord, Long> isolatedUntil = new HashMap<>();
@@ -59,7 +62,7 @@
      * @param vmMoveMillis how long a VM takes to join a pool, in milliseconds
      */
     IsolationPlanner(long vmMoveMillis, Consumer<SchedulerEvent> events) {
-        this.maxWaitMillis = VM_ORDER_MILLIS + vmMoveMillis;
+        this.waitMillis = VM_ORDER_MILLIS + vmMoveMillis;
         this.events = events;
     }
 
@@ -108,7 +111,8 @@
 
     private boolean hasWaitedTooLong(TaskEntry task, Reservation reservation, long now) {
         boolean longer = task.step().spec().longRunning() || reservation.worker().isPresent();
-        return now - reservation.since() > (longer ? 2 * maxWaitMillis : maxWaitMillis);
+        return now - reservation.since()
+                > Math.min(MAX_WAIT_MILLIS, longer ? 2 * waitMillis : waitMillis);
     }
 
     private Optional<WorkerRecord> reserveNewWorker(
