Let runs of the stand-in's test last longer than the calls between start and check

Cause: the stand-in's worker ends each run after 50 ms of real time, and the test checks that the run goes on after a second call. With 1 ms in place of 50 both tests fail the same way on an idle path, each time. The runs last 1 s now, and the end is waited for 2 s, the longest that a worker waits. The checks are as they were.

--- a/chervillift-standin/src/test/java/org/chervillift/standin/tasks/FleetServerTest.java
+++ b/chervillift-standin/src/test/java/org/chervillift/standin/tasks/FleetServerTest.java
@@ -56,7 +56,11 @@
 
     private static final String HOST = "jobs.example";
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
-    private static final Duration RUN_TIME = Duration.ofMillis(50);
+
+    /** Longer than the calls of a test between a start and the check that the run goes on. */
+    private static final Duration RUN_TIME = Duration.ofMillis(1_000);
+
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(2_000);
     private static final TaskId TASK = new TaskId("5c0e7a21d94b36f8", 0, 1, 17);
     private static final RowKey KEY = new RowKey("jobs", "a");
     private static final String PART = "p";
@@ -217,7 +221,7 @@
         assertThat(start(1)).isEqualTo(OrderAnswer.DONE);
         assertThat(start(1)).isEqualTo(OrderAnswer.DONE);
         EndedRun end = new EndedRun(1, TASK, 1, RunEnd.DONE, "");
-        assertThat(report(0, Duration.ofMillis(1_000)).ended()).containsExactly(end);
+        assertThat(report(0, LONGEST_WAIT).ended()).containsExactly(end);
         assertThat(report(0, Duration.ZERO).ended()).containsExactly(end);
         assertThat(report(1, Duration.ZERO).ended()).isEmpty();
         assertThat(start(1)).isEqualTo(OrderAnswer.RUN_TOO_OLD);
