Add case 2 of the review: two runs after a route was changed and changed back

Cause: a new holder waits for the workers of two pools only, not of the one in which a run was started. Change: review/2 shows TWICE with a zone cut.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 cd "$here/../.." || exit 2
 [ -d target/review ] || { echo "Run review/build.sh first." >&2; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/jdk/bin/java -Xmx1g -cp 'target/review:target/lib/*' CountCase "$here/record.txt"
+exec target/jdk/bin/java -Xmx1g -cp 'target/review:target/lib/*' RouteCase "$here/record.txt"
--- a/review/standins/Daemon.java
+++ b/review/standins/Daemon.java
@@ -17,14 +17,16 @@
     }
 
     final String name;
+    final String zone;
     final String front;
     private final String ready;
     private final Path settings;
     private final Path log;
     private Process process;
 
-    Daemon(String name, Path dir, String store, String vms, String advice) throws IOException {
+    Daemon(String name, String zone, Path dir, String store, String vms, String advice) throws IOException {
         this.name = name;
+        this.zone = zone;
         this.front = freeAddress();
         this.ready = freeAddress();
         this.settings = dir.resolve(name + ".ini");
@@ -33,7 +35,7 @@
         Files.writeString(settings, """
                 [vm]
                 id = %s
-                data-centre = z1
+                data-centre = %s
                 link-mbps = 1000
                 [callers]
                 address = %s
@@ -58,7 +60,7 @@
                 keep-finished-s = 120
                 [shutdown]
                 grace-s = 6
-                """.formatted(name, front, ready, freeAddress(), store, vms, advice));
+                """.formatted(name, zone, front, ready, freeAddress(), store, vms, advice));
     }
 
     static synchronized String freeAddress() throws IOException {
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -7,12 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BooleanSupplier;
 
 /** A small deployment: the store, the list of machines, executors and entry VMs. */
 final class Fleet {
 
+    static final String DESK = "desk";
+    static final String HUB = "hub";
     static final int BROKEN = 1;
     static final int HELD = 0;
     static final int NOT_RUN = 2;
@@ -24,17 +27,22 @@
     final List<Daemon> daemons = new ArrayList<>();
     final ConcurrentLinkedQueue<Worker.Run> started = new ConcurrentLinkedQueue<>();
     final ConcurrentLinkedQueue<Worker.Run> ended = new ConcurrentLinkedQueue<>();
-    final HttpServer vms;
     private final List<Worker> inUpkeep = new ArrayList<>();
     private int executors;
     private Set<String> allowedMachines;
+    /** The zones that are cut off from the others; each entry VM is in a zone of its own. */
+    private final Set<String> cutZones = ConcurrentHashMap.newKeySet();
     /** The address of the advice service, or empty. */
     String advice = "";
 
     Fleet() throws Exception {
         dir = Files.createTempDirectory("review");
         store = new Store();
-        vms = Http.serve((method, path, query, body, x) -> {
+    }
+
+    /** Opens a way to the list of machines, and returns its address. */
+    private String openMachines(BooleanSupplier cut) throws Exception {
+        return Http.address(Http.serve(cut, (method, path, query, body, x) -> {
             if (path.equals("/-/machines")) {
                 Map<String, Object> page = new LinkedHashMap<>();
                 synchronized (workers) {
@@ -56,7 +64,7 @@
             }
             Record.line("CLOUD " + path + " " + body);
             return new Http.Answer(409, Map.of("reason", "busy"));
-        });
+        }));
     }
 
     private Http.Answer upkeep(String machine) {
@@ -74,7 +82,7 @@
                 synchronized (workers) {
                     inUpkeep.remove(worker);
                     try {
-                        workers.add(newWorker(machine, worker.cpu));
+                        workers.add(newWorker(machine, worker.zone, worker.pool, worker.cpu));
                     } catch (Exception e) {
                         throw new IllegalStateException(e);
                     }
@@ -84,8 +92,8 @@
         }
     }
 
-    private Worker newWorker(String machine, int cpu) throws Exception {
-        Worker w = new Worker(store, "i-%08d".formatted(++executors), machine, "desk", cpu, 6_000, started::add,
+    private Worker newWorker(String machine, String zone, String pool, int cpu) throws Exception {
+        Worker w = new Worker(store, "i-%08d".formatted(++executors), machine, zone, pool, cpu, started::add,
                 ended::add);
         if (allowedMachines != null) {
             w.ticketCheck = (step, ticket) -> ticket.startsWith("t-" + w.id + "-" + step + "-")
@@ -168,17 +176,39 @@
         Runtime.getRuntime().halt(code);
     }
 
-    /** Adds executors of the service. */
+    /** Adds executors of the first service. */
     void addWorkers(int count, int cpu) throws Exception {
         for (int i = 0; i < count; i++) {
-            synchronized (workers) {
-                workers.add(newWorker("m-" + (executors + 1), cpu));
-            }
+            addWorker("z1", DESK, cpu);
+        }
+    }
+
+    Worker addWorker(String zone, String service, int cpu) throws Exception {
+        synchronized (workers) {
+            Worker worker = newWorker("m-" + (executors + 1), zone, service, cpu);
+            workers.add(worker);
+            return worker;
         }
     }
 
-    /** Writes the manifest: one queue and one service; tenants with their caps of thousandths of a core. */
+    /** Cuts a zone off from the others, or ends that. Requesters reach it all the while. */
+    void cutZone(String zone, boolean value) {
+        Record.line("ZONE " + zone + (value ? " is cut off" : " is reached again"));
+        if (value) {
+            cutZones.add(zone);
+        } else {
+            cutZones.remove(zone);
+        }
+        workers.stream().filter(w -> w.zone.equals(zone)).forEach(w -> w.zoneCut(value));
+    }
+
+    /** Writes the manifest: one queue; tenants with their caps of thousandths of a core. */
     void putManifest(long version, Map<String, Integer> tenants) throws Exception {
+        putManifest(version, DESK, tenants);
+    }
+
+    /** Writes the manifest with the service that runs the queue's work units. */
+    void putManifest(long version, String backend, Map<String, Integer> tenants) throws Exception {
         List<Object> list = new ArrayList<>();
         tenants.forEach((name, cap) -> list.add(Map.of("name", name, "api_keys", List.of("key-of-" + name), "priority",
                 1, "weight", 200, "cap", Map.of("cpu", cap, "mem_mb", 0, "gpu", 0))));
@@ -190,29 +220,34 @@
         route.put("timeout_ms", 3000);
         route.put("target_latency_ms", 600);
         route.put("priority", 0);
-        route.put("backend", "desk");
+        route.put("backend", backend);
         route.put("max_attempts", 4);
         route.put("stretch_factor", 1.6);
         route.put("public", false);
         if (!advice.isEmpty()) {
             route.put("placement_advice", Map.of("decision_ms", 20, "period_ms", 5, "validity_ms", 3_000));
         }
-        Map<String, Object> service = Map.of("name", "desk", "health_path", "/health", "max_connections", 64,
-                "protocol", "h1", "tls", false, "enforces_capacity", true, "standby", false);
         Map<String, Object> manifest = new LinkedHashMap<>();
         manifest.put("version", version);
         manifest.put("routes", List.of(route));
-        manifest.put("services", List.of(service));
+        manifest.put("services", List.of(service(DESK), service(HUB)));
         manifest.put("limits", Map.of("max_header_bytes", 16384, "max_body_bytes", 262144, "header_timeout_ms", 3000,
                 "idle_timeout_ms", 15000));
         manifest.put("tenants", list);
         store.put("op", "config", Http.JSON.writeValueAsString(manifest));
-        Record.line("OPERATOR manifest " + version + " tenants " + tenants);
+        Record.line("OPERATOR manifest " + version + " backend " + backend + " tenants " + tenants);
+    }
+
+    private static Map<String, Object> service(String name) {
+        return Map.of("name", name, "health_path", "/health", "max_connections", 64, "protocol", "h1", "tls", false,
+                "enforces_capacity", true, "standby", false);
     }
 
     void startDaemons(int count) throws Exception {
         for (int i = 0; i < count; i++) {
-            Daemon d = new Daemon("edge-" + (daemons.size() + 1), dir, store.address(), Http.address(vms),
+            String zone = "z" + (daemons.size() + 1);
+            BooleanSupplier cut = () -> cutZones.contains(zone);
+            Daemon d = new Daemon("edge-" + (daemons.size() + 1), zone, dir, store.open(cut), openMachines(cut),
                     advice);
             daemons.add(d);
             d.start();
--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Executors;
+import java.util.function.BooleanSupplier;
 
 /** Serves JSON over HTTP on a free loopback port. */
 final class Http {
@@ -25,6 +26,17 @@
 
     private Http() {}
 
+    /** Serves a handler that answers nothing while the way to it is cut. */
+    static HttpServer serve(BooleanSupplier cut, Handler handler) throws IOException {
+        return serve((method, path, query, body, x) -> {
+            if (cut.getAsBoolean()) {
+                return null;
+            }
+            Answer answer = handler.handle(method, path, query, body, x);
+            return cut.getAsBoolean() ? null : answer;
+        });
+    }
+
     static HttpServer serve(Handler handler) throws IOException {
         HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -8,8 +8,6 @@
 
     private static final long START = System.nanoTime();
     private static PrintWriter out;
-    /** Whether each run is recorded. */
-    static volatile boolean runs = true;
 
     private Record() {}
 
@@ -21,13 +19,6 @@
         return (System.nanoTime() - START) / 1_000_000;
     }
 
-    /** Writes a line on a run, unless the case has too many of them. */
-    static void run(String text) {
-        if (runs) {
-            line(text);
-        }
-    }
-
     static synchronized void line(String text) {
         out.printf("%8.3f %s%n", nowMillis() / 1000.0, text);
     }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -1,5 +1,4 @@
 import com.fasterxml.jackson.databind.JsonNode;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -8,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Predicate;
+import java.util.function.BooleanSupplier;
 
 /**
  * The platform's metadata store, as PROTOCOL.md tells it: rows, transactions under conditions, reads
@@ -45,31 +44,19 @@
     private long version;
     private long refusedForSize;
     private String lastRefusal = "";
-    /** Transactions that are answered with nothing and performed later, by this many milliseconds. */
-    volatile Predicate<JsonNode> late = body -> false;
-    volatile long lateMillis;
-    /** While true each call is answered with 503: nothing was done. */
-    volatile boolean down;
-    private final HttpServer server;
 
-    Store() throws IOException {
-        server = Http.serve((method, path, query, body, x) -> {
+    /** Opens a way to the store, and returns its address. */
+    String open(BooleanSupplier cut) throws IOException {
+        return Http.address(Http.serve(cut, (method, path, query, body, x) -> {
             Thread.sleep(ANSWER_MILLIS);
-            if (down) {
-                return new Http.Answer(503, Map.of());
-            }
             return switch (path) {
-                case "/-/rows-tx" -> transact(body);
+                case "/-/rows-tx" -> apply(body);
                 case "/-/rows-get" -> get(query);
                 case "/-/rows-feed" -> feed(query);
                 case "/-/rows-parts" -> parts(query);
                 default -> new Http.Answer(404, Map.of());
             };
-        });
-    }
-
-    String address() {
-        return Http.address(server);
+        }));
     }
 
     long refusedForSize() {
@@ -88,34 +75,6 @@
         return table + "\n" + part;
     }
 
-    private Http.Answer transact(JsonNode body) throws Exception {
-        if (late.test(body)) {
-            long wait = lateMillis;
-            Record.line("STORE a write is performed " + wait + " ms late and not answered: " + brief(body));
-            Thread.startVirtualThread(() -> {
-                try {
-                    Thread.sleep(wait);
-                } catch (InterruptedException e) {
-                    return;
-                }
-                Http.Answer a = apply(body);
-                Record.line("STORE the late write is done with status " + a.status() + ": " + brief(body));
-            });
-            return null;
-        }
-        return apply(body);
-    }
-
-    static String brief(JsonNode body) {
-        StringBuilder text = new StringBuilder();
-        for (JsonNode put : body.path("puts")) {
-            text.append(put.path("table").asText()).append('/').append(put.path("key").asText()).append('=');
-            String v = new String(Base64.getDecoder().decode(put.path("value").asText()), StandardCharsets.UTF_8);
-            text.append(v, 0, Math.min(300, v.length())).append(' ');
-        }
-        return text.toString();
-    }
-
     private synchronized Http.Answer apply(JsonNode body) {
         int entries = body.path("expected_revision").size() + body.path("puts").size() + body.path("remove").size();
         if (entries > CALL_ENTRIES || body.toString().length() > CALL_BYTES) {
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -17,6 +17,8 @@
 final class Worker {
 
     static final long BEAT_MILLIS = 1_500;
+    private static final long ANY_FENCE = -1;
+    private static final long MAX_HOLD_MILLIS = 6_000;
 
     /** One run of a work unit. */
     static final class Run {
@@ -50,13 +52,13 @@
     final String id;
     final String machine;
     private final Store store;
-    private final String pool;
+    final String zone;
+    final String pool;
     final int cpu;
     private final String rack;
     private final HttpServer server;
     private final long born = System.currentTimeMillis();
     private final long bornAt = Record.nowMillis();
-    private final long maxHoldMillis;
     private final Consumer<Run> onStart;
     private final Consumer<Run> onEnd;
     private final Map<String, Run> running = new LinkedHashMap<>();
@@ -68,21 +70,21 @@
     /** When the lease was last found lapsed. */
     private long lapsedAt = -1;
     private long sequence;
-    /** While true no packet comes through to or from it; it works on. */
-    private volatile boolean cut;
+    /** While its zone is cut off, the fence of the holder in its zone; only that holder reaches it. */
+    private volatile long fenceInZone = ANY_FENCE;
     private volatile boolean left;
     /** Returns whether a ticket is valid for a step here, where the queue has placement advice. */
     BiPredicate<String, String> ticketCheck = (step, ticket) -> true;
 
-    Worker(Store store, String id, String machine, String pool, int cpu, long maxHoldMillis, Consumer<Run> onStart,
+    Worker(Store store, String id, String machine, String zone, String pool, int cpu, Consumer<Run> onStart,
             Consumer<Run> onEnd) throws IOException {
         this.store = store;
         this.id = id;
         this.machine = machine;
+        this.zone = zone;
         this.pool = pool;
         this.cpu = cpu;
         this.rack = "r1-1";
-        this.maxHoldMillis = maxHoldMillis;
         this.onStart = onStart;
         this.onEnd = onEnd;
         this.server = Http.serve(this::handle);
@@ -100,7 +102,7 @@
         running.values().forEach(r -> {
             r.end = "gone";
             r.endedAt = Record.nowMillis();
-            Record.run("END gone " + r.task + "#" + r.number + " at " + id);
+            Record.line("END gone " + r.task + "#" + r.number + " at " + id);
             onEnd.accept(r);
         });
         running.clear();
@@ -108,13 +110,21 @@
         server.stop(0);
     }
 
-    void cut(boolean value) {
-        Record.line("WORKER " + id + (value ? " is cut off and works on" : " is reached again"));
-        cut = value;
+    /**
+     * Cuts its zone off from the others, or ends that: meanwhile it works on, and is reached only by the
+     * holder whose orders it follows now, which is in its zone.
+     */
+    void zoneCut(boolean value) {
+        Record.line("EXECUTOR " + id + (value ? " is cut off with its zone and works on" : " is reached again"));
+        fenceInZone = value ? fence : ANY_FENCE;
+    }
+
+    private boolean isCutFrom(JsonNode body) {
+        return fenceInZone != ANY_FENCE && body.path("fencing_token").asLong() != fenceInZone;
     }
 
     Map<String, Object> listed() {
-        return Map.of("machine", machine, "pool", pool, "state", "up", "zone", "z1", "labels", List.of("a", rack),
+        return Map.of("machine", machine, "pool", pool, "state", "up", "zone", zone, "labels", List.of("a", rack),
                 "capacity", capacity(), "id", id);
     }
 
@@ -125,7 +135,7 @@
     private void beat() {
         long silentBeats = 0;
         while (!left) {
-            if (cut) {
+            if (fenceInZone != ANY_FENCE) {
                 silentBeats++;
                 if (silentBeats == 3) {
                     store.remove("servers", id);
@@ -135,7 +145,7 @@
                 Map<String, Object> e = new LinkedHashMap<>();
                 e.put("backend", pool);
                 e.put("address", address());
-                e.put("zone", "z1");
+                e.put("zone", zone);
                 e.put("version", "v1");
                 e.put("slots", 8);
                 e.put("state", "ready");
@@ -193,14 +203,14 @@
         run.endedAt = Record.nowMillis();
         running.remove(run.task);
         ends.add(new End(++endNumber, run));
-        Record.run("END " + how + " " + run.task + "#" + run.number + " at " + id);
+        Record.line("END " + how + " " + run.task + "#" + run.number + " at " + id);
         onEnd.accept(run);
         notifyAll();
     }
 
     private Http.Answer handle(String method, String path, Map<String, String> query, JsonNode body, HttpExchange x)
             throws Exception {
-        if (cut) {
+        if (isCutFrom(body)) {
             return null;
         }
         String target = x.getRequestHeaders().getFirst("Chervillift-Target-Instance");
@@ -213,7 +223,7 @@
             case "/-/run-stop" -> stop(body);
             default -> new Http.Answer(404, Map.of());
         };
-        return cut ? null : answer;
+        return isCutFrom(body) ? null : answer;
     }
 
     private Http.Answer refuse(String reason) {
@@ -231,7 +241,7 @@
 
     private void extend(JsonNode body) {
         if (body.has("expires_ms")) {
-            long until = Math.min(body.path("expires_ms").asLong(), clock() + maxHoldMillis);
+            long until = Math.min(body.path("expires_ms").asLong(), clock() + MAX_HOLD_MILLIS);
             leaseEndsAt = Math.max(leaseEndsAt, until);
         }
     }
@@ -251,7 +261,7 @@
             return noted;
         });
         long until = Record.nowMillis() + body.path("wait_ms").asLong();
-        while (ends.isEmpty() && Record.nowMillis() < until && !cut) {
+        while (ends.isEmpty() && Record.nowMillis() < until) {
             wait(Math.max(1, until - Record.nowMillis()));
         }
         long now = Record.nowMillis();
@@ -290,7 +300,7 @@
         highest.put(task, number);
         Run run = new Run(task, number, body.path("spec").asText());
         running.put(task, run);
-        Record.run("START " + task + "#" + number + " at " + id + " fence=" + body.path("fencing_token").asLong());
+        Record.line("START " + task + "#" + number + " at " + id + " fence=" + body.path("fencing_token").asLong());
         onStart.accept(run);
         return new Http.Answer(200, Map.of("clock_ms", clock()));
     }
