--- a/review/standins/Daemon.java
+++ b/review/standins/Daemon.java
@@ -1,16 +1,23 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** An entry VM: the project's program, started with the command of deploy/system.toml. */
 final class Daemon {
 
     private static final List<Process> STARTED = new ArrayList<>();
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 32_000;
+    private static final Set<Integer> TAKEN = new HashSet<>();
 
     static {
         Runtime.getRuntime().addShutdownHook(new Thread(Daemon::endAll));
@@ -63,9 +70,21 @@
                 """.formatted(name, zone, front, ready, freeAddress(), store, vms, advice));
     }
 
-    static synchronized String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + socket.getLocalPort();
+    /**
+     * Returns a loopback address with a free port, below those that the system gives to connections, so
+     * that none takes it before the program does.
+     */
+    private static synchronized String freeAddress() throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (!TAKEN.add(port)) {
+                continue;
+            }
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return "127.0.0.1:" + socket.getLocalPort();
+            } catch (BindException e) {
+                // Another process has it.
+            }
         }
     }
 
