Ask for advice again after workers that were not allowed have been replaced

Cause: StepAdvice.needsTickets took the size of the pool less the number of all identifiers ever refused as the number of workers that may still be allowed. Identifiers of workers that had left stayed in the set, so the number fell to zero and below, and no request was sent once the ticket had expired.

The new test is red before (no request).

Change: only workers of the pool are counted; a step forgets tickets, refusals and failed runs of a worker that has left once its lease is over.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
@@ -56,7 +56,14 @@
     /** Returns whether the waiting tasks need more tickets than are valid. */
     boolean needsTickets(Collection<WorkerRecord> pool, long waitingTasks, long now) {
         long usable = pool.stream().filter(w -> ticketFor(w.id(), now).isPresent()).count();
-        return usable < Math.min(waitingTasks, pool.size() - refusedWorkers.size());
+        long notRefused = pool.stream().filter(w -> !refusedWorkers.contains(w.id())).count();
+        return usable < Math.min(waitingTasks, notRefused);
+    }
+
+    /** Forgets a worker that has left the fleet. */
+    void forgetWorker(String worker) {
+        ticketsByWorker.remove(worker);
+        refusedWorkers.remove(worker);
     }
 
     /** Returns the workers of the next request: those with the most free cores. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -53,6 +53,12 @@
         return advice;
     }
 
+    /** Forgets what is known of a worker that has left the fleet. */
+    void forgetWorker(String worker) {
+        advice.forgetWorker(worker);
+        tasks.forEach(t -> t.failedWorkers().remove(worker));
+    }
+
     /** Returns whether tasks of this step may have been started. */
     boolean isBegun() {
         return begun;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -395,7 +395,16 @@
                 losses.leaseExpired(worker, now);
             }
         }
-        workers.values().removeIf(w -> !w.isListed() && now > lastLeaseEndsAt(w));
+        List<WorkerRecord> gone =
+                workers.values().stream()
+                        .filter(w -> !w.isListed() && now > lastLeaseEndsAt(w))
+                        .toList();
+        gone.forEach(w -> forgetWorker(w.id()));
+    }
+
+    private void forgetWorker(String workerId) {
+        workers.remove(workerId);
+        liveJobs.stream().flatMap(JobEntry::steps).forEach(s -> s.forgetWorker(workerId));
     }
 
     /** Returns when the last lease ends that this holder or its predecessor granted to a worker. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
@@ -139,4 +139,34 @@
         assertThat(fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow().workers())
                 .containsExactly("w1");
     }
+
+    /** A worker that was not allowed counted as part of the pool after its end. */
+    @Test
+    void adviceIsRequestedAgainAfterWorkersThatWereNotAllowedHaveBeenReplaced() {
+        fixture.addWorker("w1", 4_000);
+        fixture.addWorker("w2", 4_000);
+        acceptAdvisedJob();
+        fixture.starts();
+        AdviceRequest first = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
+        fixture.scheduler.applyAdvice(first, Map.of("w1", "ticket"), fixture.now + 300);
+
+        replace("w2", "w3");
+        AdviceRequest second = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
+        fixture.scheduler.applyAdvice(second, Map.of("w1", "ticket"), fixture.now + 300);
+        fixture.now += 1_000;
+
+        assertThat(fixture.scheduler.nextAdviceRequest(fixture.now))
+                .hasValueSatisfying(r -> assertThat(r.workers()).contains("w1"));
+    }
+
+    /** Ends a worker, lets its lease run out, and adds another worker. */
+    private void replace(String worker, String successor) {
+        fixture.scheduler.workerUnlisted(worker);
+        fixture.scheduler.workerLifetimeEnded(worker, fixture.now);
+        fixture.now += SchedulerFixture.LEASE_MILLIS + 1;
+        fixture.report("w1");
+        fixture.scheduler.leaseGranted("w1", fixture.now + SchedulerFixture.LEASE_MILLIS);
+        fixture.plan();
+        fixture.addWorker(successor, 4_000);
+    }
 }
