Take a list of ended runs that may go on for a part, not for all runs of a worker

Cause: a worker lists at most 500 ends in one answer. ReportHandler closed each run that was neither running nor among them, and PredecessorWorkers stopped waiting for a worker after its first report. A new holder therefore started the tasks whose ends were still to come.

Change: a report says whether there may be more ends. Until the last part no unlisted run is closed, and a worker of the predecessor is waited for until all ends of its report are applied, also beyond the leases of the predecessor while this holder renews its lease. The stand-in for a worker lists 500 ends, too.

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/RunReport.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/RunReport.java
@@ -10,9 +10,14 @@
  * @param clockMillis the worker's steady clock
  * @param running what runs
  * @param ended the ends that have not been acknowledged, oldest first
+ * @param moreEnds whether there may be further ends, which are reported once these are acknowledged
  */
 public record RunReport(
-        long bornAtMillis, long clockMillis, List<RunningTask> running, List<EndedRun> ended) {
+        long bornAtMillis,
+        long clockMillis,
+        List<RunningTask> running,
+        List<EndedRun> ended,
+        boolean moreEnds) {
     public RunReport {
         Checks.notNull("running", running);
         Checks.notNull("ended", ended);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/PredecessorWorkers.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PredecessorWorkers.java
@@ -1,8 +1,10 @@
 package org.chervillift.core.tasks;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 
 /** The workers on which an earlier holder may have started tasks that this holder does not know. */
 final class PredecessorWorkers {
@@ -23,7 +25,7 @@
         poolsByWorker.put(workerId, pool);
     }
 
-    /** Removes a worker that has reported its runs, or whose lifetime has ended. */
+    /** Removes a worker that has reported all of its runs, or whose lifetime has ended. */
     void remove(String workerId) {
         poolsByWorker.remove(workerId);
     }
@@ -41,13 +43,15 @@
         return leasesEndAt;
     }
 
-    /** Returns whether every run of a step that an earlier holder may have started is known. */
-    boolean mayStart(StepEntry step, long now) {
-        if (!step.isBegunByPredecessor() || now > leasesEndAt) {
-            return true;
-        }
-        JobEntry job = step.job();
-        Collection<String> pools = poolsByWorker.values();
-        return !pools.contains(job.policy().pool()) && !pools.contains(job.job().policy().pool());
+    /**
+     * Returns the pools of the workers that may have runs which this holder does not know.
+     *
+     * @param lastLeaseEndsAt returns when the last lease of a worker ends, in milliseconds
+     */
+    Set<String> poolsOfUnknownRuns(ToLongFunction<String> lastLeaseEndsAt, long now) {
+        return poolsByWorker.entrySet().stream()
+                .filter(e -> now <= lastLeaseEndsAt.applyAsLong(e.getKey()))
+                .map(Map.Entry::getValue)
+                .collect(Collectors.toSet());
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -1,5 +1,6 @@
 package org.chervillift.core.tasks;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -45,40 +46,52 @@
     /**
      * Applies a report.
      *
+     * <p>A run that is not listed as running may be one whose end is in a later part of the report.
+     *
      * @param sentAt when the call was sent that the report answers, in milliseconds
+     * @return whether all runs are known that were on the worker when it reported
      */
-    void apply(WorkerRecord worker, RunReport report, long sentAt, long now) {
+    boolean apply(WorkerRecord worker, RunReport report, long sentAt, long now) {
         checkLifetime(worker, report, now);
-        Set<Run> stillOpen = applyEnds(worker, report.ended(), now);
+        List<EndedRun> unapplied = applyEnds(worker, report.ended(), now);
+        Set<Run> listed = findRuns(worker, unapplied);
         for (RunningTask running : report.running()) {
-            applyRunning(worker, running, now).ifPresent(stillOpen::add);
+            applyRunning(worker, running, now).ifPresent(listed::add);
+        }
+        if (report.moreEnds()) {
+            return false;
         }
         for (Run run : worker.runsCopy()) {
-            if (!stillOpen.contains(run)) {
+            if (!listed.contains(run)) {
                 handleUnlisted(run, sentAt, now);
             }
         }
+        return unapplied.isEmpty();
     }
 
     /**
      * Applies the reported ends in their order, up to the first that cannot be applied yet; returns
-     * the runs whose ends were not applied.
+     * this one and all after it.
      */
-    private Set<Run> applyEnds(WorkerRecord worker, List<EndedRun> endedRuns, long now) {
-        Set<Run> unappliedRuns = new HashSet<>();
-        boolean blocked = false;
+    private List<EndedRun> applyEnds(WorkerRecord worker, List<EndedRun> endedRuns, long now) {
+        List<EndedRun> unapplied = new ArrayList<>();
         for (EndedRun ended : endedRuns) {
             if (ended.number() <= worker.lastAppliedEnd()) {
                 continue;
             }
-            blocked = blocked || !tryApplyEnd(worker, ended, now);
-            if (blocked) {
-                findTask(ended.task())
-                        .flatMap(t -> t.run(ended.run(), worker))
-                        .ifPresent(unappliedRuns::add);
+            if (!unapplied.isEmpty() || !tryApplyEnd(worker, ended, now)) {
+                unapplied.add(ended);
             }
         }
-        return unappliedRuns;
+        return unapplied;
+    }
+
+    private Set<Run> findRuns(WorkerRecord worker, List<EndedRun> endedRuns) {
+        Set<Run> found = new HashSet<>();
+        for (EndedRun ended : endedRuns) {
+            findTask(ended.task()).flatMap(t -> t.run(ended.run(), worker)).ifPresent(found::add);
+        }
+        return found;
     }
 
     private void checkLifetime(WorkerRecord worker, RunReport report, long now) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.chervillift.api.tasks.StepSpec;
 
 /** The scheduler's state of one occurrence of a step. */
@@ -78,16 +79,18 @@
         begunStored = true;
     }
 
-    /** Returns whether an earlier holder may have started tasks of this step. */
-    boolean isBegunByPredecessor() {
-        return begunByPredecessor;
-    }
-
     void markBegunByPredecessor() {
         markBegunStored();
         begunByPredecessor = true;
     }
 
+    /** Returns whether an earlier holder may have started tasks on a worker of some pools. */
+    boolean mayHaveBegunIn(Set<String> pools) {
+        return begunByPredecessor
+                && (pools.contains(job.policy().pool())
+                        || pools.contains(job.job().policy().pool()));
+    }
+
     long waitingCount() {
         return tasks.stream().filter(TaskEntry::isWaiting).count();
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -290,9 +290,11 @@
         }
         long before = worker.lastAppliedEnd();
         inheritedStarts.workerReported(workerId, report, now);
-        reportHandler.apply(worker, report, sentAt, now);
+        boolean allRunsKnown = reportHandler.apply(worker, report, sentAt, now);
         worker.reported(true);
-        predecessor.remove(workerId);
+        if (allRunsKnown) {
+            predecessor.remove(workerId);
+        }
         return worker.lastAppliedEnd() > before;
     }
 
@@ -343,13 +345,14 @@
      */
     public List<Order> plan(long now, long wallMillis) {
         List<Order> orders = planWithoutStarts(now, wallMillis);
+        Set<String> pools = predecessor.poolsOfUnknownRuns(this::lastLeaseEndsAt, now);
         orders.addAll(
                 startGate.releaseReady(
                         startPlanner.planStarts(
                                 liveJobs,
                                 workers.values(),
                                 manifest,
-                                s -> predecessor.mayStart(s, now),
+                                s -> !s.mayHaveBegunIn(pools),
                                 now),
                         now));
         return orders;
@@ -412,6 +415,11 @@
         return Math.max(worker.leaseEndsAt(), predecessor.leasesEndAt());
     }
 
+    private long lastLeaseEndsAt(String workerId) {
+        WorkerRecord worker = workers.get(workerId);
+        return worker == null ? predecessor.leasesEndAt() : lastLeaseEndsAt(worker);
+    }
+
     /** Returns whether a worker has reported its runs to this holder. */
     public boolean hasReported(String workerId) {
         WorkerRecord worker = workers.get(workerId);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -150,7 +150,8 @@
                         1,
                         now,
                         runningByWorker.getOrDefault(id, List.of()),
-                        endedByWorker.getOrDefault(id, List.of())),
+                        endedByWorker.getOrDefault(id, List.of()),
+                        false),
                 now,
                 now);
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -403,7 +403,7 @@
         fixture.starts();
 
         fixture.scheduler.applyReport(
-                "w1", new RunReport(2, 5, List.of(), List.of()), fixture.now, fixture.now);
+                "w1", new RunReport(2, 5, List.of(), List.of(), false), fixture.now, fixture.now);
 
         assertThat(fixture.starts()).extracting(Order.Start::run).containsExactly(2);
     }
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryWorker.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryWorker.java
@@ -30,6 +30,7 @@
 
     private static final Duration LATENCY = MemoryStore.LATENCY;
     private static final int ALL = 100;
+    private static final int MAX_ENDS_PER_REPORT = 500;
 
     private final WorkerEntry entry;
     private final Duration runTime;
@@ -128,7 +129,9 @@
     private RunReport state() {
         List<RunningTask> rows = new ArrayList<>();
         running.forEach((task, s) -> rows.add(new RunningTask(task, s.run(), "", percent(s), 0)));
-        return new RunReport(entry.bornAtMillis(), nowMillis(), rows, List.copyOf(ended));
+        List<EndedRun> listed = ended.stream().limit(MAX_ENDS_PER_REPORT).toList();
+        return new RunReport(
+                entry.bornAtMillis(), nowMillis(), rows, listed, listed.size() < ended.size());
     }
 
     private int percent(Started started) {
