Store the pools in which a step has begun, and wait for just these at a change of the holder

Cause: a new holder waits for the workers that may run a step which its predecessor has begun. It took their pools from the newest configuration and from the one at acceptance. Tasks that had been started under a configuration between these two were in a third pool, for which nobody waited.

Change: the stored progress of a step names the pools in which its tasks may have been started. It is stored before the first start in each pool, and a new holder waits for the workers of just these pools; of all pools, where a row of an earlier release names none.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -41,12 +41,19 @@
      * @param step the step's number, counted from 0
      * @param done the indexes of the tasks that are done
      * @param failures the failed runs of tasks that are not done
+     * @param pools the pools in which tasks may have been started; empty if these are not known, as
+     *     in rows of earlier releases
      */
     public record StepProgress(
-            int occurrence, int step, List<Integer> done, List<TaskFailures> failures) {
+            int occurrence,
+            int step,
+            List<Integer> done,
+            List<TaskFailures> failures,
+            List<String> pools) {
         public StepProgress {
             done = List.copyOf(done);
             failures = List.copyOf(failures);
+            pools = pools == null ? List.of() : List.copyOf(pools);
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -14,7 +14,10 @@
     static JobProgress of(JobEntry job, long term) {
         List<StepProgress> steps = new ArrayList<>();
         if (!job.state().isFinal()) {
-            job.steps().filter(StepEntry::isBegun).map(ProgressSnapshot::step).forEach(steps::add);
+            job.steps()
+                    .filter(s -> !s.begunPools().isEmpty())
+                    .map(ProgressSnapshot::step)
+                    .forEach(steps::add);
         }
         return new JobProgress(term, job.state(), steps, job.failure());
     }
@@ -27,7 +30,8 @@
                         .filter(t -> !t.isDone() && hasFailures(t))
                         .map(ProgressSnapshot::failuresOf)
                         .toList();
-        return new StepProgress(step.occurrence(), step.number(), done, failures);
+        return new StepProgress(
+                step.occurrence(), step.number(), done, failures, step.begunPools().toStored());
     }
 
     private static boolean hasFailures(TaskEntry task) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -205,7 +205,7 @@
         Run.Phase phase = wanted ? Run.Phase.RUNNING : Run.Phase.STOPPING;
         Run run = runs.open(task, worker, running.run(), phase, now);
         task.recordRunNumber(running.run());
-        task.step().markBegun();
+        task.step().begunPools().add(worker.pool());
         lifecycle.markStarted(task.step().job());
         events.accept(SchedulerEvent.of(SchedulerEvent.Kind.ADOPTED, run, "wanted=" + wanted));
         return run;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -8,7 +8,8 @@
 
 /**
  * Holds back start orders until the store records what a new holder must know of the task: that its
- * step has begun, and after a crash of its worker that crash and the next start.
+ * step has begun in the pool of the worker, and after a crash of its worker that crash and the next
+ * start.
  *
  * <p>When a holder is lost under load, its successor therefore knows which steps cannot have been
  * started. It starts these at once, even while some workers do not answer yet. When holders are
@@ -58,10 +59,10 @@
                 continue;
             }
             StepEntry step = run.get().task().step();
-            if (step.isBegunStored() && isStartStored(run.get())) {
+            if (step.begunPools().isStored(run.get().worker().pool()) && isStartStored(run.get())) {
                 ready.add(start);
             } else {
-                step.markBegun();
+                step.begunPools().add(run.get().worker().pool());
                 lifecycle.changedJobs().add(step.job());
                 heldStarts.add(start);
             }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import org.chervillift.api.tasks.StepSpec;
 
 /** The scheduler's state of one occurrence of a step. */
@@ -14,10 +13,8 @@
     private final StepSpec spec;
     private final List<TaskEntry> tasks;
     private final StepAdvice advice = new StepAdvice();
+    private final BegunPools begunPools = new BegunPools();
     private int doneCount;
-    private boolean begun;
-    private boolean begunStored;
-    private boolean begunByPredecessor;
 
     StepEntry(JobEntry job, int occurrence, int number, StepSpec spec) {
         this.job = job;
@@ -60,35 +57,9 @@
         tasks.forEach(t -> t.failedWorkers().remove(worker));
     }
 
-    /** Returns whether tasks of this step may have been started. */
-    boolean isBegun() {
-        return begun;
-    }
-
-    void markBegun() {
-        begun = true;
-    }
-
-    /** Returns whether it is stored that tasks of this step may have been started. */
-    boolean isBegunStored() {
-        return begunStored;
-    }
-
-    void markBegunStored() {
-        begun = true;
-        begunStored = true;
-    }
-
-    void markBegunByPredecessor() {
-        markBegunStored();
-        begunByPredecessor = true;
-    }
-
-    /** Returns whether an earlier holder may have started tasks on a worker of some pools. */
-    boolean mayHaveBegunIn(Set<String> pools) {
-        return begunByPredecessor
-                && (pools.contains(job.policy().pool())
-                        || pools.contains(job.job().policy().pool()));
+    /** Returns the pools in which tasks of this step may have been started. */
+    BegunPools begunPools() {
+        return begunPools;
     }
 
     long waitingCount() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -129,7 +129,7 @@
     private void restore(JobEntry job, JobProgress progress) {
         for (JobProgress.StepProgress stored : progress.steps()) {
             StepEntry step = job.step(stored.occurrence(), stored.step());
-            step.markBegunByPredecessor();
+            step.begunPools().restore(stored.pools());
             if (!stored.done().isEmpty() || !stored.failures().isEmpty()) {
                 job.markHasRun();
             }
@@ -352,7 +352,7 @@
                                 liveJobs,
                                 workers.values(),
                                 manifest,
-                                s -> !s.mayHaveBegunIn(pools),
+                                s -> !s.begunPools().mayHaveBegunByPredecessor(pools),
                                 now),
                         now));
         return orders;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
@@ -64,7 +64,9 @@
         return unchanged;
     }
 
-    /** Marks the steps of this snapshot as stored as begun, and the crashes of their tasks. */
+    /**
+     * Marks where the steps of this snapshot are stored as begun, and the crashes of their tasks.
+     */
     void markStepsStored() {
         progressByJob.forEach(
                 (job, stored) ->
@@ -73,7 +75,7 @@
     }
 
     private static void markStored(StepEntry step, JobProgress.StepProgress stored) {
-        step.markBegunStored();
+        step.begunPools().markStored(stored.pools());
         for (JobProgress.TaskFailures failures : stored.failures()) {
             step.tasks().get(failures.task()).crashes().markStored(failures.crashes());
         }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -110,7 +110,9 @@
                 new JobProgress(
                         1,
                         JobState.RUNNING,
-                        List.of(new JobProgress.StepProgress(0, 0, List.of(), List.of()))));
+                        List.of(
+                                new JobProgress.StepProgress(
+                                        0, 0, List.of(), List.of(), List.of(POOL)))));
     }
 
     /** Adds a worker that has reported and holds a lease. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -31,14 +31,16 @@
                 new JobProgress(
                         7,
                         JobState.FAILED,
-                        List.of(new StepProgress(0, 1, List.of(0), List.of(failures))),
+                        List.of(
+                                new StepProgress(
+                                        0, 1, List.of(0), List.of(failures), List.of("p"))),
                         Optional.of(failure));
 
         assertThat(Json.decode(Json.encode(progress), JobProgress.class)).isEqualTo(progress);
     }
 
     @Test
-    void aRowOfAnEarlierReleaseIsReadWithoutCrashes() {
+    void aRowOfAnEarlierReleaseIsReadWithoutCrashesAndPools() {
         String row =
                 "{\"term\":3,\"state\":\"RUNNING\",\"steps\":[{\"occurrence\":0,\"step\":1,"
                         + "\"done\":[0],\"failures\":[{\"task\":2,\"runs\":[1]}]}]}";
@@ -48,5 +50,6 @@
         assertThat(progress.failure()).isEmpty();
         assertThat(progress.steps().getFirst().failures())
                 .containsExactly(new TaskFailures(2, List.of(1), TaskCrashes.NONE));
+        assertThat(progress.steps().getFirst().pools()).isEmpty();
     }
 }
