Keep in memory of a job only what runs of it, however many tasks it has

Cause: StepEntry made an object for each task of a step, and JobEntry one for each due occurrence, as soon as the job was known. Neither number is bounded; the heap has 128 MB.

Change: StepTasks keeps an object for tasks that have begun and are not done; which are done is kept and, for steps of many tasks, stored as ranges. At most 1,000 tasks of a job are begun at a time, 40,000 runs are open in the fleet, and 32 due occurrences of a job wait. A gang that can never start is refused before it is stored; one that was accepted before ends as failed with that reason.

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/JobAnswer.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/JobAnswer.java
@@ -53,6 +53,17 @@
         }
     }
 
+    /**
+     * The job is too large to be completed ever; it is not taken and never runs.
+     *
+     * @param detail which limit it exceeds
+     */
+    record TooLarge(String detail) implements JobAnswer {
+        public TooLarge {
+            Checks.notNull("detail", detail);
+        }
+    }
+
     /**
      * The queue is too full; the job is not taken and never runs.
      *
--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/JobFailure.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/JobFailure.java
@@ -5,18 +5,21 @@
 /**
  * Why a job has failed.
  *
- * @param cause what happened to its task too often
- * @param task the task
- * @param runs the number of the task's runs that it happened to
+ * @param cause what happened
+ * @param task the task that it happened to
+ * @param runs the number of the task's runs that it happened to; for a gang that is too large, the
+ *     most runs that can be started together
  */
 public record JobFailure(Cause cause, String task, int runs) {
 
-    /** What happened to a task too often. */
+    /** What happened to a task. */
     public enum Cause {
         /** Its runs failed. */
         RUN_FAILED,
         /** The workers crashed that ran it. */
-        WORKER_CRASHED
+        WORKER_CRASHED,
+        /** It belongs to a gang of more tasks than can be started together. */
+        GANG_TOO_LARGE
     }
 
     public JobFailure {
@@ -40,6 +43,13 @@
                             + " was given up: "
                             + runs
                             + " workers crashed while they ran it.";
+            case GANG_TOO_LARGE ->
+                    "Task "
+                            + task
+                            + " cannot be started: of the tasks that start only all together, at"
+                            + " most "
+                            + runs
+                            + " are allowed.";
         };
     }
 }
--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/Schedule.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/Schedule.java
@@ -21,9 +21,14 @@
         Checks.notNegative("intervalMillis", intervalMillis);
     }
 
-    /** Returns when an occurrence is due, in milliseconds since 1970 UTC. */
+    /**
+     * Returns when an occurrence is due, in milliseconds since 1970 UTC; the latest time if that is
+     * later than any.
+     */
     public long dueAtMillis(int occurrence) {
-        return startAtMillis + occurrence * intervalMillis;
+        boolean beyondTime =
+                occurrence > 0 && intervalMillis > (Long.MAX_VALUE - startAtMillis) / occurrence;
+        return beyondTime ? Long.MAX_VALUE : startAtMillis + occurrence * intervalMillis;
     }
 
     /** Returns whether the occurrences have times. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/AdvicePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/AdvicePlanner.java
@@ -28,7 +28,7 @@
                 workers.stream().filter(w -> w.pool().equals(job.policy().pool())).toList();
         return job.steps()
                 .filter(s -> !s.isDone() && s.isReady())
-                .filter(s -> s.advice().needsTickets(pool, s.waitingCount(), now))
+                .filter(s -> s.advice().needsTickets(pool, s.tasks().waitingCount(), now))
                 .filter(s -> !s.advice().nextWorkersToAsk(pool, now).isEmpty())
                 .findFirst()
                 .map(s -> requestFor(s, pool, now));
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -89,7 +89,7 @@
 
     /** Reserves workers of a pool for the tasks of a step that must start alone. */
     void reserve(StepEntry step, List<WorkerRecord> pool, long now) {
-        for (TaskEntry task : step.tasks()) {
+        for (TaskEntry task : step.tasks().kept()) {
             if (task.isWaiting() && task.crashes().needsIsolation()) {
                 reserve(task, pool, now);
             }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -23,6 +23,7 @@
     private QueuePolicy policy;
     private JobState state = JobState.QUEUED;
     private Optional<JobFailure> failure = Optional.empty();
+    private int nextOccurrence;
     private boolean hasRun;
 
     /**
@@ -114,8 +115,9 @@
         return occurrences.values().stream().flatMap(List::stream);
     }
 
-    Stream<TaskEntry> tasks() {
-        return steps().flatMap(s -> s.tasks().stream());
+    /** Returns the number of tasks that have begun and are not done. */
+    int begunTaskCount() {
+        return steps().mapToInt(s -> s.tasks().kept().size()).sum();
     }
 
     /** Returns whether a worker has reported a run of a task of this job. */
@@ -128,14 +130,26 @@
         hasRun = true;
     }
 
-    /** Creates the occurrences that are due. */
+    /** Creates the occurrences that are due, as long as few of them have not begun. */
     void createDueOccurrences(long wallMillis) {
-        int count = job.spec().schedule().occurrences();
-        for (int k = 0; k < count && job.spec().schedule().dueAtMillis(k) <= wallMillis; k++) {
-            occurrence(k);
+        Schedule schedule = job.spec().schedule();
+        while (occurrences.containsKey(nextOccurrence)) {
+            nextOccurrence++;
+        }
+        long waiting = occurrences.values().stream().filter(o -> !hasBegun(o)).count();
+        while (nextOccurrence < schedule.occurrences()
+                && schedule.dueAtMillis(nextOccurrence) <= wallMillis
+                && waiting < JobSizeLimits.MAX_WAITING_OCCURRENCES) {
+            occurrence(nextOccurrence);
+            nextOccurrence++;
+            waiting++;
         }
     }
 
+    private static boolean hasBegun(List<StepEntry> occurrence) {
+        return occurrence.stream().anyMatch(s -> !s.begunPools().isEmpty());
+    }
+
     /** Returns whether some occurrences have not been created yet. */
     boolean hasFutureOccurrences() {
         return occurrences.size() < job.spec().schedule().occurrences();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
 
 /** Changes the states of jobs, and tracks the jobs whose progress must be stored again. */
 final class JobLifecycle {
@@ -37,9 +38,9 @@
             return;
         }
         if (step.spec().gang()) {
-            step.tasks().forEach(step::markDone);
+            step.tasks().markDone(new IndexRange(0, step.tasks().count() - 1));
         } else {
-            step.markDone(task);
+            step.tasks().markDone(task.index());
         }
         changedJobs.add(job);
         task.runs().forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
@@ -101,8 +102,12 @@
     }
 
     private void fail(TaskEntry task, JobFailure.Cause cause, int runs, long now) {
-        JobEntry job = task.step().job();
-        job.failure(Optional.of(new JobFailure(cause, task.id().toString(), runs)));
+        fail(task.step().job(), new JobFailure(cause, task.id().toString(), runs), now);
+    }
+
+    /** Ends a job as failed. */
+    void fail(JobEntry job, JobFailure reason, long now) {
+        job.failure(Optional.of(reason));
         end(job, JobState.FAILED, now);
     }
 
@@ -110,9 +115,8 @@
         job.state(state);
         liveJobs.remove(job);
         changedJobs.add(job);
-        job.tasks()
-                .flatMap(t -> t.runs().stream())
-                .forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
+        job.steps().flatMap(StepEntry::runs).forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
+        job.steps().forEach(s -> s.tasks().dropUnneeded());
         events.accept(
                 new SchedulerEvent(
                         SchedulerEvent.Kind.FINAL,
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -39,21 +39,42 @@
      *
      * @param occurrence the occurrence, counted from 0
      * @param step the step's number, counted from 0
-     * @param done the indexes of the tasks that are done
+     * @param done the indexes of the tasks that are done, if they are few
      * @param failures the failed runs of tasks that are not done
      * @param pools the pools in which tasks may have been started; empty if these are not known, as
      *     in rows of earlier releases
+     * @param doneRanges the indexes of the tasks that are done, if they are many
      */
     public record StepProgress(
             int occurrence,
             int step,
             List<Integer> done,
             List<TaskFailures> failures,
-            List<String> pools) {
+            List<String> pools,
+            List<IndexRange> doneRanges) {
         public StepProgress {
             done = List.copyOf(done);
             failures = List.copyOf(failures);
             pools = pools == null ? List.of() : List.copyOf(pools);
+            doneRanges = doneRanges == null ? List.of() : List.copyOf(doneRanges);
+        }
+
+        /** Returns whether a task is done. */
+        boolean hasDone() {
+            return !done.isEmpty() || !doneRanges.isEmpty();
+        }
+    }
+
+    /**
+     * A range of indexes.
+     *
+     * @param first the lowest index
+     * @param last the highest index
+     */
+    public record IndexRange(int first, int last) {
+        public IndexRange {
+            Checks.notNegative("first", first);
+            Checks.inRange("last", last, first, Integer.MAX_VALUE);
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -87,8 +87,8 @@
         double remainingWork = 0;
         for (StepEntry step : steps) {
             double taskWork = workOf(job, step.spec());
-            totalWork += taskWork * step.tasks().size();
-            remainingWork += taskWork * step.tasks().stream().filter(TaskEntry::isWaiting).count();
+            totalWork += taskWork * step.tasks().count();
+            remainingWork += taskWork * step.tasks().waitingCount();
         }
         double meanWork = meanWorkByQueue.getOrDefault(job.policy().queue(), totalWork);
         double value =
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
@@ -0,0 +1,41 @@
+package org.chervillift.core.tasks;
+
+import java.util.List;
+import java.util.Optional;
+import org.chervillift.api.tasks.JobFailure;
+import org.chervillift.api.tasks.JobSpec;
+import org.chervillift.api.tasks.StepSpec;
+import org.chervillift.api.tasks.TaskId;
+
+/**
+ * How much of one job the holder keeps in memory and stores.
+ *
+ * <p>A caller may choose any number of tasks and of occurrences. The holder starts as many as fit
+ * in these limits, and more once those have ended.
+ */
+public final class JobSizeLimits {
+
+    /**
+     * Tasks of a job that have begun and are not done. The progress of that many tasks that have
+     * failed once, some 60 bytes each, fits in one row of the store.
+     */
+    static final int MAX_BEGUN_TASKS = 1_000;
+
+    /** Occurrences of a job that are due and of which nothing has begun. */
+    static final int MAX_WAITING_OCCURRENCES = 32;
+
+    private JobSizeLimits() {}
+
+    /** Returns why a job can never be completed, if a step of it is too large to be started. */
+    public static Optional<JobFailure> failureOf(JobSpec job) {
+        List<StepSpec> steps = job.steps();
+        for (int i = 0; i < steps.size(); i++) {
+            if (steps.get(i).gang() && steps.get(i).count() > MAX_BEGUN_TASKS) {
+                String task = new TaskId(job.id(), 0, i, 0).toString();
+                return Optional.of(
+                        new JobFailure(JobFailure.Cause.GANG_TOO_LARGE, task, MAX_BEGUN_TASKS));
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -89,16 +89,19 @@
     private static long waitingMilliCores(JobEntry job, long wholeWorker) {
         return job.steps()
                 .filter(s -> !s.isDone() && s.isReady())
-                .flatMap(s -> s.tasks().stream())
-                .filter(TaskEntry::isWaiting)
-                .mapToLong(t -> requestedMilliCores(t, wholeWorker))
+                .mapToLong(s -> waitingMilliCores(s, wholeWorker))
                 .sum();
     }
 
-    /** Returns the cores that a task needs to start: those of a worker if it must run alone. */
-    private static long requestedMilliCores(TaskEntry task, long wholeWorker) {
-        long footprint = task.step().spec().footprint().milliCores();
-        return task.crashes().needsIsolation() ? Math.max(footprint, wholeWorker) : footprint;
+    /** Returns the cores that waiting tasks need; one that must run alone needs a whole worker. */
+    private static long waitingMilliCores(StepEntry step, long wholeWorker) {
+        long footprint = step.spec().footprint().milliCores();
+        long alone =
+                step.tasks().kept().stream()
+                        .filter(t -> t.isWaiting() && t.crashes().needsIsolation())
+                        .count();
+        return step.tasks().waitingCount() * footprint
+                + alone * Math.max(0, wholeWorker - footprint);
     }
 
     private static Map<String, Long> largestWorkers(Collection<WorkerRecord> workers) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswerHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswerHandler.java
@@ -64,9 +64,7 @@
         StepEntry step = run.task().step();
         runs.close(run);
         if (step.spec().gang()) {
-            step.tasks().stream()
-                    .flatMap(t -> t.runs().stream())
-                    .forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
+            step.runs().forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
 import org.chervillift.core.tasks.JobProgress.StartedRun;
 import org.chervillift.core.tasks.JobProgress.StepProgress;
 import org.chervillift.core.tasks.JobProgress.TaskFailures;
@@ -9,6 +11,9 @@
 /** Converts the state of a job into the progress that is stored. */
 final class ProgressSnapshot {
 
+    /** Steps with more done tasks are stored by ranges, which earlier releases cannot read. */
+    private static final int MAX_LISTED_INDEXES = 500;
+
     private ProgressSnapshot() {}
 
     static JobProgress of(JobEntry job, long term) {
@@ -23,15 +28,27 @@
     }
 
     private static StepProgress step(StepEntry step) {
-        List<Integer> done =
-                step.tasks().stream().filter(TaskEntry::isDone).map(TaskEntry::index).toList();
+        List<IndexRange> ranges = step.tasks().doneRanges();
+        boolean few = step.tasks().doneCount() <= MAX_LISTED_INDEXES;
         List<TaskFailures> failures =
-                step.tasks().stream()
+                step.tasks().kept().stream()
                         .filter(t -> !t.isDone() && hasFailures(t))
                         .map(ProgressSnapshot::failuresOf)
                         .toList();
         return new StepProgress(
-                step.occurrence(), step.number(), done, failures, step.begunPools().toStored());
+                step.occurrence(),
+                step.number(),
+                few ? indexesOf(ranges) : List.of(),
+                failures,
+                step.begunPools().toStored(),
+                few ? List.of() : ranges);
+    }
+
+    private static List<Integer> indexesOf(List<IndexRange> ranges) {
+        return ranges.stream()
+                .flatMapToInt(r -> IntStream.rangeClosed(r.first(), r.last()))
+                .boxed()
+                .toList();
     }
 
     private static boolean hasFailures(TaskEntry task) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -78,7 +78,8 @@
     private static boolean isStartStored(Run run) {
         StepEntry step = run.task().step();
         return step.spec().gang()
-                ? step.tasks().stream().allMatch(t -> t.crashes().isStartStored(run.number()))
+                ? step.tasks().kept().stream()
+                        .allMatch(t -> t.crashes().isStartStored(run.number()))
                 : run.task().crashes().isStartStored(run.number());
     }
 
@@ -94,10 +95,7 @@
 
     private void drop(Run run) {
         StepEntry step = run.task().step();
-        List<Run> dropped =
-                step.spec().gang()
-                        ? step.tasks().stream().flatMap(t -> t.runs().stream()).toList()
-                        : List.of(run);
+        List<Run> dropped = step.spec().gang() ? step.runs().toList() : List.of(run);
         for (Run r : dropped) {
             runs.close(r);
             events.accept(
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -21,6 +21,9 @@
 
     private static final int RUN_NUMBERS_PER_TERM = 1_000;
 
+    /** Runs that are open at once in the whole fleet; each takes up to 1 KB of memory. */
+    private static final int MAX_OPEN_RUNS = 40_000;
+
     private final RunRegistry runs;
     private final JobLifecycle lifecycle;
     private final JobRanking ranking;
@@ -84,7 +87,12 @@
     }
 
     private static boolean hasStartableTask(StepEntry step, long now) {
-        return step.tasks().stream().anyMatch(t -> t.isWaiting() && t.notBefore() <= now);
+        for (TaskEntry task : step.tasks().waiting()) {
+            if (task.notBefore() <= now) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void startCandidates(
@@ -115,10 +123,15 @@
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
-        for (TaskEntry task : step.tasks()) {
-            if (!task.isWaiting() || task.notBefore() > now) {
+        int mayBegin = JobSizeLimits.MAX_BEGUN_TASKS - step.job().begunTaskCount();
+        for (TaskEntry task : step.tasks().waiting()) {
+            if (task.notBefore() > now) {
                 continue;
             }
+            boolean begins = !step.tasks().isKept(task);
+            if (begins && mayBegin <= 0 || runs.openCount() >= MAX_OPEN_RUNS) {
+                return true;
+            }
             if (!isWithinLimit(step, 1, manifest)) {
                 return true;
             }
@@ -131,6 +144,7 @@
                 return false;
             }
             orders.add(startRun(task, worker.get(), nextRunNumber(task), now));
+            mayBegin -= begins ? 1 : 0;
         }
         return true;
     }
@@ -143,19 +157,17 @@
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
-        boolean allStartable =
-                step.tasks().stream().allMatch(t -> t.isWaiting() && t.notBefore() <= now);
-        if (!allStartable || !isWithinLimit(step, step.tasks().size(), manifest)) {
+        List<TaskEntry> tasks = step.tasks().all();
+        boolean allStartable = tasks.stream().allMatch(t -> t.isWaiting() && t.notBefore() <= now);
+        boolean tooMany = runs.openCount() + tasks.size() > MAX_OPEN_RUNS;
+        if (!allStartable || tooMany || !isWithinLimit(step, tasks.size(), manifest)) {
             return true;
         }
-        int number = step.tasks().stream().mapToInt(this::nextRunNumber).max().orElse(1);
+        int number = tasks.stream().mapToInt(this::nextRunNumber).max().orElse(1);
         String checkpoint =
-                step.tasks().stream()
-                        .map(TaskEntry::checkpoint)
-                        .max(Comparator.naturalOrder())
-                        .orElse("");
+                tasks.stream().map(TaskEntry::checkpoint).max(Comparator.naturalOrder()).orElse("");
         List<Run> placed = new ArrayList<>();
-        for (TaskEntry task : step.tasks()) {
+        for (TaskEntry task : tasks) {
             Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
             if (worker.isEmpty()) {
                 placed.forEach(runs::close);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -1,7 +1,6 @@
 package org.chervillift.core.tasks;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.stream.Stream;
 import org.chervillift.api.tasks.StepSpec;
 
 /** The scheduler's state of one occurrence of a step. */
@@ -11,20 +10,16 @@
     private final int occurrence;
     private final int number;
     private final StepSpec spec;
-    private final List<TaskEntry> tasks;
+    private final StepTasks tasks;
     private final StepAdvice advice = new StepAdvice();
     private final BegunPools begunPools = new BegunPools();
-    private int doneCount;
 
     StepEntry(JobEntry job, int occurrence, int number, StepSpec spec) {
         this.job = job;
         this.occurrence = occurrence;
         this.number = number;
         this.spec = spec;
-        this.tasks = new ArrayList<>(spec.count());
-        for (int i = 0; i < spec.count(); i++) {
-            tasks.add(new TaskEntry(this, i));
-        }
+        this.tasks = new StepTasks(this, spec.count());
     }
 
     JobEntry job() {
@@ -43,7 +38,7 @@
         return spec;
     }
 
-    List<TaskEntry> tasks() {
+    StepTasks tasks() {
         return tasks;
     }
 
@@ -54,7 +49,7 @@
     /** Forgets what is known of a worker that has left the fleet. */
     void forgetWorker(String worker) {
         advice.forgetWorker(worker);
-        tasks.forEach(t -> t.failedWorkers().remove(worker));
+        tasks.kept().forEach(t -> t.failedWorkers().remove(worker));
     }
 
     /** Returns the pools in which tasks of this step may have been started. */
@@ -62,22 +57,8 @@
         return begunPools;
     }
 
-    long waitingCount() {
-        return tasks.stream().filter(TaskEntry::isWaiting).count();
-    }
-
     boolean isDone() {
-        return doneCount == tasks.size();
-    }
-
-    /** Marks a task as done; returns false if it was done before. */
-    boolean markDone(TaskEntry task) {
-        if (task.isDone()) {
-            return false;
-        }
-        task.markDone();
-        doneCount++;
-        return true;
+        return tasks.allDone();
     }
 
     /** Returns whether all steps that this one depends on are done. */
@@ -85,6 +66,11 @@
         return spec.after().stream().allMatch(n -> job.step(occurrence, n).isDone());
     }
 
+    /** Returns the open runs of this step. */
+    Stream<Run> runs() {
+        return tasks.kept().stream().flatMap(t -> t.runs().stream());
+    }
+
     /** Returns how many runs of this step are open on a worker. */
     long runsOn(WorkerRecord worker) {
         return worker.runs().stream().filter(r -> r.task().step() == this).count();
@@ -92,10 +78,7 @@
 
     /** Returns how many runs of this step are open in a rack. */
     long runsInRack(String rack) {
-        return tasks.stream()
-                .flatMap(t -> t.runs().stream())
-                .filter(r -> r.worker().rack().equals(rack))
-                .count();
+        return runs().filter(r -> r.worker().rack().equals(rack)).count();
     }
 
     /** Returns whether stopping a run leaves no more tasks of the step down than allowed. */
@@ -103,15 +86,21 @@
         if (spec.mayMiss() == 0) {
             return true;
         }
-        long othersDown = tasks.stream().filter(t -> t != run.task() && !isFullyRunning(t)).count();
-        return othersDown < spec.mayMiss();
+        long othersRunning =
+                tasks.kept().stream().filter(t -> t != run.task() && isFullyRunning(t)).count();
+        return tasks.count() - 1 - othersRunning < spec.mayMiss();
     }
 
     /** Returns the number of tasks that have no run, or whose run is being stopped. */
     long countNotRunning() {
-        return tasks.stream()
-                .filter(t -> t.runs().stream().allMatch(r -> r.phase() == Run.Phase.STOPPING))
-                .count();
+        long running =
+                tasks.kept().stream()
+                        .filter(
+                                t ->
+                                        t.runs().stream()
+                                                .anyMatch(r -> r.phase() != Run.Phase.STOPPING))
+                        .count();
+        return tasks.count() - running;
     }
 
     /** Returns whether a task has a run on a reachable worker that reports 100 percent. */
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
@@ -0,0 +1,171 @@
+package org.chervillift.core.tasks;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.NoSuchElementException;
+import java.util.TreeMap;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
+
+/**
+ * The tasks of a step.
+ *
+ * <p>A caller chooses how many tasks a step has. Only tasks that have begun and are not done are
+ * kept as objects, so that a step takes memory by what runs of it, not by its size.
+ */
+final class StepTasks {
+
+    private final StepEntry step;
+    private final int count;
+    private final IndexRanges done = new IndexRanges();
+    private final Map<Integer, TaskEntry> kept = new TreeMap<>();
+
+    StepTasks(StepEntry step, int count) {
+        this.step = step;
+        this.count = count;
+    }
+
+    /** Returns how many tasks the step has. */
+    int count() {
+        return count;
+    }
+
+    /** Returns a task to record something of it; it is kept unless it is done. */
+    TaskEntry get(int index) {
+        TaskEntry task = find(index);
+        keep(task);
+        return task;
+    }
+
+    private TaskEntry find(int index) {
+        TaskEntry task = kept.get(index);
+        return task == null ? new TaskEntry(step, index) : task;
+    }
+
+    /** Keeps a task from now on, unless it is done and has no run. */
+    void keep(TaskEntry task) {
+        if (!isUnneeded(task)) {
+            kept.put(task.index(), task);
+        }
+    }
+
+    /** Drops a task that is done and has no open run. */
+    void dropIfUnneeded(TaskEntry task) {
+        if (isUnneeded(task)) {
+            kept.remove(task.index());
+        }
+    }
+
+    private boolean isUnneeded(TaskEntry task) {
+        return task.runs().isEmpty() && (task.isDone() || step.job().isFinal());
+    }
+
+    /** Returns the tasks that have begun and are not done, or that have open runs. */
+    Collection<TaskEntry> kept() {
+        return kept.values();
+    }
+
+    /** Drops the tasks without open runs, once the job is in a final state. */
+    void dropUnneeded() {
+        kept.values().removeIf(this::isUnneeded);
+    }
+
+    boolean isDone(int index) {
+        return done.contains(index);
+    }
+
+    int doneCount() {
+        return done.size();
+    }
+
+    boolean allDone() {
+        return done.size() == count;
+    }
+
+    /** Marks a task as done; returns false if it was done before. */
+    boolean markDone(int index) {
+        boolean added = done.add(index);
+        TaskEntry task = kept.get(index);
+        if (task != null) {
+            dropIfUnneeded(task);
+        }
+        return added;
+    }
+
+    /** Marks all tasks of a range as done. */
+    void markDone(IndexRange range) {
+        done.addAll(range);
+        dropUnneeded();
+    }
+
+    /** Returns the ranges of the indexes of done tasks. */
+    List<IndexRange> doneRanges() {
+        return done.toList();
+    }
+
+    /** Returns the number of the tasks that are not done and have no open run. */
+    long waitingCount() {
+        long withRuns =
+                kept.values().stream().filter(t -> !t.isDone() && !t.runs().isEmpty()).count();
+        return (long) count - done.size() - withRuns;
+    }
+
+    /**
+     * Returns the tasks that are not done and have no open run: first those that have begun before.
+     *
+     * <p>Tasks may be started and ended during the iteration. A task that has not begun is not kept
+     * unless it is started.
+     */
+    Iterable<TaskEntry> waiting() {
+        return WaitingIterator::new;
+    }
+
+    private final class WaitingIterator implements Iterator<TaskEntry> {
+
+        private final Iterator<TaskEntry> begun =
+                kept.values().stream().filter(TaskEntry::isWaiting).toList().iterator();
+        private int nextIndex = nextNotBegun(0);
+
+        private int nextNotBegun(int from) {
+            int index = done.nextMissing(from);
+            while (index < count && kept.containsKey(index)) {
+                index = done.nextMissing(index + 1);
+            }
+            return index;
+        }
+
+        @Override
+        public boolean hasNext() {
+            return begun.hasNext() || nextIndex < count;
+        }
+
+        @Override
+        public TaskEntry next() {
+            if (begun.hasNext()) {
+                return begun.next();
+            }
+            if (nextIndex >= count) {
+                throw new NoSuchElementException();
+            }
+            TaskEntry task = new TaskEntry(step, nextIndex);
+            nextIndex = nextNotBegun(nextIndex + 1);
+            return task;
+        }
+    }
+
+    /** Returns whether something is recorded of a task. */
+    boolean isKept(TaskEntry task) {
+        return kept.containsKey(task.index());
+    }
+
+    /** Returns all tasks, for a step that starts as a whole. */
+    List<TaskEntry> all() {
+        List<TaskEntry> all = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            all.add(find(i));
+        }
+        return all;
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -18,7 +18,6 @@
     private final SortedSet<Integer> failedRuns = new TreeSet<>();
     private final CrashHistory crashes;
     private final Set<String> failedWorkers = new HashSet<>();
-    private boolean done;
     private int lastRunNumber;
     private String checkpoint = "";
     private long notBefore = Long.MIN_VALUE;
@@ -50,16 +49,12 @@
     }
 
     boolean isDone() {
-        return done;
-    }
-
-    void markDone() {
-        done = true;
+        return step.tasks().isDone(index);
     }
 
     /** Returns whether the task is not done and has no open run. */
     boolean isWaiting() {
-        return !done && runs.isEmpty();
+        return runs.isEmpty() && !isDone();
     }
 
     /** Returns the numbers of the runs that failed. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.tasks.AcceptedJob;
+import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.api.tasks.Manifest;
@@ -104,6 +105,11 @@
         JobEntry entry = new JobEntry(job, policyOf(job), now - waitingMillis);
         jobs.put(entry);
         liveJobs.add(entry);
+        Optional<JobFailure> failure = JobSizeLimits.failureOf(job.spec());
+        if (failure.isPresent()) {
+            lifecycle.fail(entry, failure.get(), now);
+            return;
+        }
         arrivalRates.recordArrival(entry, ranking.recordArrival(entry), now - waitingMillis, now);
     }
 
@@ -130,10 +136,11 @@
         for (JobProgress.StepProgress stored : progress.steps()) {
             StepEntry step = job.step(stored.occurrence(), stored.step());
             step.begunPools().restore(stored.pools());
-            if (!stored.done().isEmpty() || !stored.failures().isEmpty()) {
+            if (stored.hasDone() || !stored.failures().isEmpty()) {
                 job.markHasRun();
             }
-            stored.done().forEach(i -> step.markDone(step.tasks().get(i)));
+            stored.done().forEach(step.tasks()::markDone);
+            stored.doneRanges().forEach(step.tasks()::markDone);
             for (JobProgress.TaskFailures failures : stored.failures()) {
                 TaskEntry task = step.tasks().get(failures.task());
                 task.restore(failures);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/MovedQueueTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/MovedQueueTest.java
@@ -93,7 +93,7 @@
     @Test
     void aNewHolderWaitsForAllPoolsWhereTheStoredProgressNamesNone() {
         JobProgress.StepProgress step =
-                new JobProgress.StepProgress(0, 0, List.of(), List.of(), List.of());
+                new JobProgress.StepProgress(0, 0, List.of(), List.of(), List.of(), List.of());
         succeed(new JobProgress(1, JobState.RUNNING, List.of(step)));
         assertThat(successor.starts()).isEmpty();
         addWorkerInOtherPool(successor, "h1");
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PendingJobsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PendingJobsTest.java
@@ -61,7 +61,7 @@
     void aJobWithATaskStoredAsDoneIsNotPending() {
         fixture.accept("a", step(2, 1_000));
         JobProgress.StepProgress half =
-                new JobProgress.StepProgress(0, 0, List.of(1), List.of(), List.of());
+                new JobProgress.StepProgress(0, 0, List.of(1), List.of(), List.of(), List.of());
         fixture.scheduler.restore("a", new JobProgress(1, JobState.RUNNING, List.of(half)));
         assertThat(pending()).isZero();
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -112,7 +112,7 @@
                         JobState.RUNNING,
                         List.of(
                                 new JobProgress.StepProgress(
-                                        0, 0, List.of(), List.of(), List.of(POOL)))));
+                                        0, 0, List.of(), List.of(), List.of(POOL), List.of()))));
     }
 
     /** Adds a worker that has reported and holds a lease. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -146,7 +146,7 @@
                         JobState.RUNNING,
                         List.of(
                                 new JobProgress.StepProgress(
-                                        0, 0, List.of(), List.of(failures), List.of())));
+                                        0, 0, List.of(), List.of(failures), List.of(), List.of())));
         SchedulerFixture holder = new SchedulerFixture(2, Resources.NONE);
         holder.accept("a", SchedulerFixture.step(1, 1_000));
         holder.scheduler.restore("a", stored);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -21,6 +21,7 @@
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
+import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
@@ -28,6 +29,7 @@
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
+import org.chervillift.core.tasks.JobSizeLimits;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
@@ -196,6 +198,11 @@
         } catch (ChervilliftException e) {
             return completed(new JobAnswer.Malformed(e.getMessage()));
         }
+        Optional<JobFailure> tooLarge = JobSizeLimits.failureOf(spec);
+        if (tooLarge.isPresent()) {
+            return completed(
+                    new JobAnswer.TooLarge(tooLarge.get().sentence() + " The job was not stored."));
+        }
         if (knownJobs.containsKey(context.jobId())) {
             return completed(new JobAnswer.Accepted());
         }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -7,6 +7,7 @@
 import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.core.tasks.JobProgress;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
 import org.chervillift.core.tasks.JobProgress.StartedRun;
 import org.chervillift.core.tasks.JobProgress.StepProgress;
 import org.chervillift.core.tasks.JobProgress.TaskCrashes;
@@ -33,7 +34,12 @@
                         JobState.FAILED,
                         List.of(
                                 new StepProgress(
-                                        0, 1, List.of(0), List.of(failures), List.of("p"))),
+                                        0,
+                                        1,
+                                        List.of(0),
+                                        List.of(failures),
+                                        List.of("p"),
+                                        List.of(new IndexRange(3, 9)))),
                         Optional.of(failure));
 
         assertThat(Json.decode(Json.encode(progress), JobProgress.class)).isEqualTo(progress);
@@ -51,5 +57,6 @@
         assertThat(progress.steps().getFirst().failures())
                 .containsExactly(new TaskFailures(2, List.of(1), TaskCrashes.NONE));
         assertThat(progress.steps().getFirst().pools()).isEmpty();
+        assertThat(progress.steps().getFirst().doneRanges()).isEmpty();
     }
 }
