Let sums of resources end at the largest number, so that one job cannot stop planning

Cause: Resources.plus and times overflowed to a negative amount, which the record refuses. The exception left StartPlanner.isWithinLimit and ended each planning run.

Evidence: LargeJobTest.aTaskThatAsksForMoreThanASumCanHoldDoesNotStopPlanning is red before (milliCores must be from 0, is -1000).

Change: sums and products of amounts that callers choose end at the largest number: resources, due times, the load of pools, the longest chain of a job.

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/Resources.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/Resources.java
@@ -1,6 +1,7 @@
 package org.chervillift.api.tasks;
 
 import org.chervillift.api.Checks;
+import org.chervillift.api.SaturatedMath;
 
 /**
  * An amount of what a worker offers and a task asks for.
@@ -23,7 +24,9 @@
     /** Returns the sum. */
     public Resources plus(Resources other) {
         return new Resources(
-                milliCores + other.milliCores, memoryMb + other.memoryMb, gpus + other.gpus);
+                SaturatedMath.add(milliCores, other.milliCores),
+                SaturatedMath.add(memoryMb, other.memoryMb),
+                SaturatedMath.add(gpus, other.gpus));
     }
 
     /** Returns the difference, with nothing below zero. */
@@ -36,7 +39,10 @@
 
     /** Returns this amount as often as a count says. */
     public Resources times(long count) {
-        return new Resources(milliCores * count, memoryMb * count, gpus * count);
+        return new Resources(
+                SaturatedMath.multiply(milliCores, count),
+                SaturatedMath.multiply(memoryMb, count),
+                SaturatedMath.multiply(gpus, count));
     }
 
     /** Returns whether this fits into what another amount offers. */
--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/Schedule.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/Schedule.java
@@ -1,6 +1,7 @@
 package org.chervillift.api.tasks;
 
 import org.chervillift.api.Checks;
+import org.chervillift.api.SaturatedMath;
 
 /**
  * How often a job runs, and when.
@@ -26,9 +27,7 @@
      * later than any.
      */
     public long dueAtMillis(int occurrence) {
-        boolean beyondTime =
-                occurrence > 0 && intervalMillis > (Long.MAX_VALUE - startAtMillis) / occurrence;
-        return beyondTime ? Long.MAX_VALUE : startAtMillis + occurrence * intervalMillis;
+        return SaturatedMath.add(startAtMillis, SaturatedMath.multiply(intervalMillis, occurrence));
     }
 
     /** Returns whether the occurrences have times. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToLongFunction;
+import org.chervillift.api.SaturatedMath;
 import org.chervillift.api.tasks.StepSpec;
 
 /**
@@ -119,7 +120,7 @@
             for (int before : steps.get(i).spec().after()) {
                 start = Math.max(start, ends[before]);
             }
-            ends[i] = start + duration.applyAsLong(steps.get(i));
+            ends[i] = SaturatedMath.add(start, duration.applyAsLong(steps.get(i)));
             longest = Math.max(longest, ends[i]);
         }
         return longest;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.chervillift.api.SaturatedMath;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
 
@@ -73,7 +74,7 @@
             long wholeWorker = largestWorkers.getOrDefault(pool, 0L);
             long requested = Math.min(remaining, waitingMilliCores(job, wholeWorker));
             remainingLimits.put(customer, remaining - requested);
-            waiting.merge(pool, requested, Long::sum);
+            waiting.merge(pool, requested, SaturatedMath::add);
         }
         return waiting;
     }
@@ -90,7 +91,7 @@
         return job.steps()
                 .filter(s -> !s.isDone() && s.isReady())
                 .mapToLong(s -> waitingMilliCores(s, wholeWorker))
-                .sum();
+                .reduce(0, SaturatedMath::add);
     }
 
     /** Returns the cores that waiting tasks need; one that must run alone needs a whole worker. */
@@ -100,8 +101,9 @@
                 step.tasks().kept().stream()
                         .filter(t -> t.isWaiting() && t.crashes().needsIsolation())
                         .count();
-        return step.tasks().waitingCount() * footprint
-                + alone * Math.max(0, wholeWorker - footprint);
+        return SaturatedMath.add(
+                SaturatedMath.multiply(step.tasks().waitingCount(), footprint),
+                SaturatedMath.multiply(alone, Math.max(0, wholeWorker - footprint)));
     }
 
     private static Map<String, Long> largestWorkers(Collection<WorkerRecord> workers) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/LargeJobTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/LargeJobTest.java
@@ -12,6 +12,7 @@
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.Schedule;
+import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.JobProgress.IndexRange;
 import org.junit.jupiter.api.Test;
@@ -148,4 +149,24 @@
                                                 "a.0.0.0",
                                                 JobSizeLimits.MAX_BEGUN_TASKS))));
     }
+
+    /** The sum of what a customer asks for was negative, which ended each planning. */
+    @Test
+    void aTaskThatAsksForMoreThanASumCanHoldDoesNotStopPlanning() {
+        SchedulerFixture limited = new SchedulerFixture(1, new Resources(64_000, 0, 0));
+        limited.addWorker("w1", 4_000);
+        limited.accept("small", SchedulerFixture.step(1, 1_000));
+        assertThat(limited.starts()).hasSize(1);
+
+        limited.accept("huge", SchedulerFixture.step(LARGEST, Long.MAX_VALUE));
+        limited.accept("gang", gang(JobSizeLimits.MAX_BEGUN_TASKS, Long.MAX_VALUE / 2));
+        limited.accept("next", SchedulerFixture.step(1, 1_000));
+        assertThat(limited.starts()).extracting(s -> s.task().job()).containsExactly("next");
+        assertThat(limited.scheduler.poolLoads(limited.now).get(SchedulerFixture.POOL))
+                .satisfies(l -> assertThat(l.waitingMilliCores()).isPositive());
+    }
+
+    private static StepSpec gang(int count, long milliCores) {
+        return SchedulerFixture.step(count, milliCores, List.of(), true, false, 0);
+    }
 }
