Take an odd entry among those of the workers for unusable as a whole, and log it once

Cause: the address was read when a session was opened. The exception ended the loop over all workers and HolderController.becomeReady before the first planning run. A port out of range did the same, and a number above 255 in an address was looked up as a name.

Change: FleetRowCodec reads an entry as a whole: address, key, state and capacity must be usable, else the row names no worker. WorkerSessions logs each such row once with its key and the reason.

--- a/chervillift-api/src/main/java/org/chervillift/api/platform/FleetRows.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/platform/FleetRows.java
@@ -19,8 +19,8 @@
     /** Reads a row of the operator; empty for a row that says nothing to this program. */
     Optional<OperatorRow> operatorRow(String key, String value);
 
-    /** Reads the entry of a worker; empty for a row that names no worker to use. */
-    Optional<WorkerEntry> worker(String key, String value);
+    /** Reads a row of the workers' table, which other writers may have written. */
+    WorkerRow worker(String key, String value);
 
     /** Returns the row that tells the operator how far a wave is. */
     RowKey waveStatusKey(long wave);
@@ -28,6 +28,40 @@
     /** Returns the write that tells the operator how far a wave is. */
     Write waveStatus(long wave, boolean completed);
 
+    /** What a row of the workers' table says. */
+    sealed interface WorkerRow {
+
+        /** Returns the entry, if it names a worker to use. */
+        default Optional<WorkerEntry> entry() {
+            return switch (this) {
+                case Usable u -> Optional.of(u.worker());
+                case Unusable u -> Optional.empty();
+            };
+        }
+
+        /**
+         * The entry of a worker.
+         *
+         * @param worker what the worker says of itself
+         */
+        record Usable(WorkerEntry worker) implements WorkerRow {
+            public Usable {
+                Checks.notNull("worker", worker);
+            }
+        }
+
+        /**
+         * A row that names no worker to use.
+         *
+         * @param reason why, in one sentence
+         */
+        record Unusable(String reason) implements WorkerRow {
+            public Unusable {
+                Checks.notNull("reason", reason);
+            }
+        }
+    }
+
     /** What the operator wrote. */
     sealed interface OperatorRow {
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
+import org.chervillift.api.platform.FleetRows.WorkerRow;
 import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.RowStore.Change;
@@ -39,6 +41,7 @@
     private final Runnable onChange;
     private final TableFollower follower;
     private final Map<String, WorkerSession> sessions = new HashMap<>();
+    private final Map<String, String> unusableRows = new HashMap<>();
     private Map<String, String> storedWorkers = Map.of();
     private boolean predecessorKnown;
     private boolean jobsKnown;
@@ -106,10 +109,11 @@
         public void loaded(List<Row> rows) {
             Map<String, WorkerEntry> listed = new TreeMap<>();
             for (Row row : rows) {
-                context.rows()
-                        .worker(row.key().key(), row.value())
-                        .ifPresent(w -> listed.put(w.id(), w));
+                read(row.key().key(), row.value()).ifPresent(w -> listed.put(w.id(), w));
             }
+            unusableRows
+                    .keySet()
+                    .retainAll(rows.stream().map(r -> r.key().key()).collect(Collectors.toSet()));
             List.copyOf(sessions.keySet()).stream()
                     .filter(id -> !listed.containsKey(id))
                     .forEach(board::workerUnlisted);
@@ -121,19 +125,41 @@
         public void changed(List<Change> changes) {
             for (Change change : changes) {
                 String id = change.key().key();
-                Optional<WorkerEntry> entry =
-                        change.value().flatMap(v -> context.rows().worker(id, v));
+                Optional<WorkerEntry> entry = change.value().flatMap(v -> read(id, v));
                 if (entry.isPresent()) {
                     onWorkerListed(entry.get());
                 } else {
                     board.workerUnlisted(id);
                 }
+                if (change.value().isEmpty()) {
+                    unusableRows.remove(id);
+                }
             }
             storeWorkers();
             onChange.run();
         }
     }
 
+    /** Reads a row; logs why it names no worker to use, unless that is known. */
+    private Optional<WorkerEntry> read(String id, String value) {
+        return switch (context.rows().worker(id, value)) {
+            case WorkerRow.Usable u -> {
+                unusableRows.remove(id);
+                yield Optional.of(u.worker());
+            }
+            case WorkerRow.Unusable u -> {
+                if (!u.reason().equals(unusableRows.put(id, u.reason()))) {
+                    EventLog.log(
+                            TaskEvent.ROW_UNREADABLE,
+                            Field.of("table", context.rows().workerTable()),
+                            Field.of("key", id),
+                            Field.of("why", u.reason()));
+                }
+                yield Optional.empty();
+            }
+        };
+    }
+
     private void onWorkerListed(WorkerEntry entry) {
         board.workerListed(entry, context.nowMillis());
         WorkerSession session = sessions.get(entry.id());
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.api.platform.WorkerCalls;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
@@ -126,17 +127,19 @@
     TaskNode startNode(FleetSettings settings, RowStore storeView, String process) {
         TaskNode.PlatformAccess ports =
                 new TaskNode.PlatformAccess(
-                        storeView,
-                        new FleetRowCodec(),
-                        w -> fleet.worker(w.id()),
-                        fleet,
-                        Optional.empty());
+                        storeView, new FleetRowCodec(), this::connect, fleet, Optional.empty());
         TaskNode node = new TaskNode(settings, scheduler, ports, process);
         startedNodes.add(node);
         node.start();
         return node;
     }
 
+    /** Connects to a worker; the address must be usable, as for a real connection. */
+    private WorkerCalls connect(WorkerEntry worker) {
+        HostPort.parse(worker.address());
+        return fleet.worker(worker.id());
+    }
+
     static FleetSettings settings(String vm, double linkMbps) {
         return new FleetSettings(
                 vm,
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/HostPort.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/HostPort.java
@@ -17,8 +17,11 @@
  */
 public record HostPort(String host, int port) {
 
+    /** A number from 0 to 255. Text with a larger one would be looked up as a name. */
+    private static final String OCTET = "(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+
     private static final Pattern IP_V4 =
-            Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}):([0-9]{1,5})");
+            Pattern.compile("(" + OCTET + "(?:\\." + OCTET + "){3}):([0-9]{1,5})");
     private static final Pattern IP_V6 = Pattern.compile("\\[([0-9a-fA-F:]{2,39})]:([0-9]{1,5})");
     private static final int MOST_PORT = 65_535;
 
--- a/chervillift-standin/src/test/java/org/chervillift/standin/tasks/FleetServerTest.java
+++ b/chervillift-standin/src/test/java/org/chervillift/standin/tasks/FleetServerTest.java
@@ -193,7 +193,7 @@
                         });
         Row registered =
                 await(() -> store.scan(codec.workerTable(), "", KeyRange.ALL)).rows().get(0);
-        assertThat(codec.worker(registered.key().key(), registered.value()))
+        assertThat(codec.worker(registered.key().key(), registered.value()).entry())
                 .map(WorkerEntry::address)
                 .contains(workerAddress);
     }
