Store done occurrences as ranges, and let progress that fits in no row end its own job only

Cause: a job's progress listed each step of each occurrence that had begun until the job ended. The store refuses a row of more than 65,536 bytes together with the transaction, and ProgressWriter repeated the same call for ever. Starts wait for that write.

RowSizeTest's first test is red before, with the stand-in for the store refusing such rows as the protocol says.

Change: more than 32 done occurrences of a job are stored as ranges and their steps dropped; older ones start first. Progress that still does not fit ends its job as failed with that reason. A transaction takes as many rows as fit in its bytes. The longest row is a setting, given by the platform.

--- a/chervillift-api/src/main/java/org/chervillift/api/platform/RowStore.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/platform/RowStore.java
@@ -21,6 +21,9 @@
     /** The most rows of one read. */
     int MOST_ROWS = 500;
 
+    /** The most bytes of values in one transaction, which encoding lengthens by a third. */
+    int MAX_COMMIT_BYTES = 700_000;
+
     /** Reads rows of one partition of a table, of one moment, ordered by key. */
     default CompletionStage<Page> scan(String table, String part, KeyRange range) {
         return scan(table, part, range, MOST_ROWS);
--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/JobFailure.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/JobFailure.java
@@ -6,7 +6,7 @@
  * Why a job has failed.
  *
  * @param cause what happened
- * @param task the task that it happened to
+ * @param task the task that it happened to; the job, if it is no single task
  * @param runs the number of the task's runs that it happened to; for a gang that is too large, the
  *     most runs that can be started together
  */
@@ -19,13 +19,15 @@
         /** The workers crashed that ran it. */
         WORKER_CRASHED,
         /** It belongs to a gang of more tasks than can be started together. */
-        GANG_TOO_LARGE
+        GANG_TOO_LARGE,
+        /** The progress of the job does not fit in a row of the store. */
+        PROGRESS_TOO_LARGE
     }
 
     public JobFailure {
         Checks.notNull("cause", cause);
         Checks.notBlank("task", task);
-        Checks.inRange("runs", runs, 1, Integer.MAX_VALUE);
+        Checks.notNegative("runs", runs);
     }
 
     /** Returns a sentence for the caller. */
@@ -50,6 +52,9 @@
                             + " most "
                             + runs
                             + " are allowed.";
+            case PROGRESS_TOO_LARGE ->
+                    "So many tasks of the job have failed that its progress is too large to be"
+                            + " stored.";
         };
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -1,10 +1,10 @@
 package org.chervillift.core.tasks;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.JobFailure;
@@ -13,12 +13,14 @@
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
 
 /** The scheduler's state of one job. */
 final class JobEntry {
 
     private final AcceptedJob job;
-    private final Map<Integer, List<StepEntry>> occurrences = new HashMap<>();
+    private final Map<Integer, List<StepEntry>> occurrences = new TreeMap<>();
+    private final IndexRanges condensed = new IndexRanges();
     private final long arrivedAt;
     private QueuePolicy policy;
     private JobState state = JobState.QUEUED;
@@ -100,6 +102,9 @@
         for (int i = 0; i < specs.size(); i++) {
             steps.add(new StepEntry(this, occurrence, i, specs.get(i)));
         }
+        if (condensed.contains(occurrence)) {
+            steps.forEach(StepEntry::markAllDone);
+        }
         return steps;
     }
 
@@ -133,8 +138,8 @@
     /** Creates the occurrences that are due, as long as few of them have not begun. */
     void createDueOccurrences(long wallMillis) {
         Schedule schedule = job.spec().schedule();
-        while (occurrences.containsKey(nextOccurrence)) {
-            nextOccurrence++;
+        while (occurrences.containsKey(nextOccurrence) || condensed.contains(nextOccurrence)) {
+            nextOccurrence = condensed.nextMissing(nextOccurrence + 1);
         }
         long waiting = occurrences.values().stream().filter(o -> !hasBegun(o)).count();
         while (nextOccurrence < schedule.occurrences()
@@ -150,12 +155,50 @@
         return occurrence.stream().anyMatch(s -> !s.begunPools().isEmpty());
     }
 
-    /** Returns whether some occurrences have not been created yet. */
-    boolean hasFutureOccurrences() {
-        return occurrences.size() < job.spec().schedule().occurrences();
+    boolean isDone() {
+        long listed =
+                occurrences.entrySet().stream()
+                        .filter(e -> !condensed.contains(e.getKey()) && isDone(e.getValue()))
+                        .count();
+        return condensed.size() + listed == job.spec().schedule().occurrences();
     }
 
-    boolean isDone() {
-        return !hasFutureOccurrences() && steps().allMatch(StepEntry::isDone);
+    private static boolean isDone(List<StepEntry> occurrence) {
+        return occurrence.stream().allMatch(StepEntry::isDone);
+    }
+
+    /** Returns the done occurrences whose steps are not kept, but for those with open runs. */
+    List<IndexRange> condensedOccurrences() {
+        return condensed.toList();
+    }
+
+    boolean isCondensed(int occurrence) {
+        return condensed.contains(occurrence);
+    }
+
+    /** Restores the occurrences that an earlier holder stored as done. */
+    void restoreDoneOccurrences(List<IndexRange> ranges) {
+        ranges.forEach(condensed::addAll);
+    }
+
+    /**
+     * Drops the steps of done occurrences once these are many, so that a job that repeats often
+     * takes memory, and space in its row, by what is not done.
+     */
+    void condenseDoneOccurrences() {
+        List<Integer> done =
+                occurrences.entrySet().stream()
+                        .filter(e -> isDone(e.getValue()))
+                        .map(Map.Entry::getKey)
+                        .toList();
+        if (condensed.size() == 0 && done.size() <= JobSizeLimits.MAX_LISTED_OCCURRENCES) {
+            return;
+        }
+        done.forEach(condensed::add);
+        occurrences.entrySet().removeIf(e -> isDone(e.getValue()) && !hasOpenRuns(e.getValue()));
+    }
+
+    private static boolean hasOpenRuns(List<StepEntry> occurrence) {
+        return occurrence.stream().anyMatch(s -> !s.tasks().kept().isEmpty());
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
-import org.chervillift.core.tasks.JobProgress.IndexRange;
 
 /** Changes the states of jobs, and tracks the jobs whose progress must be stored again. */
 final class JobLifecycle {
@@ -38,7 +37,7 @@
             return;
         }
         if (step.spec().gang()) {
-            step.tasks().markDone(new IndexRange(0, step.tasks().count() - 1));
+            step.markAllDone();
         } else {
             step.tasks().markDone(task.index());
         }
@@ -46,6 +45,8 @@
         task.runs().forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
         if (job.isDone()) {
             end(job, JobState.COMPLETED, now);
+        } else if (step.isDone()) {
+            job.condenseDoneOccurrences();
         }
     }
 
@@ -111,6 +112,13 @@
         end(job, JobState.FAILED, now);
     }
 
+    /** Restores the final state of a job that an earlier holder ended and stored. */
+    void restoreEnd(JobEntry job, JobProgress progress) {
+        job.state(progress.state());
+        job.failure(progress.failure());
+        liveJobs.remove(job);
+    }
+
     private void end(JobEntry job, JobState state, long now) {
         job.state(state);
         liveJobs.remove(job);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -14,19 +14,26 @@
  * @param state the job's state
  * @param steps the steps whose tasks may have been started; empty once the state is final
  * @param failure why the job has failed; empty also in rows of earlier releases
+ * @param doneOccurrences the occurrences all of whose steps are done, if they are many; else their
+ *     steps are listed
  */
 public record JobProgress(
-        long term, JobState state, List<StepProgress> steps, Optional<JobFailure> failure) {
+        long term,
+        JobState state,
+        List<StepProgress> steps,
+        Optional<JobFailure> failure,
+        List<IndexRange> doneOccurrences) {
 
     public JobProgress {
         Checks.notNull("state", state);
         steps = List.copyOf(steps);
         failure = failure == null ? Optional.empty() : failure;
+        doneOccurrences = doneOccurrences == null ? List.of() : List.copyOf(doneOccurrences);
     }
 
     /** Creates the progress of a job that has not failed. */
     public JobProgress(long term, JobState state, List<StepProgress> steps) {
-        this(term, state, steps, Optional.empty());
+        this(term, state, steps, Optional.empty(), List.of());
     }
 
     /** Returns what callers are told. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
@@ -24,6 +24,12 @@
     /** Occurrences of a job that are due and of which nothing has begun. */
     static final int MAX_WAITING_OCCURRENCES = 32;
 
+    /**
+     * Done occurrences of a job that are kept one by one. More are kept as ranges, which earlier
+     * releases cannot read.
+     */
+    static final int MAX_LISTED_OCCURRENCES = 32;
+
     private JobSizeLimits() {}
 
     /** Returns why a job can never be completed, if a step of it is too large to be started. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -21,10 +21,16 @@
         if (!job.state().isFinal()) {
             job.steps()
                     .filter(s -> !s.begunPools().isEmpty())
+                    .filter(s -> !job.isCondensed(s.occurrence()))
                     .map(ProgressSnapshot::step)
                     .forEach(steps::add);
         }
-        return new JobProgress(term, job.state(), steps, job.failure());
+        return new JobProgress(
+                term,
+                job.state(),
+                steps,
+                job.failure(),
+                job.isFinal() ? List.of() : job.condensedOccurrences());
     }
 
     private static StepProgress step(StepEntry step) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.stream.Stream;
 import org.chervillift.api.tasks.StepSpec;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
 
 /** The scheduler's state of one occurrence of a step. */
 final class StepEntry {
@@ -61,6 +62,10 @@
         return tasks.allDone();
     }
 
+    void markAllDone() {
+        tasks.markDone(new IndexRange(0, tasks.count() - 1));
+    }
+
     /** Returns whether all steps that this one depends on are done. */
     boolean isReady() {
         return spec.after().stream().allMatch(n -> job.step(occurrence, n).isDone());
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -40,6 +40,7 @@
     private final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
     private final PredecessorWorkers predecessor;
     private final InheritedStarts inheritedStarts;
+    private final ProgressRestorer restorer;
     private final RunRegistry runs = new RunRegistry();
     private final RunTimeEstimator runTimes = new RunTimeEstimator();
     private final JobRanking ranking = new JobRanking(runTimes);
@@ -72,6 +73,7 @@
         this.events = Checks.notNull("events", events);
         this.lifecycle = new JobLifecycle(liveJobs, events);
         this.inheritedStarts = new InheritedStarts(lifecycle, events);
+        this.restorer = new ProgressRestorer(lifecycle, inheritedStarts);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
         this.reportHandler = new ReportHandler(jobs, runs, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
@@ -129,31 +131,7 @@
     public void restore(String jobId, JobProgress progress) {
         jobs.findLoaded(jobId)
                 .filter(j -> !j.state().isFinal())
-                .ifPresent(j -> restore(j, progress));
-    }
-
-    private void restore(JobEntry job, JobProgress progress) {
-        for (JobProgress.StepProgress stored : progress.steps()) {
-            StepEntry step = job.step(stored.occurrence(), stored.step());
-            step.begunPools().restore(stored.pools());
-            if (stored.hasDone() || !stored.failures().isEmpty()) {
-                job.markHasRun();
-            }
-            stored.done().forEach(step.tasks()::markDone);
-            stored.doneRanges().forEach(step.tasks()::markDone);
-            for (JobProgress.TaskFailures failures : stored.failures()) {
-                TaskEntry task = step.tasks().get(failures.task());
-                task.restore(failures);
-                failures.crashes().started().forEach(r -> inheritedStarts.add(task, r));
-            }
-        }
-        if (progress.state().isFinal()) {
-            job.state(progress.state());
-            job.failure(progress.failure());
-            liveJobs.remove(job);
-        } else if (!progress.steps().isEmpty()) {
-            lifecycle.markStarted(job);
-        }
+                .ifPresent(j -> restorer.restore(j, progress));
     }
 
     /** Cancels a job. */
@@ -161,6 +139,14 @@
         jobs.findLoaded(jobId).ifPresent(j -> lifecycle.cancel(j, now));
     }
 
+    /** Ends a job as failed whose progress does not fit in a row of the store. */
+    public void endForTooLargeProgress(String jobId, long now) {
+        JobFailure reason = new JobFailure(JobFailure.Cause.PROGRESS_TOO_LARGE, jobId, 0);
+        jobs.findLoaded(jobId)
+                .filter(j -> !j.isFinal())
+                .ifPresent(j -> lifecycle.fail(j, reason, now));
+    }
+
     /** Removes a job whose rows have been deleted, once it is in a final state. */
     public void forget(String jobId) {
         boolean ended = jobs.findLoaded(jobId).map(j -> j.state().isFinal()).orElse(true);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -20,6 +20,7 @@
  * @param readiness the address on which the load balancer checks readiness
  * @param metrics the address on which metrics are served
  * @param store the address of the store
+ * @param maxRowBytes the longest value of a row of the store, in bytes
  * @param vms the address of the platform's VM service
  * @param advice the address of the advice service, if there is one
  * @param maxWorkerLease the longest allowed lease of a worker
@@ -39,6 +40,7 @@
         HostPort readiness,
         HostPort metrics,
         HostPort store,
+        int maxRowBytes,
         HostPort vms,
         Optional<HostPort> advice,
         Duration maxWorkerLease,
@@ -78,6 +80,9 @@
     /** The age that the copy of the jobs reaches while no job arrives, with a margin. */
     private static final long MIN_COPY_AGE_LIMIT_MILLIS = 700;
 
+    /** A job with the longest payload, and its progress, fit in any row of this size. */
+    private static final int MIN_ROW_BYTES = 16_384;
+
     private static final SettingType TEXT = new SettingType.Text();
     private static final SettingType ADDRESS = new SettingType.Address();
     private static final SettingType SECONDS =
@@ -115,6 +120,12 @@
                                     "The address on which metrics are served."),
                             Setting.required(
                                     "store", "address", ADDRESS, "The address of the store."),
+                            Setting.optional(
+                                    "store",
+                                    "max-row-bytes",
+                                    new SettingType.WholeNumber(MIN_ROW_BYTES, Integer.MAX_VALUE),
+                                    "65536",
+                                    "The longest value of a row of the store, in bytes."),
                             Setting.required(
                                     "vms",
                                     "address",
@@ -205,6 +216,7 @@
                 settings.address("readiness.address"),
                 settings.address("metrics.address"),
                 settings.address("store.address"),
+                settings.number("store.max-row-bytes"),
                 settings.address("vms.address"),
                 settings.addresses("advice.address").stream().findFirst(),
                 settings.duration("workers.max-lease-ms"),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -13,7 +13,6 @@
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
-import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.core.tasks.UnstoredProgress;
 import org.chervillift.http.Json;
@@ -28,7 +27,6 @@
  */
 final class ProgressWriter {
 
-    private static final int MAX_BATCH_SIZE = 40;
     private static final Duration BATCH_DELAY = Duration.ofMillis(25);
 
     /** Applies while task starts wait for the write, to delay them only briefly. */
@@ -76,11 +74,38 @@
             scheduled = false;
             return;
         }
-        writeNextBatch(unstored, new ArrayList<>(unstored.progress().entrySet()));
+        List<Write> writes = encode(unstored);
+        if (endJobsWithTooLargeRows(writes)) {
+            writeUnstored();
+        } else {
+            writeNextBatch(unstored, writes);
+        }
+    }
+
+    private static List<Write> encode(UnstoredProgress unstored) {
+        List<Write> writes = new ArrayList<>();
+        unstored.progress()
+                .forEach(
+                        (id, p) ->
+                                writes.add(Write.put(StoreLayout.progressKey(id), Json.encode(p))));
+        return writes;
+    }
+
+    /**
+     * Ends the jobs whose progress does not fit in a row, since the starts and ends of all other
+     * jobs would wait for it; returns whether there are any.
+     */
+    private boolean endJobsWithTooLargeRows(List<Write> writes) {
+        List<String> tooLarge =
+                writes.stream()
+                        .filter(w -> CommitBatch.bytesOf(w) > context.settings().maxRowBytes())
+                        .map(w -> w.key().key())
+                        .toList();
+        tooLarge.forEach(id -> board.endForTooLargeProgress(id, context.nowMillis()));
+        return !tooLarge.isEmpty();
     }
 
-    private void writeNextBatch(
-            UnstoredProgress unstored, List<Map.Entry<String, JobProgress>> remaining) {
+    private void writeNextBatch(UnstoredProgress unstored, List<Write> remaining) {
         if (stopped) {
             return;
         }
@@ -90,15 +115,11 @@
             onStored.run();
             return;
         }
-        List<Map.Entry<String, JobProgress>> batch =
-                remaining.subList(0, Math.min(MAX_BATCH_SIZE, remaining.size()));
-        List<Condition> conditions = new ArrayList<>();
-        List<Write> writes = new ArrayList<>();
-        for (Map.Entry<String, JobProgress> e : batch) {
-            RowKey key = StoreLayout.progressKey(e.getKey());
-            conditions.add(new Condition(key, versions.getOrDefault(key, 0L)));
-            writes.add(Write.put(key, Json.encode(e.getValue())));
-        }
+        List<Write> writes = remaining.subList(0, CommitBatch.sizeOf(remaining));
+        List<Condition> conditions =
+                writes.stream()
+                        .map(w -> new Condition(w.key(), versions.getOrDefault(w.key(), 0L)))
+                        .toList();
         context.fencedStore()
                 .commit(conditions, writes)
                 .whenComplete(
@@ -106,7 +127,7 @@
                             if (fault != null) {
                                 onFailure(fault);
                             } else {
-                                onOutcome(unstored, remaining, batch.size(), writes, outcome);
+                                onOutcome(unstored, remaining, writes, outcome);
                             }
                         });
     }
@@ -117,15 +138,11 @@
     }
 
     private void onOutcome(
-            UnstoredProgress unstored,
-            List<Map.Entry<String, JobProgress>> remaining,
-            int batchSize,
-            List<Write> writes,
-            Outcome outcome) {
+            UnstoredProgress unstored, List<Write> remaining, List<Write> writes, Outcome outcome) {
         switch (outcome) {
             case Outcome.Committed c -> {
                 writes.forEach(w -> versions.put(w.key(), c.version()));
-                writeNextBatch(unstored, remaining.subList(batchSize, remaining.size()));
+                writeNextBatch(unstored, remaining.subList(writes.size(), remaining.size()));
             }
             case Outcome.Conflict conflict -> {
                 Set<RowKey> existing =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -40,7 +40,8 @@
                                         List.of(failures),
                                         List.of("p"),
                                         List.of(new IndexRange(3, 9)))),
-                        Optional.of(failure));
+                        Optional.of(failure),
+                        List.of(new IndexRange(0, 40)));
 
         assertThat(Json.decode(Json.encode(progress), JobProgress.class)).isEqualTo(progress);
     }
@@ -54,6 +55,7 @@
         JobProgress progress = Json.decode(row, JobProgress.class);
 
         assertThat(progress.failure()).isEmpty();
+        assertThat(progress.doneOccurrences()).isEmpty();
         assertThat(progress.steps().getFirst().failures())
                 .containsExactly(new TaskFailures(2, List.of(1), TaskCrashes.NONE));
         assertThat(progress.steps().getFirst().pools()).isEmpty();
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -41,6 +41,7 @@
     private static final Duration RUN_TIME = Duration.ofMillis(500);
     private static final Duration MAINTENANCE = Duration.ofSeconds(2);
     private static final double LINK_MBPS = 1_000;
+    static final int MAX_ROW_BYTES = 65_536;
     private static final HostPort ANY_ADDRESS = new HostPort("127.0.0.1", 0);
 
     final ManualScheduler scheduler = new ManualScheduler();
@@ -149,6 +150,7 @@
                 ANY_ADDRESS,
                 ANY_ADDRESS,
                 ANY_ADDRESS,
+                MAX_ROW_BYTES,
                 ANY_ADDRESS,
                 Optional.empty(),
                 Duration.ofSeconds(6),
--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
@@ -0,0 +1,65 @@
+package org.chervillift.daemon.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collections;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.chervillift.api.tasks.JobAnswer;
+import org.chervillift.api.tasks.JobRequest;
+import org.chervillift.api.tasks.JobSpec;
+import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.JobStatus;
+import org.chervillift.api.tasks.Schedule;
+import org.chervillift.api.tasks.StepSpec;
+import org.junit.jupiter.api.Test;
+
+/** Tests jobs that need more room than a row, or a transaction, of the store has. */
+class RowSizeTest {
+
+    private static final String LARGE = "5c0e7a21d94b36f8";
+    private static final String SMALL = "5c0e7a21d94b36f9";
+    private static final int OCCURRENCES = 240;
+
+    private final NodeFixture fixture = new NodeFixture();
+    private final TaskNode node;
+
+    RowSizeTest() {
+        fixture.addWorker("w1", "vm-w1", NodeFixture.POOL, 100_000);
+        node = fixture.startNodeAndWait("a");
+    }
+
+    private CompletionStage<JobAnswer> submit(String id, JobSpec spec) {
+        return node.answer(
+                new JobRequest(
+                        JobRequest.Action.SUBMIT,
+                        "h.example",
+                        "/q/" + id,
+                        Optional.of(NodeFixture.KEY),
+                        i -> spec));
+    }
+
+    private static JobSpec job(String id, int steps, Schedule schedule) {
+        StepSpec step = NodeFixture.spec(id, "payload", 1).steps().getFirst();
+        return new JobSpec(id, "payload", Collections.nCopies(steps, step), schedule);
+    }
+
+    /** The progress of such a job outgrew its row, and nothing started in the fleet any more. */
+    @Test
+    void aJobThatRepeatsOftenDoesNotKeepOtherJobsFromRunning() {
+        Schedule schedule = new Schedule(OCCURRENCES, 1, 0);
+        assertThat(fixture.await(submit(LARGE, job(LARGE, 8, schedule))))
+                .isEqualTo(new JobAnswer.Accepted());
+        fixture.advanceMillis(30_000);
+        assertCompletes(LARGE);
+        fixture.ask(node, JobRequest.Action.SUBMIT, SMALL);
+        fixture.advanceMillis(3_000);
+        assertCompletes(SMALL);
+        assertThat(fixture.fleet.starts()).hasSize(8 * OCCURRENCES + 1);
+    }
+
+    private void assertCompletes(String id) {
+        assertThat(fixture.ask(node, JobRequest.Action.READ, id))
+                .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
+    }
+}
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
@@ -1,5 +1,6 @@
 package org.chervillift.standin.tasks;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -25,6 +26,9 @@
     /** How long a call takes unless it is set otherwise. */
     public static final Duration LATENCY = Duration.ofMillis(4);
 
+    private static final long MAX_ROW_BYTES = 65_536;
+    private static final long MAX_COMMIT_BYTES = 1_000_000;
+
     static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
     static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
 
@@ -93,6 +97,7 @@
                 callTime(),
                 () -> {
                     checkUp();
+                    checkSize(writes);
                     Outcome outcome = apply(part, conditions, writes);
                     if (fault == StoreFault.LOSE_REPLIES) {
                         throw unanswered();
@@ -101,6 +106,25 @@
                 });
     }
 
+    private static void checkSize(List<Write> writes) {
+        long bytes = 0;
+        for (Write w : writes) {
+            long value = w.value().map(v -> v.getBytes(StandardCharsets.UTF_8).length).orElse(0);
+            bytes += value;
+            if (value > MAX_ROW_BYTES) {
+                throw refused("A row is too large.");
+            }
+        }
+        if (bytes > MAX_COMMIT_BYTES) {
+            throw refused("The transaction is too large.");
+        }
+    }
+
+    /** A client cannot tell this from an answer that got lost. */
+    private static StoreException refused(String why) {
+        return new StoreException(StoreException.Effect.UNKNOWN, why, null);
+    }
+
     private Outcome apply(String part, List<Condition> conditions, List<Write> writes) {
         Map<RowKey, Row> rows = parts.computeIfAbsent(part, p -> new HashMap<>());
         if (!conditions.stream().allMatch(c -> versionOf(rows.get(c.key())) == c.version())) {
