Refuse a job that fits in no row of the store, and keep its callers' neighbours out of it

What callers saw: the store refused a large job together with the jobs of other callers in its transaction; all were told for 1.5 s and longer that the outcome is unknown (504). So were jobs of some 30 KB each that fit one by one, but not forty together.

Cause: JobIntake put up to 40 jobs into a transaction, whatever their size.

Evidence: two tests of RowSizeTest, red before (an unknown outcome, for the large job and for those beside it).

A transaction takes as many jobs as fit in its bytes; each is encoded once.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobIntake.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobIntake.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowKey;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.StoreException;
@@ -26,13 +27,13 @@
 /** Stores submitted jobs, batching several into one transaction per partition. */
 final class JobIntake {
 
-    private static final int MAX_BATCH_SIZE = 40;
     private static final int MAX_WAITING = 500;
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
     private static final long MAX_RETRY_MILLIS = 1_500;
 
     private final RowStore store;
     private final Scheduler scheduler;
+    private final int maxRowBytes;
     private final Map<String, PartitionQueue> queuesByPartition = new HashMap<>();
 
     /** The result of storing a job. */
@@ -41,25 +42,37 @@
         STORED,
         /** The job is not stored and will not be stored later. */
         NOT_STORED,
+        /** The job does not fit in a row of the store; it is not stored. */
+        TOO_LARGE,
         /** The job may have been stored, or may still be. */
         UNKNOWN
     }
 
-    JobIntake(RowStore store, Scheduler scheduler) {
+    /**
+     * Creates an intake without jobs.
+     *
+     * @param maxRowBytes the longest value of a row of the store, in bytes
+     */
+    JobIntake(RowStore store, Scheduler scheduler, int maxRowBytes) {
         this.store = Checks.notNull("store", store);
         this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.maxRowBytes = maxRowBytes;
     }
 
     private static final class PendingJob {
-        private final AcceptedJob job;
+        private final Write write;
         private final long arrivedAt;
         private final CompletableFuture<Result> result = new CompletableFuture<>();
         private boolean mayBeStored;
 
-        PendingJob(AcceptedJob job, long arrivedAt) {
-            this.job = job;
+        PendingJob(Write write, long arrivedAt) {
+            this.write = write;
             this.arrivedAt = arrivedAt;
         }
+
+        RowKey key() {
+            return write.key();
+        }
     }
 
     /** The jobs waiting to be written to one partition of the store. */
@@ -75,13 +88,17 @@
 
     /** Stores a job, unless it is already stored. */
     CompletionStage<Result> store(AcceptedJob job) {
+        Write write = Write.put(StoreLayout.jobKey(job.id()), Json.encode(job));
+        if (CommitBatch.bytesOf(write) > maxRowBytes) {
+            return CompletableFuture.completedFuture(Result.TOO_LARGE);
+        }
         PartitionQueue queue =
                 queuesByPartition.computeIfAbsent(
                         StoreLayout.partitionOf(job.id()), PartitionQueue::new);
         if (queue.waiting.size() >= MAX_WAITING) {
             return CompletableFuture.completedFuture(Result.NOT_STORED);
         }
-        PendingJob pendingJob = new PendingJob(job, nowMillis());
+        PendingJob pendingJob = new PendingJob(write, nowMillis());
         queue.waiting.add(pendingJob);
         sendNextBatch(queue);
         return pendingJob.result;
@@ -95,11 +112,10 @@
         if (queue.commitInProgress || queue.waiting.isEmpty()) {
             return;
         }
+        int size = CommitBatch.sizeOf(queue.waiting.stream().map(e -> e.write).toList());
         List<PendingJob> batch = new ArrayList<>();
-        Set<String> ids = new HashSet<>();
-        while (!queue.waiting.isEmpty()
-                && batch.size() < MAX_BATCH_SIZE
-                && ids.add(queue.waiting.peek().job.id())) {
+        Set<RowKey> keys = new HashSet<>();
+        while (batch.size() < size && keys.add(queue.waiting.peek().key())) {
             batch.add(queue.waiting.poll());
         }
         sendBatch(queue, batch);
@@ -107,12 +123,8 @@
 
     private void sendBatch(PartitionQueue queue, List<PendingJob> batch) {
         queue.commitInProgress = true;
-        List<Condition> conditions =
-                batch.stream().map(e -> new Condition(StoreLayout.jobKey(e.job.id()), 0)).toList();
-        List<Write> writes =
-                batch.stream()
-                        .map(e -> Write.put(StoreLayout.jobKey(e.job.id()), Json.encode(e.job)))
-                        .toList();
+        List<Condition> conditions = batch.stream().map(e -> new Condition(e.key(), 0)).toList();
+        List<Write> writes = batch.stream().map(e -> e.write).toList();
         store.commit(queue.partition, conditions, writes)
                 .whenComplete(
                         (outcome, fault) -> {
@@ -130,13 +142,13 @@
         switch (outcome) {
             case Outcome.Committed c -> batch.forEach(e -> e.result.complete(Result.STORED));
             case Outcome.Conflict conflict -> {
-                Set<String> stored = new HashSet<>();
+                Set<RowKey> stored = new HashSet<>();
                 for (Row row : conflict.current()) {
-                    stored.add(row.key().key());
+                    stored.add(row.key());
                 }
                 List<PendingJob> rest = new ArrayList<>();
                 for (PendingJob e : batch) {
-                    if (stored.contains(e.job.id())) {
+                    if (stored.contains(e.key())) {
                         e.result.complete(Result.STORED);
                     } else {
                         rest.add(e);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -41,6 +41,8 @@
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final int MAX_KNOWN_JOBS = 20_000;
+    private static final String ROW_TOO_LARGE_MESSAGE =
+            "The job is too large for a row of the store; it was not stored and has not run.";
     private static final String NOT_STORED_MESSAGE = "The job was not stored and has not run.";
 
     private final MonitoredStore store;
@@ -219,6 +221,9 @@
                                                 job.id(), new KnownJob(customer, Optional.empty()));
                                         yield AnswerWithBasis.of(new JobAnswer.Accepted());
                                     }
+                                    case TOO_LARGE ->
+                                            AnswerWithBasis.of(
+                                                    new JobAnswer.TooLarge(ROW_TOO_LARGE_MESSAGE));
                                     case NOT_STORED ->
                                             AnswerWithBasis.of(unavailable(NOT_STORED_MESSAGE));
                                     case UNKNOWN ->
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -90,7 +90,7 @@
                         scheduler,
                         manifests,
                         operatorFollower::isHealthy,
-                        new JobIntake(store, scheduler),
+                        new JobIntake(store, scheduler, settings.maxRowBytes()),
                         this::holderBoard,
                         metrics);
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.tasks.JobAnswer;
@@ -62,4 +64,27 @@
         assertThat(fixture.ask(node, JobRequest.Action.READ, id))
                 .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
     }
+
+    /** The store refused the whole transaction, with the jobs of others in it. */
+    @Test
+    void aJobThatFitsInNoRowIsRefusedAtOnceAndOthersAreStored() {
+        CompletionStage<JobAnswer> large = submit(LARGE, job(LARGE, 400, Schedule.ONCE));
+        CompletionStage<JobAnswer> small = submit(SMALL, job(SMALL, 1, Schedule.ONCE));
+        assertThat(fixture.await(large)).isInstanceOf(JobAnswer.TooLarge.class);
+        assertThat(fixture.await(small)).isEqualTo(new JobAnswer.Accepted());
+        assertThat(fixture.ask(node, JobRequest.Action.READ, LARGE))
+                .isEqualTo(new JobAnswer.NoSuchJob());
+    }
+
+    @Test
+    void jobsThatTogetherExceedATransactionAreStoredInSeveral() {
+        List<CompletionStage<JobAnswer>> answers = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            String id = String.format("%016x", i);
+            answers.add(submit(id, job(id, 120, Schedule.ONCE)));
+        }
+        for (CompletionStage<JobAnswer> answer : answers) {
+            assertThat(fixture.await(answer)).isEqualTo(new JobAnswer.Accepted());
+        }
+    }
 }
