Count tasks that may run on an unreachable worker towards their customer's limit

Cause: StartPlanner counts the runs that this holder knows. Those of its predecessor on a worker that has not reported are not among them.

Change: each task that is not done of a step that the predecessor has begun in a pool with such a worker counts, until the worker has reported or its lease is over. These tasks wait for the same worker anyway.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
@@ -30,6 +29,7 @@
     private final SchedulerSettings settings;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
+    private Map<String, Resources> unknownUsage = Map.of();
 
     StartPlanner(
             RunRegistry runs,
@@ -49,21 +49,23 @@
      * Opens runs for the waiting tasks that fit on a worker, and returns the orders to start them.
      *
      * @param liveJobs the jobs that are not in a final state
-     * @param mayStart whether tasks of a step may be started now
+     * @param unknownPools the pools of the workers that may have runs which this holder does not
+     *     know; steps wait that an earlier holder may have started there
      */
     List<Order.Start> planStarts(
             Collection<JobEntry> liveJobs,
             Collection<WorkerRecord> workers,
             Manifest manifest,
-            Predicate<StepEntry> mayStart,
+            Set<String> unknownPools,
             long now) {
+        unknownUsage = UnknownUsage.of(liveJobs, unknownPools);
         Map<String, List<WorkerRecord>> pools =
                 workers.stream().collect(Collectors.groupingBy(WorkerRecord::pool));
         Map<String, List<Candidate>> candidatesByPool =
                 liveJobs.stream()
                         .flatMap(JobEntry::steps)
                         .filter(s -> !s.isDone() && s.isReady() && hasStartableTask(s, now))
-                        .filter(mayStart)
+                        .filter(s -> !s.begunPools().mayHaveBegunByPredecessor(unknownPools))
                         .map(s -> new Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
         isolation.beginRound(stepsOf(candidatesByPool.values()), now);
@@ -233,8 +235,8 @@
         if (customer == null) {
             return true;
         }
-        Resources after = runs.usageOf(name).plus(step.spec().request().times(count));
-        return after.fitsInLimit(customer.limit());
+        Resources usage = runs.usageOf(name).plus(unknownUsage.getOrDefault(name, Resources.NONE));
+        return usage.plus(step.spec().request().times(count)).fitsInLimit(customer.limit());
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -341,12 +341,7 @@
         Set<String> pools = predecessor.poolsOfUnknownRuns(this::lastLeaseEndsAt, now);
         orders.addAll(
                 startGate.releaseReady(
-                        startPlanner.planStarts(
-                                liveJobs,
-                                workers.values(),
-                                manifest,
-                                s -> !s.begunPools().mayHaveBegunByPredecessor(pools),
-                                now),
+                        startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
         return orders;
     }
