--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -19,6 +19,7 @@
     private final CrashHistory crashes;
     private final Set<String> failedWorkers = new HashSet<>();
     private int lastRunNumber;
+    private int stallCount;
     private String checkpoint = "";
     private long notBefore = Long.MIN_VALUE;
 
@@ -89,6 +90,15 @@
         lastRunNumber = Math.max(lastRunNumber, number);
     }
 
+    /** Returns how many runs were stopped because they made no progress. */
+    int stallCount() {
+        return stallCount;
+    }
+
+    void recordStall() {
+        stallCount++;
+    }
+
     String checkpoint() {
         return checkpoint;
     }
