Store the list of workers only over the version that it replaces

What callers saw: nothing yet; found by reading in the review. A write of the list that is performed seconds after it was given up takes newer workers off the list, and a new holder does not wait for their runs.

Cause: WorkerSessions wrote the row under the condition that no newer holder has taken over, without one on the row itself, unlike the progress of jobs.

Evidence: WorkerListWriteTest is red before: after the late write the list lacks the worker that came later.

Change: each write requires the version that was read or written last; a conflict tells the current one.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -54,6 +54,7 @@
     private final List<Runnable> deferredActions = new ArrayList<>();
     private int pendingReads = 2;
     private int jobRowCount;
+    private long workersVersion;
     private long startedAt;
     private boolean planScheduled;
     private boolean startsEnabled = true;
@@ -161,27 +162,25 @@
                 page -> {
                     page.rows().stream()
                             .filter(r -> r.key().equals(StoreLayout.WORKERS_KEY))
-                            .forEach(
-                                    r -> {
-                                        progress.recordVersion(r);
-                                        Json.decode(r.value(), HeldWorkers.class)
-                                                .workers()
-                                                .forEach(
-                                                        w ->
-                                                                board.addPredecessorWorker(
-                                                                        w.id(), w.pool()));
-                                    });
+                            .forEach(this::addPredecessorWorkers);
                     onReadDone();
                 });
         readProgress(KeyRange.ALL);
     }
 
+    private void addPredecessorWorkers(Row row) {
+        workersVersion = row.version();
+        Json.decode(row.value(), HeldWorkers.class)
+                .workers()
+                .forEach(w -> board.addPredecessorWorker(w.id(), w.pool()));
+    }
+
     /** Applies the jobs once both reads are done, since these tell which tasks may be running. */
     private void onReadDone() {
         pendingReads--;
         if (pendingReads == 0) {
             runDeferredActions();
-            workerSessions.onPredecessorRead();
+            workerSessions.onPredecessorRead(workersVersion);
         }
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -13,6 +13,7 @@
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.RowStore.Change;
 import org.chervillift.api.platform.RowStore.Outcome;
+import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.Order;
@@ -43,6 +44,7 @@
     private final Map<String, WorkerSession> sessions = new HashMap<>();
     private final Map<String, String> unusableRows = new HashMap<>();
     private Map<String, String> storedWorkers = Map.of();
+    private long storedVersion;
     private boolean predecessorKnown;
     private boolean jobsKnown;
     private boolean storing;
@@ -77,8 +79,13 @@
         sessions.values().forEach(WorkerSession::stop);
     }
 
-    /** Allows storing the workers, once those of earlier holders are on the board. */
-    void onPredecessorRead() {
+    /**
+     * Allows storing the workers, once those of earlier holders are on the board.
+     *
+     * @param version the version of the row of these workers; 0 if there is none
+     */
+    void onPredecessorRead(long version) {
+        storedVersion = version;
         predecessorKnown = true;
         storeWorkers();
     }
@@ -178,20 +185,40 @@
             return;
         }
         storing = true;
+        Condition unchanged = new Condition(StoreLayout.WORKERS_KEY, storedVersion);
         context.fencedStore()
-                .commit(workersWrite(inUse))
+                .commit(List.of(unchanged), List.of(workersWrite(inUse)))
                 .whenComplete(
                         (outcome, fault) -> {
                             storing = false;
-                            if (fault == null && outcome instanceof Outcome.Committed) {
-                                storedWorkers = inUse;
-                                storeWorkers();
-                            } else if (!stopped) {
-                                context.scheduler().schedule(RETRY_DELAY, this::storeWorkers);
-                            }
+                            onStoreAnswer(inUse, Optional.ofNullable(outcome));
                         });
     }
 
+    /**
+     * Retries a write that was not done, or may yet be done. It cannot undo a later one, since each
+     * write requires the version of the row that it replaces.
+     */
+    private void onStoreAnswer(Map<String, String> workers, Optional<Outcome> outcome) {
+        if (outcome.isPresent() && outcome.get() instanceof Outcome.Committed c) {
+            storedVersion = c.version();
+            storedWorkers = workers;
+            storeWorkers();
+            return;
+        }
+        if (outcome.isPresent() && outcome.get() instanceof Outcome.Conflict c) {
+            storedVersion =
+                    c.current().stream()
+                            .filter(r -> r.key().equals(StoreLayout.WORKERS_KEY))
+                            .mapToLong(Row::version)
+                            .findFirst()
+                            .orElse(0);
+        }
+        if (!stopped) {
+            context.scheduler().schedule(RETRY_DELAY, this::storeWorkers);
+        }
+    }
+
     private Write workersWrite(Map<String, String> poolsByWorker) {
         List<HeldWorker> workers =
                 new TreeMap<>(poolsByWorker)
