Count failures that are far apart no longer as failures in a row

Cause: WorkerRecord counted failures until a task ended well. Long-running tasks never do.

Evidence: WorkerBackOffTest.failuresFarApartDoNotKeepTasksOffAWorker is red before; failures in a row keep tasks off as before.

Change: a failure more than 32 s after the last one starts a new row: twice the longest back-off, so that a worker that fails everything stays in it.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -14,6 +14,9 @@
     private static final long INITIAL_BACK_OFF_MILLIS = 2_000;
     private static final long MAX_BACK_OFF_MILLIS = 16_000;
 
+    /** Longer than the longest back-off, after which a faulty worker fails again. */
+    private static final long MAX_FAILURE_GAP_MILLIS = 2 * MAX_BACK_OFF_MILLIS;
+
     private final Set<Run> runs = new LinkedHashSet<>();
     private WorkerEntry entry;
     private boolean listed = true;
@@ -27,6 +30,7 @@
     private long lastAppliedEnd;
     private Resources usedResources = Resources.NONE;
     private int consecutiveFailures;
+    private long lastFailureAt = Long.MIN_VALUE / 2;
     private long unknownJobSince = Long.MAX_VALUE;
     private long unreachableSince = Long.MAX_VALUE;
     private long backOffUntil = Long.MIN_VALUE;
@@ -215,9 +219,16 @@
     }
 
     /**
-     * Records a failed run; after several consecutive failures the worker gets no tasks for a time.
+     * Records a failed run; after several failures in a row the worker gets no tasks for a time.
+     *
+     * <p>Failures far apart are not a row: long-running tasks that fail now and then never end
+     * well.
      */
     void recordFailure(long now) {
+        if (now - lastFailureAt > MAX_FAILURE_GAP_MILLIS) {
+            recordSuccess();
+        }
+        lastFailureAt = now;
         consecutiveFailures++;
         if (consecutiveFailures >= FAILURES_BEFORE_BACK_OFF) {
             backOff(now, nextBackOffMillis);
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerBackOffTest.java
@@ -0,0 +1,47 @@
+package org.chervillift.core.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.chervillift.api.tasks.RunEnd;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a worker on which runs fail gets no tasks for a time. */
+class WorkerBackOffTest {
+
+    private static final long FAR_APART_MILLIS = 40_000;
+    private static final long CLOSE_MILLIS = 300;
+
+    private final SchedulerFixture fixture = new SchedulerFixture();
+
+    /** Fails the runs of a long-running task; returns how often it was started. */
+    private int startsWithFailures(int failures, long apartMillis) {
+        fixture.addWorker("w1", 1_000);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000, List.of(), false, true, 0));
+        int starts = 0;
+        for (int i = 0; i < failures; i++) {
+            starts += fixture.starts().size();
+            fixture.endAll("w1", RunEnd.FAILED);
+            fixture.now += apartMillis;
+            fixture.report("w1");
+            fixture.scheduler.leaseGranted("w1", fixture.now + SchedulerFixture.LEASE_MILLIS);
+        }
+        return starts;
+    }
+
+    /** Failures counted over any time, so that each further one kept tasks off for up to 16 s. */
+    @Test
+    void failuresFarApartDoNotKeepTasksOffAWorker() {
+        startsWithFailures(5, FAR_APART_MILLIS);
+        fixture.starts();
+        fixture.endAll("w1", RunEnd.FAILED);
+        fixture.now += CLOSE_MILLIS;
+        fixture.report("w1");
+        assertThat(fixture.starts()).hasSize(1);
+    }
+
+    @Test
+    void severalFailuresInARowKeepTasksOffAWorker() {
+        assertThat(startsWithFailures(5, CLOSE_MILLIS)).isEqualTo(3);
+    }
+}
