Keep no worker free for a step that never fits beside its long-running tasks

Cause: StartPlanner.chooseReservedWorker keeps the worker free that has the most room, whether or not what runs there ever ends.

Evidence: ReservedWorkerTest.aStepThatNeverFitsBesideLongRunningTasksKeepsNoWorkerFree is red before; a step that fits once others have ended keeps its worker, as before.

Change: a worker is kept free only if the step fits beside the long-running tasks on it.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -241,14 +241,15 @@
 
     /**
      * Chooses the worker that is likely to fit a task of the step first. It is kept free for this
-     * step, so that lower-ranked steps do not starve it.
+     * step, so that lower-ranked steps do not starve it. A worker whose long-running tasks leave
+     * too little capacity is never going to fit it.
      */
     private static Optional<WorkerRecord> chooseReservedWorker(
             StepEntry step, List<WorkerRecord> pool, long now) {
         StepSpec spec = step.spec();
         return pool.stream()
                 .filter(w -> Placement.isEligible(step, w, now))
-                .filter(w -> spec.footprint().fitsIn(w.entry().capacity()))
+                .filter(w -> spec.footprint().fitsIn(w.capacityBesideLongRunning()))
                 .max(Comparator.comparingLong(w -> w.freeResources().milliCores()));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -185,6 +185,16 @@
         return !usedResources.fitsIn(entry.capacity());
     }
 
+    /** Returns the capacity that is left once all runs have ended that end by themselves. */
+    Resources capacityBesideLongRunning() {
+        Resources longRunning =
+                runs.stream()
+                        .filter(r -> r.task().step().spec().longRunning())
+                        .map(Run::footprint)
+                        .reduce(Resources.NONE, Resources::plus);
+        return entry.capacity().minus(longRunning);
+    }
+
     /** Returns the capacity that open runs leave, with nothing below zero. */
     Resources freeResources() {
         return entry.capacity().minus(usedResources);
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ReservedWorkerTest.java
@@ -0,0 +1,39 @@
+package org.chervillift.core.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests which worker is kept free for a step that fits on none now. */
+class ReservedWorkerTest {
+
+    private final SchedulerFixture fixture = new SchedulerFixture();
+
+    private List<String> startedJobs() {
+        return fixture.starts().stream().map(s -> s.task().job()).toList();
+    }
+
+    /** The only worker was kept free for good, and no other job started. */
+    @Test
+    void aStepThatNeverFitsBesideLongRunningTasksKeepsNoWorkerFree() {
+        fixture.addWorker("w1", 64_000);
+        fixture.accept("lasting", SchedulerFixture.step(1, 20_000, List.of(), false, true, 0));
+        assertThat(startedJobs()).containsExactly("lasting");
+
+        fixture.accept("large", SchedulerFixture.step(1, 50_000, List.of(), false, true, 0));
+        fixture.accept("small", SchedulerFixture.step(1, 1_000));
+        assertThat(startedJobs()).containsExactly("small");
+    }
+
+    @Test
+    void aStepThatFitsOnceOthersHaveEndedKeepsAWorkerFree() {
+        fixture.addWorker("w1", 64_000);
+        fixture.accept("first", SchedulerFixture.step(1, 20_000));
+        assertThat(startedJobs()).containsExactly("first");
+
+        fixture.accept("large", SchedulerFixture.step(1, 50_000, List.of(), false, true, 0));
+        fixture.accept("small", SchedulerFixture.step(1, 1_000));
+        assertThat(startedJobs()).isEmpty();
+    }
+}
