Remove finished jobs once their state need not be told any more, and keep no payload of them

Over time the rows of finished jobs alone make each change of the holder slower.

Cause: jobs.keep-finished-s was read and used nowhere. Holders kept each job with its payload and all its tasks, and the store each of its rows.

Change: a job that has ended keeps neither payload nor tasks in memory. Its rows are deleted keep-finished-s after its final state was stored: the job and its cancellation first, then the progress, which a new holder completes; never while a run of it is open. A process remembers a job that may not have ended for less than that time (KnownJobs, split off JobRequestHandler). Ends of removed jobs hold back later ends only once. Not mended: a new holder keeps the text of the rows of ended jobs until these are removed.

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/AcceptedJob.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/AcceptedJob.java
@@ -19,6 +19,12 @@
         Checks.notNull("customer", customer);
     }
 
+    /** Returns the same job without its payload, which is needed only to start tasks. */
+    public AcceptedJob withoutPayload() {
+        JobSpec bare = new JobSpec(spec.id(), "", spec.steps(), spec.schedule());
+        return new AcceptedJob(bare, policy, customer, acceptedAtMillis);
+    }
+
     /** Returns the job's identifier. */
     public String id() {
         return spec.id();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -18,7 +18,7 @@
 /** The scheduler's state of one job. */
 final class JobEntry {
 
-    private final AcceptedJob job;
+    private AcceptedJob job;
     private final Map<Integer, List<StepEntry>> occurrences = new TreeMap<>();
     private final IndexRanges condensed = new IndexRanges();
     private final long arrivedAt;
@@ -70,6 +70,17 @@
         return state.isFinal();
     }
 
+    /** Drops what is needed only to start tasks, once the job is in a final state. */
+    void dropUnneeded() {
+        job = job.withoutPayload();
+        steps().forEach(s -> s.tasks().dropUnneeded());
+        occurrences.values().removeIf(o -> !hasOpenRuns(o));
+    }
+
+    boolean hasOpenRuns() {
+        return steps().anyMatch(s -> s.runs().findAny().isPresent());
+    }
+
     void state(JobState next) {
         state = next;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -124,7 +124,7 @@
         liveJobs.remove(job);
         changedJobs.add(job);
         job.steps().flatMap(StepEntry::runs).forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
-        job.steps().forEach(s -> s.tasks().dropUnneeded());
+        job.dropUnneeded();
         events.accept(
                 new SchedulerEvent(
                         SchedulerEvent.Kind.FINAL,
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobTable.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobTable.java
@@ -50,7 +50,7 @@
     }
 
     private static JobEntry toEntry(AcceptedJob job, JobStatus status) {
-        JobEntry entry = new JobEntry(job, job.policy(), 0);
+        JobEntry entry = new JobEntry(job.withoutPayload(), job.policy(), 0);
         entry.state(status.state());
         entry.failure(status.failure());
         return entry;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -130,8 +130,10 @@
             return false;
         }
         worker.markEndApplied(ended.number());
-        worker.clearUnknownJob();
-        known.ifPresent(t -> applyEnd(worker, t, ended, now));
+        if (known.isPresent()) {
+            worker.clearUnknownJob();
+            applyEnd(worker, known.get(), ended, now);
+        }
         return true;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -147,6 +147,13 @@
                 .ifPresent(j -> lifecycle.fail(j, reason, now));
     }
 
+    /** Returns whether a job has ended, its end is stored, and none of its runs is open. */
+    public boolean mayForget(String jobId) {
+        return jobs.findLoaded(jobId)
+                .map(j -> j.isFinal() && mayBeTold(j) && !j.hasOpenRuns())
+                .orElse(true);
+    }
+
     /** Removes a job whose rows have been deleted, once it is in a final state. */
     public void forget(String jobId) {
         boolean ended = jobs.findLoaded(jobId).map(j -> j.state().isFinal()).orElse(true);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
@@ -47,6 +47,14 @@
         return progress;
     }
 
+    /** Returns the identifiers of the jobs whose final state this snapshot stores. */
+    public List<String> endedJobs() {
+        return progressByJob.entrySet().stream()
+                .filter(e -> e.getValue().state().isFinal())
+                .map(e -> e.getKey().id())
+                .toList();
+    }
+
     /** Returns whether there is nothing to store or to acknowledge. */
     public boolean isEmpty() {
         return progressByJob.isEmpty() && endsByWorker.isEmpty();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -44,6 +44,7 @@
     private final ManifestTracker manifests;
     private final TaskScheduler board;
     private final ProgressWriter progress;
+    private final FinishedJobRemover finishedJobs;
     private final AdviceRequester advice;
     private final VmController vmController;
     private final HolderStatusPublisher statusPublisher;
@@ -72,7 +73,8 @@
                         settings.workerStopTimeout().toMillis(),
                         settings.moveTime().toMillis());
         this.board = new TaskScheduler(boardSettings, manifest, this::log, context.nowMillis());
-        this.progress = new ProgressWriter(context, board, this::replanSoon);
+        this.progress = new ProgressWriter(context, board, this::replanSoon, this::onEndStored);
+        this.finishedJobs = new FinishedJobRemover(context, board, progress);
         this.advice = new AdviceRequester(context, board, this::replanSoon);
         this.vmController = new VmController(context, board, manifests);
         this.statusPublisher = new HolderStatusPublisher(context, board, this::currentBoard);
@@ -123,6 +125,7 @@
         stopped = true;
         manifests.removeChangeListener(manifestListener);
         progress.stop();
+        finishedJobs.stop();
         vmController.stop();
         statusPublisher.stop();
         advice.stop();
@@ -130,6 +133,10 @@
         workerSessions.stop();
     }
 
+    private void onEndStored(String jobId) {
+        finishedJobs.onEndStored(jobId);
+    }
+
     private void onManifestChange() {
         manifests.manifest().ifPresent(board::configure);
         replanSoon();
@@ -264,7 +271,11 @@
         private void accept(String id, String value, boolean knownToPredecessor) {
             Optional<JobProgress> stored = Optional.ofNullable(storedProgress.remove(id));
             Optional<JobProgress> ended = stored.filter(p -> p.state().isFinal());
+            if (finishedJobs.wasRemoved(id)) {
+                return;
+            }
             if (ended.isPresent()) {
+                finishedJobs.onEndStored(id);
                 board.acceptEnded(id, ended.get().status(), () -> decode(id, value));
             } else {
                 decode(id, value).ifPresent(job -> accept(job, stored, knownToPredecessor));
@@ -306,10 +317,23 @@
                 Field.of("readMillis", context.nowMillis() - startedAt));
         workerSessions.onJobsLoaded();
         vmController.start();
+        removeProgressWithoutJob();
+        finishedJobs.start();
         tick();
         statusPublisher.start();
     }
 
+    /** Removes the progress of jobs whose rows a predecessor had deleted when it was lost. */
+    private void removeProgressWithoutJob() {
+        storedProgress.forEach(
+                (id, p) -> {
+                    if (p.state().isFinal()) {
+                        finishedJobs.onEndStored(id);
+                    }
+                });
+        storedProgress.values().removeIf(p -> p.state().isFinal());
+    }
+
     private void tick() {
         if (stopped) {
             return;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -1,9 +1,7 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -30,6 +28,7 @@
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.JobSizeLimits;
+import org.chervillift.daemon.tasks.KnownJobs.KnownJob;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
@@ -40,7 +39,6 @@
 
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-    private static final int MAX_KNOWN_JOBS = 20_000;
     private static final String ROW_TOO_LARGE_MESSAGE =
             "The job is too large for a row of the store; it was not stored and has not run.";
     private static final String NOT_STORED_MESSAGE = "The job was not stored and has not run.";
@@ -53,18 +51,7 @@
     private final Supplier<Optional<HolderBoard>> holderBoard;
     private final PendingCountHandler pendingCounts;
     private final TaskMetrics metrics;
-    private final Map<String, KnownJob> knownJobs =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, KnownJob> eldest) {
-                    return size() > MAX_KNOWN_JOBS;
-                }
-            };
-
-    /** What this process remembers of a job that exists. */
-    private record KnownJob(String customer, Optional<JobStatus> finalStatus) {}
+    private final KnownJobs knownJobs;
 
     /** The queue route, the customer and the job of a request. */
     private record RequestContext(QueueRoute route, Optional<Customer> customer, String jobId) {}
@@ -73,6 +60,7 @@
      * Creates a handler.
      *
      * @param isFollowing returns whether configuration changes are being received
+     * @param knownJobs what this process remembers of jobs
      */
     JobRequestHandler(
             MonitoredStore store,
@@ -81,6 +69,7 @@
             BooleanSupplier isFollowing,
             JobIntake intake,
             Supplier<Optional<HolderBoard>> board,
+            KnownJobs knownJobs,
             TaskMetrics metrics) {
         this.store = Checks.notNull("store", store);
         this.scheduler = Checks.notNull("scheduler", scheduler);
@@ -88,6 +77,7 @@
         this.isFollowing = Checks.notNull("isFollowing", isFollowing);
         this.intake = Checks.notNull("intake", intake);
         this.holderBoard = Checks.notNull("board", board);
+        this.knownJobs = Checks.notNull("knownJobs", knownJobs);
         this.pendingCounts = new PendingCountHandler(store, scheduler, board);
         this.metrics = Checks.notNull("metrics", metrics);
     }
@@ -205,7 +195,7 @@
             return completed(
                     new JobAnswer.TooLarge(tooLarge.get().sentence() + " The job was not stored."));
         }
-        if (knownJobs.containsKey(context.jobId())) {
+        if (knownJobs.find(context.jobId(), nowMillis()).isPresent()) {
             return completed(new JobAnswer.Accepted());
         }
         String customer = context.customer().map(Customer::name).orElse("");
@@ -217,8 +207,10 @@
                         result ->
                                 switch (result) {
                                     case STORED -> {
-                                        knownJobs.put(
-                                                job.id(), new KnownJob(customer, Optional.empty()));
+                                        knownJobs.remember(
+                                                job.id(),
+                                                new KnownJob(customer, Optional.empty()),
+                                                nowMillis());
                                         yield AnswerWithBasis.of(new JobAnswer.Accepted());
                                     }
                                     case TOO_LARGE ->
@@ -276,33 +268,31 @@
 
     /** Looks a job up among the known jobs, then in the store. */
     private CompletionStage<Optional<KnownJob>> findJob(String id) {
-        KnownJob seen = knownJobs.get(id);
-        if (seen != null) {
-            return CompletableFuture.completedFuture(Optional.of(seen));
+        Optional<KnownJob> known = knownJobs.find(id, nowMillis());
+        if (known.isPresent()) {
+            return CompletableFuture.completedFuture(known);
         }
         return store.scan(
                         StoreLayout.JOBS_TABLE,
                         StoreLayout.partitionOf(id),
                         StoreLayout.jobAndCancellationRange(id))
                 .thenApply(
-                        page -> {
-                            page.rows().forEach(this::remember);
-                            return Optional.ofNullable(knownJobs.get(id));
-                        });
+                        page ->
+                                page.rows().stream()
+                                        .filter(r -> !StoreLayout.isCancellation(r.key()))
+                                        .findFirst()
+                                        .map(JobRequestHandler::toKnownJob));
     }
 
     /**
-     * Remembers that a job exists.
+     * Returns what the row of a job says.
      *
      * <p>A cancellation does not determine the final state, since the job may have ended before.
      * Only the holder determines it, in the job's progress row.
      */
-    private void remember(Row row) {
-        if (!StoreLayout.isCancellation(row.key())) {
-            String customer = Json.decode(row.value(), AcceptedJob.class).customer();
-            knownJobs.putIfAbsent(
-                    StoreLayout.jobIdOf(row.key()), new KnownJob(customer, Optional.empty()));
-        }
+    private static KnownJob toKnownJob(Row row) {
+        String customer = Json.decode(row.value(), AcceptedJob.class).customer();
+        return new KnownJob(customer, Optional.empty());
     }
 
     private CompletionStage<AnswerWithBasis> readProgress(String id, KnownJob job) {
@@ -317,10 +307,9 @@
                                     row.map(r -> Json.decode(r.value(), JobProgress.class))
                                             .map(JobProgress::status)
                                             .orElse(JobStatus.of(JobState.QUEUED));
-                            if (status.state().isFinal()) {
-                                knownJobs.put(
-                                        id, new KnownJob(job.customer(), Optional.of(status)));
-                            }
+                            Optional<JobStatus> end =
+                                    Optional.of(status).filter(t -> t.state().isFinal());
+                            knownJobs.remember(id, new KnownJob(job.customer(), end), nowMillis());
                             return new AnswerWithBasis(
                                     new JobAnswer.State(status),
                                     AnswerBasis.StoredRow.of(StoreLayout.PROGRESS_TABLE, row));
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
@@ -37,14 +38,26 @@
     private final HolderContext context;
     private final TaskScheduler board;
     private final Runnable onStored;
+    private final Consumer<String> onEndStored;
     private final Map<RowKey, Long> versions = new HashMap<>();
     private boolean scheduled;
     private boolean stopped;
 
-    ProgressWriter(HolderContext context, TaskScheduler board, Runnable onStored) {
+    /**
+     * Creates a writer.
+     *
+     * @param onStored called after each write
+     * @param onEndStored receives the identifier of each job whose final state is stored
+     */
+    ProgressWriter(
+            HolderContext context,
+            TaskScheduler board,
+            Runnable onStored,
+            Consumer<String> onEndStored) {
         this.context = Checks.notNull("context", context);
         this.board = Checks.notNull("board", board);
         this.onStored = Checks.notNull("onStored", onStored);
+        this.onEndStored = Checks.notNull("onEndStored", onEndStored);
     }
 
     void stop() {
@@ -56,6 +69,11 @@
         versions.put(row.key(), row.version());
     }
 
+    /** Forgets the row of a job that has been deleted. */
+    void forget(String jobId) {
+        versions.remove(StoreLayout.progressKey(jobId));
+    }
+
     /** Schedules a write of the progress that is not stored yet. */
     void scheduleWrite() {
         if (!scheduled && !stopped) {
@@ -112,6 +130,7 @@
         if (remaining.isEmpty()) {
             board.markStored(unstored);
             scheduled = false;
+            unstored.endedJobs().forEach(onEndStored);
             onStored.run();
             return;
         }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -30,6 +30,7 @@
     STORE_AVAILABLE(7016, Level.INFO, "The store responds again."),
     /** This process uses a newer manifest. */
     MANIFEST_ADOPTED(7014, Level.INFO, "This process uses a newer manifest."),
+    JOBS_REMOVED(7017, Level.INFO, "Rows of finished jobs were deleted."),
     /** A request about jobs was answered. */
     REQUEST_ANSWERED(7020, Level.INFO, "A request about a job was answered."),
     /** A request about a job failed. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -92,6 +92,7 @@
                         operatorFollower::isHealthy,
                         new JobIntake(store, scheduler, settings.maxRowBytes()),
                         this::holderBoard,
+                        new KnownJobs(settings.keepFinished().toMillis()),
                         metrics);
     }
 
