Count the begun tasks of a job as they begin and end, not by walking all its steps

For each step that waited, StartPlanner walked all steps of its job: quadratic for jobs of many steps that repeat. Behaviour stays as it is (LargeJobTest, RepeatingJobTest).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -26,6 +26,7 @@
     private JobState state = JobState.QUEUED;
     private Optional<JobFailure> failure = Optional.empty();
     private int nextOccurrence;
+    private int begunTaskCount;
     private boolean hasRun;
 
     /**
@@ -74,7 +75,7 @@
     void dropUnneeded() {
         job = job.withoutPayload();
         steps().forEach(s -> s.tasks().dropUnneeded());
-        occurrences.values().removeIf(o -> !hasOpenRuns(o));
+        occurrences.values().removeIf(JobEntry::keepsNoTask);
     }
 
     boolean hasOpenRuns() {
@@ -133,7 +134,12 @@
 
     /** Returns the number of tasks that have begun and are not done. */
     int begunTaskCount() {
-        return steps().mapToInt(s -> s.tasks().kept().size()).sum();
+        return begunTaskCount;
+    }
+
+    /** Counts tasks that begin, or that are done and need not be kept any more. */
+    void addBegunTasks(int difference) {
+        begunTaskCount += difference;
     }
 
     /** Returns whether a worker has reported a run of a task of this job. */
@@ -206,10 +212,10 @@
             return;
         }
         done.forEach(condensed::add);
-        occurrences.entrySet().removeIf(e -> isDone(e.getValue()) && !hasOpenRuns(e.getValue()));
+        occurrences.entrySet().removeIf(e -> isDone(e.getValue()) && keepsNoTask(e.getValue()));
     }
 
-    private static boolean hasOpenRuns(List<StepEntry> occurrence) {
-        return occurrence.stream().anyMatch(s -> !s.tasks().kept().isEmpty());
+    private static boolean keepsNoTask(List<StepEntry> occurrence) {
+        return occurrence.stream().allMatch(s -> s.tasks().kept().isEmpty());
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
@@ -46,15 +46,15 @@
 
     /** Keeps a task from now on, unless it is done and has no run. */
     void keep(TaskEntry task) {
-        if (!isUnneeded(task)) {
-            kept.put(task.index(), task);
+        if (!isUnneeded(task) && kept.put(task.index(), task) == null) {
+            step.job().addBegunTasks(1);
         }
     }
 
     /** Drops a task that is done and has no open run. */
     void dropIfUnneeded(TaskEntry task) {
-        if (isUnneeded(task)) {
-            kept.remove(task.index());
+        if (isUnneeded(task) && kept.remove(task.index()) != null) {
+            step.job().addBegunTasks(-1);
         }
     }
 
@@ -69,7 +69,9 @@
 
     /** Drops the tasks without open runs, once the job is in a final state. */
     void dropUnneeded() {
+        int before = kept.size();
         kept.values().removeIf(this::isUnneeded);
+        step.job().addBegunTasks(kept.size() - before);
     }
 
     boolean isDone(int index) {
