--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/LongRunTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/LongRunTest.java
@@ -3,10 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.RunningTask;
-import org.chervillift.api.tasks.StepSpec;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -26,7 +24,7 @@
     /** Runs a task of which a caller estimates some time; returns whether it ends in time. */
     private boolean ends(long estimatedMillis, long withinMillis) {
         fixture.addWorker("w1", 1_000);
-        fixture.accept("a", step(estimatedMillis));
+        fixture.accept("a", SchedulerFixture.estimatedStep(1_000, estimatedMillis));
         long until = fixture.now + withinMillis;
         while (fixture.now < until) {
             if (!fixture.starts().isEmpty()) {
@@ -45,26 +43,6 @@
         return false;
     }
 
-    private static StepSpec step(long estimatedMillis) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 100, 0),
-                estimatedMillis,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
-    }
-
     private boolean isRunning() {
         return !fixture.runningByWorker.getOrDefault("w1", List.of()).isEmpty();
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -67,6 +67,11 @@
         return step(count, milliCores, List.of(), false, false, 0);
     }
 
+    /** Returns a step of one task for which its caller estimates a run time. */
+    static StepSpec estimatedStep(long milliCores, long estimatedMillis) {
+        return step(1, milliCores, estimatedMillis, List.of(), false, false, 0);
+    }
+
     static StepSpec step(
             int count,
             long milliCores,
@@ -74,10 +79,21 @@
             boolean gang,
             boolean longRunning,
             int mayMiss) {
+        return step(count, milliCores, 1_000, after, gang, longRunning, mayMiss);
+    }
+
+    private static StepSpec step(
+            int count,
+            long milliCores,
+            long estimatedMillis,
+            List<Integer> after,
+            boolean gang,
+            boolean longRunning,
+            int mayMiss) {
         return new StepSpec(
                 count,
                 new Resources(milliCores, 100, 0),
-                1_000,
+                estimatedMillis,
                 after,
                 gang,
                 false,
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LargeJobNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LargeJobNodeTest.java
@@ -9,9 +9,7 @@
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.JobStatus;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.Schedule;
-import org.chervillift.api.tasks.StepSpec;
 import org.junit.jupiter.api.Test;
 
 /** Tests jobs of very many tasks, beside jobs of others and over a change of the holder. */
@@ -55,29 +53,14 @@
                         "h.example",
                         "/q/" + LARGE,
                         Optional.of(NodeFixture.KEY),
-                        id -> new JobSpec(id, "payload", List.of(gang(TASKS)), Schedule.ONCE));
+                        id ->
+                                new JobSpec(
+                                        id,
+                                        "payload",
+                                        List.of(NodeFixture.step(TASKS, 1, true)),
+                                        Schedule.ONCE));
         assertThat(fixture.await(node.answer(request))).isInstanceOf(JobAnswer.TooLarge.class);
         assertThat(fixture.ask(node, JobRequest.Action.READ, LARGE))
                 .isEqualTo(new JobAnswer.NoSuchJob());
     }
-
-    private static StepSpec gang(int count) {
-        return new StepSpec(
-                count,
-                new Resources(1, 1, 0),
-                500,
-                List.of(),
-                true,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
-    }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -165,25 +165,27 @@
 
     /** Returns a job of one step with the given number of tasks. */
     static JobSpec spec(String id, String payload, int count) {
-        StepSpec step =
-                new StepSpec(
-                        count,
-                        new Resources(1_000, 100, 0),
-                        500,
-                        List.of(),
-                        false,
-                        false,
-                        "",
-                        "",
-                        0,
-                        false,
-                        false,
-                        "",
-                        0,
-                        false,
-                        0,
-                        false);
-        return new JobSpec(id, payload, List.of(step), Schedule.ONCE);
+        return new JobSpec(id, payload, List.of(step(count, 1_000, false)), Schedule.ONCE);
+    }
+
+    static StepSpec step(int count, long milliCores, boolean gang) {
+        return new StepSpec(
+                count,
+                new Resources(milliCores, 100, 0),
+                500,
+                List.of(),
+                gang,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0,
+                false);
     }
 
     static JobRequest request(JobRequest.Action action, String id, String key, int count) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
@@ -42,7 +42,7 @@
     }
 
     private static JobSpec job(String id, int steps, Schedule schedule) {
-        StepSpec step = NodeFixture.spec(id, "payload", 1).steps().getFirst();
+        StepSpec step = NodeFixture.step(1, 1_000, false);
         return new JobSpec(id, "payload", Collections.nCopies(steps, step), schedule);
     }
 
