--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RowSizeTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.tasks.JobAnswer;
+import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
@@ -60,6 +61,30 @@
         assertThat(fixture.fleet.starts()).hasSize(8 * OCCURRENCES + 1);
     }
 
+    /** A row that is too long was written again and again, and all jobs waited for it. */
+    @Test
+    void aJobWhoseProgressFitsInNoRowFailsAndOthersRun() {
+        fixture.addWorker("w2", "vm-w2", NodeFixture.POOL, 900_000);
+        fixture.advanceMillis(1_000);
+        JobSpec many = NodeFixture.spec(LARGE, "payload", 900);
+        fixture.await(submit(LARGE, many));
+        for (int i = 0; i < 100 && fixture.fleet.worker("w2").runningCount() < 800; i++) {
+            fixture.advanceMillis(10);
+        }
+        fixture.fleet.worker("w2").crash();
+        fixture.advanceMillis(5_000);
+
+        assertThat(fixture.ask(node, JobRequest.Action.READ, LARGE))
+                .isInstanceOfSatisfying(
+                        JobAnswer.State.class,
+                        a ->
+                                assertThat(a.status().failure().orElseThrow().cause())
+                                        .isEqualTo(JobFailure.Cause.PROGRESS_TOO_LARGE));
+        fixture.ask(node, JobRequest.Action.SUBMIT, SMALL);
+        fixture.advanceMillis(3_000);
+        assertCompletes(SMALL);
+    }
+
     private void assertCompletes(String id) {
         assertThat(fixture.ask(node, JobRequest.Action.READ, id))
                 .isEqualTo(new JobAnswer.State(JobStatus.of(JobState.COMPLETED)));
