Keep the next task of a waiting step instead of making it anew in each planning run

What callers saw: nothing yet; processor time.

Cause (suspected): since only tasks that run are kept, each planning run made two objects, with ten collections each, for each step that waits.

Change: StepTasks keeps the task that it found last; a step without kept tasks is not walked. Behaviour stays as it is; all tests of the scheduler and of the daemon's tasks are green.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NoSuchElementException;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.chervillift.core.tasks.JobProgress.IndexRange;
 
@@ -22,6 +23,9 @@
     private final IndexRanges done = new IndexRanges();
     private final Map<Integer, TaskEntry> kept = new TreeMap<>();
 
+    /** The task that was found last and is not kept; a step that waits is asked for it often. */
+    private Optional<TaskEntry> lastFound = Optional.empty();
+
     StepTasks(StepEntry step, int count) {
         this.step = step;
         this.count = count;
@@ -35,13 +39,21 @@
     /** Returns a task to record something of it; it is kept unless it is done. */
     TaskEntry get(int index) {
         TaskEntry task = find(index);
-        keep(task);
+        if (!isKept(task)) {
+            keep(task);
+        }
         return task;
     }
 
     private TaskEntry find(int index) {
         TaskEntry task = kept.get(index);
-        return task == null ? new TaskEntry(step, index) : task;
+        if (task != null) {
+            return task;
+        }
+        if (lastFound.isEmpty() || lastFound.get().index() != index) {
+            lastFound = Optional.of(new TaskEntry(step, index));
+        }
+        return lastFound.get();
     }
 
     /** Keeps a task from now on, unless it is done and has no run. */
@@ -124,10 +136,15 @@
         return WaitingIterator::new;
     }
 
+    private List<TaskEntry> waitingOfKept() {
+        return kept.isEmpty()
+                ? List.of()
+                : kept.values().stream().filter(TaskEntry::isWaiting).toList();
+    }
+
     private final class WaitingIterator implements Iterator<TaskEntry> {
 
-        private final Iterator<TaskEntry> begun =
-                kept.values().stream().filter(TaskEntry::isWaiting).toList().iterator();
+        private final Iterator<TaskEntry> begun = waitingOfKept().iterator();
         private int nextIndex = nextNotBegun(0);
 
         private int nextNotBegun(int from) {
@@ -151,7 +168,7 @@
             if (nextIndex >= count) {
                 throw new NoSuchElementException();
             }
-            TaskEntry task = new TaskEntry(step, nextIndex);
+            TaskEntry task = find(nextIndex);
             nextIndex = nextNotBegun(nextIndex + 1);
             return task;
         }
