Look for due occurrences only in jobs that have some to come

Cause (found by reading, not yet by a run): each planning run walked the occurrences of each live job, to count those that have not begun, also in jobs that run once.

Change: a job all of whose occurrences exist is left alone.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -155,6 +155,9 @@
     /** Creates the occurrences that are due, as long as few of them have not begun. */
     void createDueOccurrences(long wallMillis) {
         Schedule schedule = job.spec().schedule();
+        if (nextOccurrence >= schedule.occurrences()) {
+            return;
+        }
         while (occurrences.containsKey(nextOccurrence) || condensed.contains(nextOccurrence)) {
             nextOccurrence = condensed.nextMissing(nextOccurrence + 1);
         }
