Count the failed runs of one burst once for a worker's back-off

What callers saw: jobs of a pool with nothing running for up to 16 s though workers had room.

Cause: after three failures in a row each further failure of a worker doubled its back-off. A step wider than three tasks a worker, all of whose runs fail at once, took the back-off from 2 s to 16 s in one report.

Change: a failed run that began before the back-off began is not counted again; it says nothing new of the worker.

Test: runsOfOneBurstKeepTasksOffAWorkerForTheShortestTime, red before (12 runs that fail at once: no start after 2 s).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -158,7 +158,7 @@
             worker.recordSuccess();
             lifecycle.taskDone(task, now);
         } else if (ended.end() == RunEnd.FAILED) {
-            worker.recordFailure(now);
+            worker.recordFailure(run.map(Run::openedAt).orElse(now), now);
             task.failedWorkers().add(worker.id());
             if (longRunning) {
                 task.delayUntil(now + FAILED_SERVICE_DELAY_MILLIS);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -31,6 +31,7 @@
     private Resources usedResources = Resources.NONE;
     private int consecutiveFailures;
     private long lastFailureAt = Long.MIN_VALUE / 2;
+    private long lastBackOffAt = Long.MIN_VALUE;
     private long unknownJobSince = Long.MAX_VALUE;
     private long unreachableSince = Long.MAX_VALUE;
     private long backOffUntil = Long.MIN_VALUE;
@@ -123,6 +124,7 @@
         acknowledgedEnd = 0;
         lastAppliedEnd = 0;
         consecutiveFailures = 0;
+        lastBackOffAt = Long.MIN_VALUE;
         backOffUntil = Long.MIN_VALUE;
     }
 
@@ -232,9 +234,14 @@
      * Records a failed run; after several failures in a row the worker gets no tasks for a time.
      *
      * <p>Failures far apart are not a row: long-running tasks that fail now and then never end
-     * well.
+     * well. A run that began before the worker was last kept free says nothing new of it.
+     *
+     * @param begunAt when the failed run began, in milliseconds
      */
-    void recordFailure(long now) {
+    void recordFailure(long begunAt, long now) {
+        if (begunAt <= lastBackOffAt) {
+            return;
+        }
         if (now - lastFailureAt > MAX_FAILURE_GAP_MILLIS) {
             recordSuccess();
         }
@@ -242,6 +249,7 @@
         consecutiveFailures++;
         if (consecutiveFailures >= FAILURES_BEFORE_BACK_OFF) {
             backOff(now, nextBackOffMillis);
+            lastBackOffAt = now;
             nextBackOffMillis = Math.min(MAX_BACK_OFF_MILLIS, nextBackOffMillis * 2);
         }
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerBackOffTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerBackOffTest.java
@@ -11,6 +11,7 @@
 
     private static final long FAR_APART_MILLIS = 40_000;
     private static final long CLOSE_MILLIS = 300;
+    private static final long SHORTEST_BACK_OFF_MILLIS = 2_000;
 
     private final SchedulerFixture fixture = new SchedulerFixture();
 
@@ -44,4 +45,15 @@
     void severalFailuresInARowKeepTasksOffAWorker() {
         assertThat(startsWithFailures(5, CLOSE_MILLIS)).isEqualTo(3);
     }
+
+    /** Each failed run doubled the time, so one burst of a wide job kept a worker idle for 16 s. */
+    @Test
+    void runsOfOneBurstKeepTasksOffAWorkerForTheShortestTime() {
+        fixture.addWorker("w1", 12_000);
+        fixture.accept("a", SchedulerFixture.step(12, 1_000));
+        fixture.starts();
+        fixture.endAll("w1", RunEnd.FAILED);
+        fixture.now += SHORTEST_BACK_OFF_MILLIS;
+        assertThat(fixture.starts()).isNotEmpty();
+    }
 }
