Do not blame workers for a job whose runs fail on several of them

What callers saw: jobs of a pool with nothing running for 2 s and more though workers had room.

Cause: each failed run counted against its worker. A wide job whose runs fail everywhere made each worker of its pool get no tasks of any job, at first for 2 s, then for up to 16 s.

Change: a failed run counts against its worker only if no run of the job has failed first on another worker, or one has ended well since. A worker that fails the runs of several jobs is still found.

Test: aWideJobThatFailsOnAllWorkersDoesNotKeepOtherJobsOffThem, red before (no start after 0.3 s).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -28,6 +28,7 @@
     private int nextOccurrence;
     private int begunTaskCount;
     private boolean hasRun;
+    private String firstFailedWorker = "";
 
     /**
      * Creates an entry.
@@ -152,6 +153,24 @@
         hasRun = true;
     }
 
+    /**
+     * Records a failed run; returns whether it may be the worker's fault.
+     *
+     * <p>A job of which a run has failed on another worker, and none has ended well since, is more
+     * likely at fault than each of its workers.
+     */
+    boolean recordFailure(String worker) {
+        if (firstFailedWorker.isEmpty()) {
+            firstFailedWorker = worker;
+        }
+        return firstFailedWorker.equals(worker);
+    }
+
+    /** Records a run that ended well. */
+    void recordSuccess() {
+        firstFailedWorker = "";
+    }
+
     /** Creates the occurrences that are due, as long as few of them have not begun. */
     void createDueOccurrences(long wallMillis) {
         Schedule schedule = job.spec().schedule();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -156,9 +156,12 @@
         boolean longRunning = task.step().spec().longRunning();
         if (ended.end() == RunEnd.DONE && !longRunning) {
             worker.recordSuccess();
+            task.step().job().recordSuccess();
             lifecycle.taskDone(task, now);
         } else if (ended.end() == RunEnd.FAILED) {
-            worker.recordFailure(run.map(Run::openedAt).orElse(now), now);
+            if (task.step().job().recordFailure(worker.id())) {
+                worker.recordFailure(run.map(Run::openedAt).orElse(now), now);
+            }
             task.failedWorkers().add(worker.id());
             if (longRunning) {
                 task.delayUntil(now + FAILED_SERVICE_DELAY_MILLIS);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerBackOffTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerBackOffTest.java
@@ -56,4 +56,21 @@
         fixture.now += SHORTEST_BACK_OFF_MILLIS;
         assertThat(fixture.starts()).isNotEmpty();
     }
+
+    /** A job whose runs fail on each worker kept all workers of its pool from all jobs. */
+    @Test
+    void aWideJobThatFailsOnAllWorkersDoesNotKeepOtherJobsOffThem() {
+        failAllRunsOfWideJob();
+        fixture.now += CLOSE_MILLIS;
+        fixture.accept("b", SchedulerFixture.step(1, 1_000));
+        assertThat(fixture.starts()).extracting(s -> s.task().job()).contains("b");
+    }
+
+    private void failAllRunsOfWideJob() {
+        List<String> workers = List.of("w1", "w2", "w3", "w4");
+        workers.forEach(w -> fixture.addWorker(w, 10_000));
+        fixture.accept("a", SchedulerFixture.step(40, 1_000));
+        assertThat(fixture.starts()).hasSize(40);
+        workers.forEach(w -> fixture.endAll(w, RunEnd.FAILED));
+    }
 }
