--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongUnaryOperator;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowKey;
@@ -38,6 +39,7 @@
     private final List<Change> history = new ArrayList<>();
     private StoreFault fault = StoreFault.NONE;
     private Duration latency = LATENCY;
+    private LongUnaryOperator clock = LongUnaryOperator.identity();
     private long version;
 
     /** Creates an empty store. */
@@ -56,6 +58,15 @@
         this.latency = Checks.notNull("latency", newLatency);
     }
 
+    /**
+     * Sets how its clock goes from now on.
+     *
+     * @param newClock returns its time for the scheduler's, both in milliseconds
+     */
+    public void setClock(LongUnaryOperator newClock) {
+        this.clock = Checks.notNull("clock", newClock);
+    }
+
     /** Puts a row at once, as the operator and the workers do. */
     public void put(RowKey key, String value) {
         apply(COMMON_PART, List.of(), List.of(Write.put(key, value)));
@@ -82,7 +93,7 @@
         int taken = Math.min(most, MOST_ROWS);
         boolean hasMore = rows.size() > taken;
         List<Row> first = hasMore ? rows.subList(0, taken) : rows;
-        return new Page(first, hasMore, version, nowMillis());
+        return new Page(first, hasMore, version, clockMillis());
     }
 
     private static boolean inRange(String key, KeyRange range) {
@@ -142,7 +153,7 @@
                             () -> rows.remove(w.key()));
             history.add(new Change(w.key(), version, w.value()));
         }
-        return new Outcome.Committed(version, nowMillis());
+        return new Outcome.Committed(version, clockMillis());
     }
 
     private static long versionOf(Row row) {
@@ -172,7 +183,7 @@
         }
         List<Change> rows = changesAfter(table, after);
         if (!rows.isEmpty() || nowMillis() >= until) {
-            future.complete(new Changes.Next(rows, version, nowMillis()));
+            future.complete(new Changes.Next(rows, version, clockMillis()));
         } else {
             scheduler.schedule(LATENCY, () -> poll(table, after, until, future));
         }
@@ -210,6 +221,10 @@
         return new StoreException(StoreException.Effect.NONE, "down", null);
     }
 
+    private long clockMillis() {
+        return clock.applyAsLong(nowMillis());
+    }
+
     private long nowMillis() {
         return scheduler.now().toEpochMilli();
     }
