Bound the store's clock by each answer, and keep the age of copies in the process's own time

Cause: StoreClock kept its latest estimate for ever. When the store's clock starts anew, or is slower than the process's by more than 0.1%, the estimate stays ahead, each copy of jobs and workers seems older than starts allow (7037), in each holder, and nothing ends this. A holder's own count of waiting jobs became unavailable likewise.

Change: an answer was stamped between the sending of its call and its arrival, so it bounds the store's clock from both sides; bounds are intersected, widened by drift, and replaced by an answer that contradicts them (7080 if by more than a second). A follower keeps up to when its copy is complete in the process's monotonic time, between the sending and the arrival of the answer. Counts in rows take the earliest time of the store's clock, stored orders for VMs the latest; rows that were written before the clock changed tell no age: such a count is not returned, such an order is waited for the whole handover. Orders for VMs that were stored with a time that is too early are dropped.

Remains: a process that starts after the store's clock was set back cannot know that a count in the store bears a time of the former clock, until the holder writes the next one (0.5 s).

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderBoard.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderBoard.java
@@ -6,19 +6,21 @@
 /**
  * The task board of a process that is certain to hold the lease.
  *
- * @param board the board, which contains all jobs stored up to {@code asOfStoreMillis}
- * @param asOfStoreMillis when the copy of the jobs was complete, by the store's clock, in
- *     milliseconds; 0 if unknown
+ * @param board the board, which contains all jobs stored up to {@code completeUntil}
+ * @param completeUntil when the copy of the jobs was complete, by this process's monotonic clock,
+ *     in milliseconds
  * @param basis the ages of the copy and of the lease, for the log
  */
-record HolderBoard(TaskScheduler board, long asOfStoreMillis, AnswerBasis.Board basis) {
+record HolderBoard(TaskScheduler board, long completeUntil, AnswerBasis.Board basis) {
     HolderBoard {
         Checks.notNull("board", board);
         Checks.notNull("basis", basis);
     }
 
-    /** Returns the number of jobs of each queue that have not started. */
-    PendingCounts pendingCounts() {
+    /** Returns the number of jobs of each queue that have not started, for other processes. */
+    PendingCounts pendingCounts(StoreClock storeClock) {
+        long asOfStoreMillis =
+                storeClock.isKnown() ? storeClock.earliestStoreMillis(completeUntil) : 0;
         return PendingCounts.of(board.pendingByQueue(), asOfStoreMillis);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
@@ -18,7 +18,7 @@
  * What the parts of a {@link HolderController} share during one term.
  *
  * @param store the store, with table reads throttled to the link's capacity
- * @param storeClock returns the latest estimate of the store's clock
+ * @param storeClock returns what is known of the store's clock
  * @param fencedStore reads and writes the rows that only the current holder may write
  * @param rows encodes and decodes the rows of the operator and the workers
  * @param workers creates the client of a worker
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -85,6 +85,7 @@
                         StoreLayout.JOB_PARTITIONS,
                         JOBS_FOLLOW_WAIT,
                         context.scheduler(),
+                        context.storeClock(),
                         new JobsListener());
         this.workerSessions = new WorkerSessions(context, board, this::replanSoon);
     }
@@ -102,14 +103,9 @@
         AnswerBasis.Board basis =
                 new AnswerBasis.Board(
                         term(),
-                        copyAgeMillis(jobsFollower.asOfStoreMillis(), context.nowMillis()),
+                        context.nowMillis() - jobsFollower.completeUntil(),
                         context.leaseAgeMillis());
-        return new HolderBoard(board, jobsFollower.asOfStoreMillis(), basis);
-    }
-
-    /** Returns the age of a copy that has all changes up to a time of the store. */
-    private long copyAgeMillis(long asOfStoreMillis, long now) {
-        return context.storeClock().get().storeMillisAt(now) - asOfStoreMillis;
+        return new HolderBoard(board, jobsFollower.completeUntil(), basis);
     }
 
     void start() {
@@ -372,8 +368,8 @@
      * shrink, may not have reached this process.
      */
     private List<Order> planOrders(long now, long wallMillis) {
-        long jobsAge = copyAgeMillis(jobsFollower.asOfStoreMillis(), now);
-        long workersAge = copyAgeMillis(workerSessions.asOfStoreMillis(), now);
+        long jobsAge = now - jobsFollower.completeUntil();
+        long workersAge = now - workerSessions.completeUntil();
         boolean copiesAreCurrent =
                 Math.max(jobsAge, workersAge) <= context.settings().maxCopyAgeMillis();
         if (copiesAreCurrent != startsEnabled) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -7,7 +7,6 @@
 import java.util.function.LongFunction;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
-import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.RowStore.Change;
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Condition;
@@ -28,7 +27,7 @@
     private static final int MAX_RELEASE_TRIES = 8;
     private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(300);
 
-    private final RowStore store;
+    private final MonitoredStore store;
     private final Scheduler scheduler;
     private final HolderElection election;
     private final TableFollower follower;
@@ -44,7 +43,7 @@
     private boolean stopped;
 
     HolderLeaseManager(
-            RowStore store,
+            MonitoredStore store,
             Scheduler scheduler,
             HolderElection election,
             LongFunction<HolderController> holderFactory) {
@@ -59,6 +58,7 @@
                         List.of(StoreLayout.HOLDER_PARTITION),
                         TableFollower.DEFAULT_POLL_WAIT,
                         scheduler,
+                        store::clock,
                         this);
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
@@ -73,7 +73,7 @@
         Write write =
                 Write.put(
                         StoreLayout.PENDING_COUNTS_KEY,
-                        Json.encode(holderBoard.get().pendingCounts()));
+                        Json.encode(holderBoard.get().pendingCounts(context.storeClock().get())));
         context.fencedStore()
                 .commit(write)
                 .whenComplete(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/MonitoredStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/MonitoredStore.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
-import java.util.function.ToLongFunction;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.Transaction.Condition;
@@ -22,11 +23,20 @@
 
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(200);
 
+    /** Replicas with clocks of their own would contradict each other in each answer. */
+    private static final Duration CHANGE_LOG_INTERVAL = Duration.ofSeconds(1);
+
     private final RowStore delegate;
     private final Scheduler scheduler;
     private StoreClock clock = StoreClock.UNKNOWN;
+    private long nextChangeLogAt = Long.MIN_VALUE;
     private boolean unresponsive;
 
+    /** The store's time and its newest version in an answer; 0 if it contains none. */
+    private record StoreTime(long millis, long version) {
+        private static final StoreTime UNKNOWN = new StoreTime(0, 0);
+    }
+
     MonitoredStore(RowStore delegate, Scheduler scheduler) {
         this.delegate = Checks.notNull("delegate", delegate);
         this.scheduler = Checks.notNull("scheduler", scheduler);
@@ -37,53 +47,79 @@
         return unresponsive;
     }
 
-    /** Returns the best estimate of the store's clock from its answers. */
+    /** Returns what the answers of the store tell of its clock. */
     StoreClock clock() {
         return clock;
     }
 
     @Override
     public CompletionStage<Page> scan(String table, String partition, KeyRange range, int maxRows) {
-        return monitor(delegate.scan(table, partition, range, maxRows), Page::storeMillis);
+        return monitor(
+                () -> delegate.scan(table, partition, range, maxRows),
+                page -> new StoreTime(page.storeMillis(), page.storeVersion()));
     }
 
     @Override
     public CompletionStage<Outcome> commit(
             String partition, List<Condition> conditions, List<Write> writes) {
         return monitor(
-                delegate.commit(partition, conditions, writes), MonitoredStore::storeMillisOf);
+                () -> delegate.commit(partition, conditions, writes), MonitoredStore::timeOf);
     }
 
     @Override
     public CompletionStage<Changes> follow(String table, long afterVersion, Duration wait) {
-        return monitor(delegate.follow(table, afterVersion, wait), MonitoredStore::storeMillisOf);
+        return monitor(() -> delegate.follow(table, afterVersion, wait), MonitoredStore::timeOf);
     }
 
-    private static long storeMillisOf(Outcome outcome) {
+    private static StoreTime timeOf(Outcome outcome) {
         return switch (outcome) {
-            case Outcome.Committed c -> c.storeMillis();
-            case Outcome.Conflict c -> 0;
+            case Outcome.Committed c -> new StoreTime(c.storeMillis(), c.version());
+            case Outcome.Conflict c -> StoreTime.UNKNOWN;
         };
     }
 
-    private static long storeMillisOf(Changes changes) {
+    private static StoreTime timeOf(Changes changes) {
         return switch (changes) {
-            case Changes.Next n -> n.storeMillis();
-            case Changes.HistoryLost h -> 0;
+            case Changes.Next n -> new StoreTime(n.storeMillis(), n.position());
+            case Changes.HistoryLost h -> StoreTime.UNKNOWN;
         };
     }
 
-    private <T> CompletionStage<T> monitor(CompletionStage<T> call, ToLongFunction<T> storeMillis) {
-        return call.whenComplete(
-                (value, fault) -> {
-                    if (fault == null) {
-                        long now = scheduler.now().toEpochMilli();
-                        clock =
-                                clock.moreAccurateOf(
-                                        new StoreClock(storeMillis.applyAsLong(value), now));
-                    }
-                    recordResult(fault);
-                });
+    private <T> CompletionStage<T> monitor(
+            Supplier<CompletionStage<T>> call, Function<T, StoreTime> time) {
+        long sentAt = nowMillis();
+        return call.get()
+                .whenComplete(
+                        (value, fault) -> {
+                            if (fault == null) {
+                                recordTime(time.apply(value), sentAt);
+                            }
+                            recordResult(fault);
+                        });
+    }
+
+    private void recordTime(StoreTime time, long sentAt) {
+        StoreClock.Stamp stamp =
+                new StoreClock.Stamp(time.millis(), time.version(), sentAt, nowMillis());
+        if (clock.isContradictedBy(stamp)) {
+            logChange(clock.contradictionMillis(stamp), stamp);
+        }
+        clock = clock.after(stamp);
+    }
+
+    private void logChange(long aheadMillis, StoreClock.Stamp stamp) {
+        if (stamp.arrivedAt() >= nextChangeLogAt) {
+            nextChangeLogAt = stamp.arrivedAt() + CHANGE_LOG_INTERVAL.toMillis();
+            EventLog.log(
+                    TaskEvent.STORE_CLOCK_CHANGED,
+                    Field.of("aheadMillis", aheadMillis),
+                    Field.of("storeMillis", stamp.storeMillis()),
+                    Field.of("version", stamp.version()));
+        }
+    }
+
+    private long nowMillis() {
+        return scheduler.now().toEpochMilli();
     }
 
     private void recordResult(Throwable fault) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingCountHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingCountHandler.java
@@ -39,11 +39,7 @@
     CompletionStage<AnswerWithBasis> answer(String queue) {
         Optional<HolderBoard> currentBoard = holderBoard.get();
         if (currentBoard.isPresent()) {
-            PendingCounts counts = currentBoard.get().pendingCounts();
-            long storeNowMillis =
-                    Math.max(store.clock().storeMillisAt(nowMillis()), counts.asOfStoreMillis());
-            return CompletableFuture.completedFuture(
-                    toAnswer(queue, counts, storeNowMillis, currentBoard.get().basis()));
+            return CompletableFuture.completedFuture(fromBoard(queue, currentBoard.get()));
         }
         long requestedAt = nowMillis();
         return store.scan(
@@ -57,8 +53,18 @@
         return scheduler.now().toEpochMilli();
     }
 
+    private static AnswerWithBasis fromBoard(String queue, HolderBoard board) {
+        boolean fresh = PendingCounts.isFresh(board.basis().copyAgeMillis());
+        return new AnswerWithBasis(
+                fresh
+                        ? new JobAnswer.Pending(
+                                board.board().pendingByQueue().getOrDefault(queue, 0))
+                        : countUnknown(),
+                board.basis());
+    }
+
     /** Answers from the holder's row; its age includes the latency of the read. */
-    private static AnswerWithBasis fromRow(String queue, Page page, long readMillis) {
+    private AnswerWithBasis fromRow(String queue, Page page, long readMillis) {
         return page.rows().stream()
                 .findFirst()
                 .map(row -> fromRow(queue, row, page.storeMillis() + readMillis))
@@ -66,16 +72,12 @@
                         () -> new AnswerWithBasis(countUnknown(), new AnswerBasis.CountRow(0, 0)));
     }
 
-    private static AnswerWithBasis fromRow(String queue, Row row, long storeNowMillis) {
+    private AnswerWithBasis fromRow(String queue, Row row, long storeNowMillis) {
         PendingCounts counts = Json.decode(row.value(), PendingCounts.class);
         AnswerBasis basis =
                 new AnswerBasis.CountRow(row.version(), counts.ageMillis(storeNowMillis));
-        return toAnswer(queue, counts, storeNowMillis, basis);
-    }
-
-    private static AnswerWithBasis toAnswer(
-            String queue, PendingCounts counts, long storeNowMillis, AnswerBasis basis) {
-        return counts.isFresh(storeNowMillis)
+        boolean isAgeKnown = row.version() > store.clock().formerClockVersion();
+        return isAgeKnown && counts.isFreshAt(storeNowMillis)
                 ? new AnswerWithBasis(new JobAnswer.Pending(counts.of(queue)), basis)
                 : new AnswerWithBasis(countUnknown(), basis);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingCounts.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/PendingCounts.java
@@ -46,9 +46,13 @@
      * <p>If the age is negative, it is unknown: a time is missing, or the store's clock was reset
      * by a restart.
      */
-    boolean isFresh(long nowStoreMillis) {
-        long age = ageMillis(nowStoreMillis);
-        return asOfStoreMillis > 0 && age >= 0 && age <= MAX_AGE_MILLIS;
+    boolean isFreshAt(long nowStoreMillis) {
+        return asOfStoreMillis > 0 && isFresh(ageMillis(nowStoreMillis));
+    }
+
+    /** Returns whether counts of an age, in milliseconds, may be given to callers. */
+    static boolean isFresh(long ageMillis) {
+        return ageMillis >= 0 && ageMillis <= MAX_AGE_MILLIS;
     }
 
     /** Returns the number of jobs of a queue that have not started. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
-import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
+import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowKey;
 import org.chervillift.api.platform.RowStore.KeyRange;
 import org.chervillift.api.platform.RowStore.Outcome;
@@ -37,7 +37,6 @@
     private final long handoverEndsAt;
     private final Map<String, Long> orderedAt = new HashMap<>();
     private Map<String, Long> predecessorOrdersUntil = Map.of();
-    private StoreClock storeClock = StoreClock.UNKNOWN;
     private boolean loaded;
     private boolean stopped;
 
@@ -74,27 +73,29 @@
                 () -> stopped,
                 () -> context.fencedStore().scan(ROW_KEY.table(), KeyRange.ALL),
                 page -> {
-                    storeClock = new StoreClock(page.storeMillis(), context.nowMillis());
-                    predecessorOrdersUntil =
-                            page.rows().stream()
-                                    .map(r -> Json.decode(r.value(), StoredOrders.class))
-                                    .flatMap(s -> s.turns().stream())
-                                    .collect(
-                                            Collectors.toMap(
-                                                    StoredOrder::vm, this::predecessorOrderEndsAt));
+                    predecessorOrdersUntil = new HashMap<>();
+                    page.rows().forEach(r -> addPredecessorOrders(r, page.storeMillis()));
                     loaded = true;
                 });
     }
 
-    /** Returns when an earlier holder's order expires, by this process's clock. */
-    private long predecessorOrderEndsAt(StoredOrder order) {
-        if (!storeClock.isKnown() || order.storeMillis() == 0) {
-            return handoverEndsAt;
+    private void addPredecessorOrders(Row row, long storeMillis) {
+        boolean isAgeKnown =
+                storeMillis > 0 && row.version() > context.storeClock().get().formerClockVersion();
+        for (StoredOrder order : Json.decode(row.value(), StoredOrders.class).turns()) {
+            long endsAt =
+                    isAgeKnown && order.storeMillis() > 0
+                            ? predecessorOrderEndsAt(storeMillis - order.storeMillis())
+                            : handoverEndsAt;
+            predecessorOrdersUntil.put(order.vm(), endsAt);
         }
-        long age = storeClock.storeMillis() - order.storeMillis();
+    }
+
+    /** Returns when an earlier holder's order of an age expires, by this process's clock. */
+    private long predecessorOrderEndsAt(long ageMillis) {
         return Math.min(
                 handoverEndsAt,
-                storeClock.readAtMillis() + handoverDelayMillis + EXPIRY_MARGIN_MILLIS - age);
+                context.nowMillis() + handoverDelayMillis + EXPIRY_MARGIN_MILLIS - ageMillis);
     }
 
     void stop() {
@@ -123,6 +124,7 @@
     CompletionStage<Boolean> store(Set<String> vms, long now) {
         orderedAt.values().removeIf(at -> now - at > handoverDelayMillis + EXPIRY_MARGIN_MILLIS);
         vms.forEach(vm -> orderedAt.put(vm, now));
+        long storedMillis = storeMillisOf(now);
         List<StoredOrder> orders =
                 new TreeMap<>(orderedAt)
                         .entrySet().stream()
@@ -130,18 +132,26 @@
                                 .toList();
         return context.fencedStore()
                 .commit(Write.put(ROW_KEY, Json.encode(new StoredOrders(orders))))
-                .thenApply(outcome -> isStoredInTime(outcome, now));
+                .thenApply(outcome -> isStoredInTime(outcome, now, storedMillis));
     }
 
+    /** Returns the latest time of the store's clock at a moment; 0 if unknown. */
     private long storeMillisOf(long at) {
-        return storeClock.isKnown() ? storeClock.storeMillisAt(at) : 0;
+        StoreClock clock = context.storeClock().get();
+        return clock.isKnown() ? clock.latestStoreMillis(at) : 0;
     }
 
-    private boolean isStoredInTime(Outcome outcome, long requestedAt) {
+    /**
+     * Returns whether orders were stored in time, and with a time that is not too early: the
+     * store's clock may have changed before this process noticed.
+     */
+    private boolean isStoredInTime(Outcome outcome, long requestedAt, long storedMillis) {
         if (!(outcome instanceof Outcome.Committed committed)) {
             return false;
         }
-        storeClock = new StoreClock(committed.storeMillis(), context.nowMillis());
-        return context.nowMillis() - requestedAt <= MAX_STORE_MILLIS;
+        long tookMillis = context.nowMillis() - requestedAt;
+        boolean isTimeRight =
+                storedMillis == 0 || storedMillis >= committed.storeMillis() - tookMillis;
+        return isTimeRight && tookMillis <= MAX_STORE_MILLIS;
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowStore;
@@ -30,11 +31,12 @@
     private final List<String> partitions;
     private final Duration pollWait;
     private final Scheduler scheduler;
+    private final Supplier<StoreClock> storeClock;
     private final Listener listener;
     private Duration retryDelay = MIN_RETRY_DELAY;
     private long position;
     private long lastAnswerAt;
-    private long asOfStoreMillis;
+    private long completeUntil;
     private boolean loaded;
     private long failingSince;
     private boolean failing;
@@ -56,12 +58,14 @@
             List<String> parts,
             Duration wait,
             Scheduler scheduler,
+            Supplier<StoreClock> storeClock,
             Listener listener) {
         this.store = Checks.notNull("store", store);
         this.table = Checks.notBlank("table", table);
         this.partitions = List.copyOf(parts);
         this.pollWait = Checks.notNull("wait", wait);
         this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.storeClock = Checks.notNull("storeClock", storeClock);
         this.listener = Checks.notNull("listener", listener);
     }
 
@@ -84,11 +88,11 @@
     }
 
     /**
-     * Returns the store's time up to which all changes of the table have been received, in
-     * milliseconds; 0 if unknown.
+     * Returns up to when all changes of the table have been received, by this process's monotonic
+     * clock, in milliseconds; the time is that of the store's answer, at the earliest.
      */
-    long asOfStoreMillis() {
-        return asOfStoreMillis;
+    long completeUntil() {
+        return completeUntil;
     }
 
     /** Returns whether the table is loaded and its changes are being received. */
@@ -113,7 +117,7 @@
     private static final class PendingLoad {
         private final List<Row> rows = new ArrayList<>();
         private long oldestVersion = Long.MAX_VALUE;
-        private long oldestStoreMillis = Long.MAX_VALUE;
+        private long oldestReadAt = Long.MAX_VALUE;
         private int openPartitions;
         private boolean failed;
 
@@ -126,6 +130,7 @@
         if (stopped) {
             return;
         }
+        long sentAt = nowMillis();
         store.scan(table, partition, range)
                 .whenComplete(
                         (page, fault) -> {
@@ -143,16 +148,17 @@
                                                 "the store returned an outdated page"),
                                         this::loadAll);
                             } else {
-                                onPage(load, partition, page);
+                                onPage(load, partition, page, sentAt);
                             }
                         });
     }
 
-    private void onPage(PendingLoad load, String partition, RowStore.Page page) {
+    private void onPage(PendingLoad load, String partition, RowStore.Page page, long sentAt) {
         onAnswer();
         load.rows.addAll(page.rows());
         load.oldestVersion = Math.min(load.oldestVersion, page.storeVersion());
-        load.oldestStoreMillis = Math.min(load.oldestStoreMillis, page.storeMillis());
+        long readAt = answeredAt(page.storeMillis(), page.storeVersion(), sentAt);
+        load.oldestReadAt = Math.min(load.oldestReadAt, readAt);
         if (page.hasMore() && !page.rows().isEmpty()) {
             String last = page.rows().get(page.rows().size() - 1).key().key();
             loadPartition(load, partition, KeyRange.after(last));
@@ -169,7 +175,7 @@
             return;
         }
         position = load.oldestVersion;
-        asOfStoreMillis = load.oldestStoreMillis;
+        completeUntil = load.oldestReadAt;
         loaded = true;
         EventLog.log(
                 TaskEvent.TABLE_LOADED,
@@ -185,18 +191,19 @@
             return;
         }
         // After a failure, do not wait for a change: any answer shows that the store is back.
+        long sentAt = nowMillis();
         store.follow(table, position, failing ? Duration.ZERO : pollWait)
                 .whenComplete(
                         (changes, fault) -> {
                             if (fault != null) {
                                 onFailure(fault, this::follow);
                             } else {
-                                onChanges(changes);
+                                onChanges(changes, sentAt);
                             }
                         });
     }
 
-    private void onChanges(Changes changes) {
+    private void onChanges(Changes changes, long sentAt) {
         if (stopped) {
             return;
         }
@@ -204,7 +211,7 @@
             case Changes.Next next -> {
                 onAnswer();
                 position = Math.max(position, next.position());
-                asOfStoreMillis = next.storeMillis();
+                completeUntil = answeredAt(next.storeMillis(), next.position(), sentAt);
                 if (!next.rows().isEmpty()) {
                     listener.changed(next.rows());
                 }
@@ -220,6 +227,13 @@
         }
     }
 
+    /** Returns when the store answered a call that was just completed, at the earliest. */
+    private long answeredAt(long storeMillis, long version, long sentAt) {
+        return storeClock
+                .get()
+                .earliestStampedAt(new StoreClock.Stamp(storeMillis, version, sentAt, nowMillis()));
+    }
+
     private void onAnswer() {
         lastAnswerAt = nowMillis();
         retryDelay = MIN_RETRY_DELAY;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -65,6 +65,11 @@
             7038,
             Level.INFO,
             "Changes of the jobs and workers are received again; tasks are started."),
+    /** The store's clock has started anew or was set. */
+    STORE_CLOCK_CHANGED(
+            7080,
+            Level.WARN,
+            "The store's clock has started anew or was set; its time is corrected."),
     /** A worker does not respond. */
     WORKER_UNREACHABLE(7040, Level.WARN, "A worker does not respond."),
     /** A worker responds again. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -79,6 +79,7 @@
                         List.of(RowStore.COMMON_PART),
                         TableFollower.DEFAULT_POLL_WAIT,
                         scheduler,
+                        store::clock,
                         manifests);
         HolderElection election =
                 new HolderElection(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -66,6 +66,7 @@
                         List.of(RowStore.COMMON_PART),
                         FOLLOW_WAIT,
                         context.scheduler(),
+                        context.storeClock(),
                         new RegistryListener());
     }
 
@@ -96,9 +97,9 @@
         openSessions();
     }
 
-    /** Returns the store's time up to which all changes of the registry are known. */
-    long asOfStoreMillis() {
-        return follower.asOfStoreMillis();
+    /** Returns up to when all changes of the registry are known, by this process's clock. */
+    long completeUntil() {
+        return follower.completeUntil();
     }
 
     /** Sends an order to its worker, if there is a session with it. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PendingCountTest.java
@@ -172,9 +172,9 @@
     @Test
     void countNewerThanTheStoreClockIsNotReturned() {
         PendingCounts counts = PendingCounts.of(Map.of("quick", 0), 50_000);
-        assertThat(counts.isFresh(50_000)).isTrue();
-        assertThat(counts.isFresh(52_000)).isTrue();
-        assertThat(counts.isFresh(52_001)).isFalse();
-        assertThat(counts.isFresh(49_999)).isFalse();
+        assertThat(counts.isFreshAt(50_000)).isTrue();
+        assertThat(counts.isFreshAt(52_000)).isTrue();
+        assertThat(counts.isFreshAt(52_001)).isFalse();
+        assertThat(counts.isFreshAt(49_999)).isFalse();
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StoreClockChangeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StoreClockChangeTest.java
@@ -17,6 +17,7 @@
     /** The drift of 0.5% exceeds any age allowed by then. */
     private static final long LONG_DRIFT_MILLIS = 600_000;
 
+    private static final long LONGER_THAN_A_COUNT_IS_USED_MILLIS = 10_000;
     private static final long DRIFT_DIVISOR = 200;
     private static final String JOB = "5c0e7a21d94b36f8";
     private static final String LATER_JOB = "5c0e7a21d94b36f9";
@@ -108,6 +109,16 @@
         }
     }
 
+    /** By a clock that was set back, the last count of a former holder seems new. */
+    @Test
+    void countStoredBeforeTheStoreClockWasSetBackIsNotReturned() {
+        first.drain();
+        second.drain();
+        fixture.advanceMillis(LONGER_THAN_A_COUNT_IS_USED_MILLIS);
+        fixture.store.setClock(now -> now - LONGER_THAN_A_COUNT_IS_USED_MILLIS);
+        assertThat(fixture.ask(second, Action.READ, "")).isInstanceOf(JobAnswer.Unavailable.class);
+    }
+
     @Test
     void countsAreToldWhileTheStoreClockIsSlow() {
         slowClockDown();
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TableFollowerTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TableFollowerTest.java
@@ -86,6 +86,7 @@
                         PARTITIONS,
                         TableFollower.DEFAULT_POLL_WAIT,
                         scheduler,
+                        () -> StoreClock.UNKNOWN,
                         new CopyListener());
         follower.start();
         for (int i = 0; i < 300; i++) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
@@ -202,6 +202,30 @@
                 .isGreaterThanOrEqualTo(HANDOVER_DELAY_MILLIS);
     }
 
+    /** The age of an order is unknown if the store's clock was set after it was stored. */
+    @Test
+    void newHolderWaitsForOrderedVmsIfTheStoreClockJumpedAhead() {
+        addWorker("w1", 1_000);
+        addStandby("s1");
+        TaskNode a = startNodeAndWait("a");
+        TaskNode b = startNodeAndWait("b");
+        ask(b, JobRequest.Action.SUBMIT, JOB);
+        advanceMillis(400);
+        long previousTerm = fleet.moves().getLast().term();
+        store.setClock(now -> now + Duration.ofHours(1).toMillis());
+
+        a.drain();
+        long releasedAt = scheduler.now().toEpochMilli();
+        for (int i = 0; i < 5; i++) {
+            ask(b, JobRequest.Action.SUBMIT, "00000000000000a" + i);
+        }
+        advanceMillis(HANDOVER_DELAY_MILLIS + 1_000);
+
+        List<SeenMove> after = fleet.moves().stream().filter(m -> m.term() > previousTerm).toList();
+        assertThat(firstMoveAtMillis(after, "s1") - releasedAt)
+                .isGreaterThanOrEqualTo(HANDOVER_DELAY_MILLIS);
+    }
+
     @Test
     void aNewHolderDoesNotWaitForVmsThatWereMovedLongerAgo() {
         addWorker("w1", 1_000);
