Find jobs that stand still, and say why no task of them starts

Operators saw more than half of all accepted jobs stand still, and no line or metric of ours said that a task could run, that nothing started, or why.

A job stands if nothing of it has run for 3 s while its first waiting task had a place by what really runs: a worker of the pool with twice its room beside the confirmed runs, and a customer with less than half of its limit in use. The reason is one WaitReason in the order of the planner. Jobs that no plan has seen count as well, since the end of planning is one of the hypotheses.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -29,6 +29,7 @@
     private int begunTaskCount;
     private boolean hasRun;
     private String firstFailedWorker = "";
+    private long lastRanAt;
 
     /**
      * Creates an entry.
@@ -39,6 +40,7 @@
         this.job = job;
         this.policy = policy;
         this.arrivedAt = arrivedAt;
+        this.lastRanAt = arrivedAt;
     }
 
     /** Returns when an occurrence began to wait, on the steady clock in milliseconds. */
@@ -171,6 +173,20 @@
         firstFailedWorker = "";
     }
 
+    /** Records that a worker has told of a run that goes on or has ended. */
+    void recordRun(long now) {
+        hasRun = true;
+        lastRanAt = now;
+    }
+
+    /**
+     * Returns when this holder was last told of a run of this job, in milliseconds; the arrival of
+     * the job if it was told of none.
+     */
+    long lastRanAt() {
+        return lastRanAt;
+    }
+
     /** Creates the occurrences that are due, as long as few of them have not begun. */
     void createDueOccurrences(long wallMillis) {
         Schedule schedule = job.spec().schedule();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswerHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswerHandler.java
@@ -27,7 +27,7 @@
 
     private void startAnswered(Run run, OrderAnswer answer, long now) {
         if (answer == OrderAnswer.DONE) {
-            run.task().step().job().markHasRun();
+            run.task().step().job().recordRun(now);
             if (run.phase() != Run.Phase.STOPPING) {
                 run.enterPhase(Run.Phase.RUNNING, now);
             }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -46,12 +46,31 @@
 
     /** Returns whether a worker may run tasks of a step, provided that it has the capacity. */
     static boolean isEligible(StepEntry step, WorkerRecord worker, long now) {
-        StepSpec spec = step.spec();
-        return worker.acceptsTasks(now)
-                && worker.leaseEndsAt() > now + MIN_REMAINING_LEASE_MILLIS
-                && hasLabel(spec, worker)
-                && isAdvised(step, worker, now)
-                && (spec.maxPerWorker() == 0 || step.runsOn(worker) < spec.maxPerWorker());
+        return obstacle(step, worker, now) == WorkerObstacle.NONE;
+    }
+
+    /** Returns why a worker may not run tasks of a step, whatever its free capacity. */
+    static WorkerObstacle obstacle(StepEntry step, WorkerRecord worker, long now) {
+        WorkerObstacle ofWorker = worker.obstacle(now);
+        if (ofWorker != WorkerObstacle.NONE) {
+            return ofWorker;
+        }
+        if (worker.leaseEndsAt() <= now + MIN_REMAINING_LEASE_MILLIS) {
+            return WorkerObstacle.SHORT_LEASE;
+        }
+        if (!hasLabel(step.spec(), worker)) {
+            return WorkerObstacle.LABEL_MISSING;
+        }
+        if (!isAdvised(step, worker, now)) {
+            return WorkerObstacle.NO_ADVICE;
+        }
+        return isBelowMaximum(step, worker) ? WorkerObstacle.NONE : WorkerObstacle.MAX_PER_WORKER;
+    }
+
+    /** Returns whether one more task of a step may run on a worker beside those that do. */
+    static boolean isBelowMaximum(StepEntry step, WorkerRecord worker) {
+        int maximum = step.spec().maxPerWorker();
+        return maximum == 0 || step.runsOn(worker) < maximum;
     }
 
     private static boolean isAdvised(StepEntry step, WorkerRecord worker, long now) {
@@ -59,7 +78,7 @@
                 || step.advice().ticketFor(worker.id(), now).isPresent();
     }
 
-    private static boolean hasLabel(StepSpec spec, WorkerRecord worker) {
+    static boolean hasLabel(StepSpec spec, WorkerRecord worker) {
         return spec.requiredLabel().isEmpty()
                 || worker.entry().labels().contains(spec.requiredLabel());
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -150,7 +150,7 @@
             run.ifPresent(r -> recordRunTime(task, r, now));
         }
         run.ifPresent(runs::close);
-        task.step().job().markHasRun();
+        task.step().job().recordRun(now);
         task.recordRunNumber(ended.run());
         task.updateCheckpoint(ended.checkpoint());
         boolean longRunning = task.step().spec().longRunning();
@@ -192,7 +192,7 @@
         if (run.phase() == Run.Phase.STARTING || run.phase() == Run.Phase.UNCERTAIN) {
             run.enterPhase(Run.Phase.RUNNING, now);
         }
-        task.step().job().markHasRun();
+        task.step().job().recordRun(now);
         run.updateProgress(running.percent(), now);
         run.gauge(running.gauge());
         task.updateCheckpoint(running.checkpoint());
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Holds back start orders until the store records what a new holder must know of the task: that its
@@ -22,6 +25,8 @@
     private final Function<Order, Optional<Run>> findRun;
     private final Consumer<SchedulerEvent> events;
     private final List<Order.Start> heldStarts = new ArrayList<>();
+    private OptionalLong lastRoundAt = OptionalLong.empty();
+    private OptionalLong lastReleaseAt = OptionalLong.empty();
 
     /**
      * Creates a gate.
@@ -45,6 +50,23 @@
         return !heldStarts.isEmpty();
     }
 
+    /** Returns the open runs whose starts are held back. */
+    Set<Run> heldRuns() {
+        return heldStarts.stream()
+                .flatMap(s -> startingRun(s).stream())
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns when starts were last planned, in milliseconds. */
+    OptionalLong lastRoundAt() {
+        return lastRoundAt;
+    }
+
+    /** Returns when a start was last released, in milliseconds. */
+    OptionalLong lastReleaseAt() {
+        return lastReleaseAt;
+    }
+
     /** Returns the starts that may be sent now, among new ones and those held back so far. */
     List<Order.Start> releaseReady(List<Order.Start> starts, long now) {
         heldStarts.forEach(s -> dropIfWorkerCannotTakeIt(s, now));
@@ -67,6 +89,8 @@
                 heldStarts.add(start);
             }
         }
+        lastRoundAt = OptionalLong.of(now);
+        lastReleaseAt = ready.isEmpty() ? lastReleaseAt : OptionalLong.of(now);
         return ready;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,7 @@
     private final SchedulerSettings settings;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
+    private final Map<String, WorkerRecord> keptFree = new HashMap<>();
     private Map<String, Resources> unknownUsage = Map.of();
 
     StartPlanner(
@@ -69,6 +71,7 @@
                         .map(s -> new Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
         isolation.beginRound(stepsOf(candidatesByPool.values()), now);
+        keptFree.clear();
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
                 (pool, candidates) -> {
@@ -88,7 +91,8 @@
                 .collect(Collectors.toSet());
     }
 
-    private static boolean hasStartableTask(StepEntry step, long now) {
+    /** Returns whether a task of a step waits, and no longer for a time after a failed run. */
+    static boolean hasStartableTask(StepEntry step, long now) {
         for (TaskEntry task : step.tasks().waiting()) {
             if (task.notBefore() <= now) {
                 return true;
@@ -112,11 +116,21 @@
                             ? !startGang(step, pool, reserved, manifest, now, orders)
                             : !startTasks(step, pool, reserved, manifest, now, orders);
             if (blocked && reserved.isEmpty()) {
-                chooseReservedWorker(step, pool, now).ifPresent(reserved::add);
+                chooseReservedWorker(step, pool, now).ifPresent(w -> keepFree(w, reserved));
             }
         }
     }
 
+    private void keepFree(WorkerRecord worker, Set<WorkerRecord> reserved) {
+        reserved.add(worker);
+        keptFree.put(worker.pool(), worker);
+    }
+
+    /** Returns whether the last plan kept a worker free for a step that fits on none. */
+    boolean isKeptFree(WorkerRecord worker) {
+        return keptFree.get(worker.pool()) == worker;
+    }
+
     /** Starts the waiting tasks of a step; returns false if one of them fits on no worker. */
     private boolean startTasks(
             StepEntry step,
@@ -131,7 +145,7 @@
                 continue;
             }
             boolean begins = !step.tasks().isKept(task);
-            if (begins && mayBegin <= 0 || runs.openCount() >= MAX_OPEN_RUNS) {
+            if (begins && mayBegin <= 0 || !isWithinOpenRuns(1)) {
                 return true;
             }
             if (!isWithinLimit(step, 1, manifest)) {
@@ -160,9 +174,9 @@
             long now,
             List<Order.Start> orders) {
         List<TaskEntry> tasks = step.tasks().all();
-        boolean allStartable = tasks.stream().allMatch(t -> t.isWaiting() && t.notBefore() <= now);
-        boolean tooMany = runs.openCount() + tasks.size() > MAX_OPEN_RUNS;
-        if (!allStartable || tooMany || !isWithinLimit(step, tasks.size(), manifest)) {
+        if (!areAllStartable(tasks, now)
+                || !isWithinOpenRuns(tasks.size())
+                || !isWithinLimit(step, tasks.size(), manifest)) {
             return true;
         }
         int number = tasks.stream().mapToInt(this::nextRunNumber).max().orElse(1);
@@ -187,7 +201,39 @@
     private Optional<WorkerRecord> chooseWorker(
             TaskEntry task, List<WorkerRecord> pool, Set<WorkerRecord> reserved, long now) {
         return Placement.choose(
-                task, pool, w -> !reserved.contains(w) && isolation.mayStart(task, w, now), now);
+                task, pool, w -> !reserved.contains(w) && isAllowedByIsolation(task, w, now), now);
+    }
+
+    /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
+    boolean isAllowedByIsolation(TaskEntry task, WorkerRecord worker, long now) {
+        return isolation.mayStart(task, worker, now);
+    }
+
+    /** Returns whether no task of a gang has a run, or waits for a time after a failed run. */
+    static boolean isGangStartable(StepEntry gang, long now) {
+        return areAllStartable(gang.tasks().all(), now);
+    }
+
+    private static boolean areAllStartable(List<TaskEntry> tasks, long now) {
+        return tasks.stream().allMatch(t -> t.isWaiting() && t.notBefore() <= now);
+    }
+
+    /** Returns how many tasks of a step start together, or not at all. */
+    static int startedAtOnce(StepEntry step) {
+        return step.spec().gang() ? step.tasks().count() : 1;
+    }
+
+    private boolean isWithinOpenRuns(int more) {
+        return runs.openCount() + more <= MAX_OPEN_RUNS;
+    }
+
+    /** Returns whether memory allows runs of some more tasks of a step. */
+    boolean isWithinRunLimits(StepEntry step, int more) {
+        boolean mayBegin =
+                step.spec().gang()
+                        || step.job().begunTaskCount() < JobSizeLimits.MAX_BEGUN_TASKS
+                        || step.tasks().kept().stream().anyMatch(TaskEntry::isWaiting);
+        return isWithinOpenRuns(more) && mayBegin;
     }
 
     private Order.Start startRun(TaskEntry task, WorkerRecord worker, int number, long now) {
@@ -229,7 +275,8 @@
         return Math.max(task.lastRunNumber() + 1, firstOfTerm);
     }
 
-    private boolean isWithinLimit(StepEntry step, int count, Manifest manifest) {
+    /** Returns whether a customer's limit allows runs of some more tasks of a step. */
+    boolean isWithinLimit(StepEntry step, int count, Manifest manifest) {
         String name = step.job().job().customer();
         Customer customer = manifest.customers().get(name);
         if (customer == null) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
@@ -48,6 +48,11 @@
         }
     }
 
+    /** Returns whether the service has refused a worker for the step. */
+    boolean isRefused(String worker) {
+        return refusedWorkers.contains(worker);
+    }
+
     /** Discards a ticket that its worker refused. */
     void discardTicket(String worker) {
         ticketsByWorker.remove(worker);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -54,6 +54,7 @@
     private final StalledRunDetector stalledRunDetector;
     private final PaceControl paceControl;
     private final StartGate startGate;
+    private final StandstillDetector standstills;
     private Manifest manifest;
 
     /**
@@ -83,6 +84,14 @@
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(lifecycle, runs, this::runOf, events);
         this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
+        this.standstills =
+                new StandstillDetector(
+                        liveJobs,
+                        workers.values(),
+                        () -> this.manifest,
+                        this::poolsOfUnknownRuns,
+                        startPlanner,
+                        startGate);
     }
 
     /** Applies a newer configuration. */
@@ -292,6 +301,7 @@
         inheritedStarts.workerReported(workerId, report, now);
         boolean allRunsKnown = reportHandler.apply(worker, report, sentAt, now);
         worker.reported(true);
+        standstills.reportApplied(now);
         if (allRunsKnown) {
             predecessor.remove(workerId);
         }
@@ -345,7 +355,7 @@
      */
     public List<Order> plan(long now, long wallMillis) {
         List<Order> orders = planWithoutStarts(now, wallMillis);
-        Set<String> pools = predecessor.poolsOfUnknownRuns(this::lastLeaseEndsAt, now);
+        Set<String> pools = poolsOfUnknownRuns(now);
         orders.addAll(
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
@@ -405,6 +415,10 @@
         liveJobs.stream().flatMap(JobEntry::steps).forEach(s -> s.forgetWorker(workerId));
     }
 
+    private Set<String> poolsOfUnknownRuns(long now) {
+        return predecessor.poolsOfUnknownRuns(this::lastLeaseEndsAt, now);
+    }
+
     /** Returns when the last lease ends that this holder or its predecessor granted to a worker. */
     private long lastLeaseEndsAt(WorkerRecord worker) {
         return Math.max(worker.leaseEndsAt(), predecessor.leasesEndAt());
@@ -457,6 +471,11 @@
         return inUse;
     }
 
+    /** Returns what tells why work waits. */
+    public StandstillDetector standstills() {
+        return standstills;
+    }
+
     /** Returns whether starts are held back until progress is stored. */
     public boolean hasHeldStarts() {
         return startGate.hasHeldStarts();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -182,6 +182,16 @@
         return usedResources.plus(footprint).fitsIn(entry.capacity());
     }
 
+    /** Returns the capacity that is left by the runs that the worker has confirmed or listed. */
+    Resources capacityBesideBegunRuns() {
+        Resources begun =
+                runs.stream()
+                        .filter(Run::hasBegun)
+                        .map(Run::footprint)
+                        .reduce(Resources.NONE, Resources::plus);
+        return entry.capacity().minus(begun);
+    }
+
     /** Returns whether the open runs exceed the capacity, which may shrink while they run. */
     boolean isOverCapacity() {
         return !usedResources.fitsIn(entry.capacity());
@@ -217,12 +227,27 @@
 
     /** Returns whether new tasks may be placed on this worker. */
     boolean acceptsTasks(long now) {
-        return listed
-                && reported
-                && reachable
-                && !cordoned
-                && !entry.draining()
-                && now >= backOffUntil;
+        return obstacle(now) == WorkerObstacle.NONE;
+    }
+
+    /** Returns why no new task may be placed on this worker. */
+    WorkerObstacle obstacle(long now) {
+        if (!listed) {
+            return WorkerObstacle.UNLISTED;
+        }
+        if (!reported) {
+            return WorkerObstacle.NOT_REPORTED;
+        }
+        if (!reachable) {
+            return WorkerObstacle.UNREACHABLE;
+        }
+        if (cordoned) {
+            return WorkerObstacle.CORDONED;
+        }
+        if (entry.draining()) {
+            return WorkerObstacle.DRAINING;
+        }
+        return now >= backOffUntil ? WorkerObstacle.NONE : WorkerObstacle.BACKING_OFF;
     }
 
     void recordSuccess() {
