Lengthen the holder's lease after a stall of its own process

What callers saw: on slow processors nothing started for 3 to 4 s of each 8 s.

Cause: the lease lasts 1 s while renewals are answered quickly, however late they are sent. A new holder plans and starts hundreds of tasks with code that has not been compiled yet; it stalls, loses the lease, and its successor does the same.

Change: a lateness of the renewal itself counts like a slow answer, so the lease is four times as long as the last stall, at most the 2.5 s that it had before while the store was slow.

Test: HolderElectionTest.theLeaseIsLongerAfterAStallOfTheHolder, red before (2,500 ms instead of 3,600 ms with the bounds of that test). A stall that is longer than the lease still ends the term.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -10,8 +10,8 @@
  * <p>Clocks of different processes are not compared. A lease has expired when its row has not
  * changed for the duration of the lease, measured from when this process first read that version.
  * After the loss of a holder nothing is scheduled until its lease has expired, so the lease is
- * short while the store answers quickly. It is longer while renewals are slow, and while a new
- * holder reads the jobs, because its renewals share the link with these reads. A process that
+ * short while the store answers quickly. It is longer while renewals are slow or late, and while a
+ * new holder reads the jobs, because its renewals share the link with these reads. A process that
  * failed to read the jobs during its term waits longer before its next takeover, and a process on a
  * slow link waits before it takes a free lease, so that processes on faster links go first.
  *
@@ -21,7 +21,7 @@
  */
 public final class HolderElection {
 
-    /** A lease lasts at least this many times as long as the last renewal took. */
+    /** A lease lasts at least this many times as long as the last renewal took or was late. */
     private static final int RENEWAL_TIMES_PER_LEASE = 4;
 
     /** Before any real time, and far enough from Long.MIN_VALUE that subtraction can't overflow. */
@@ -97,17 +97,25 @@
     /** Records that a write of this process succeeded. */
     public void writeSucceeded(HolderRow written, long writtenVersion, long sentAt, long now) {
         observe(Optional.of(written), writtenVersion, now);
+        long slowness = Math.max(now - sentAt, latenessMillis(sentAt));
         lastRenewedAt = Math.max(lastRenewedAt, sentAt);
         shortestRequestedLeaseMillis = Long.MAX_VALUE;
-        long minForLatency = RENEWAL_TIMES_PER_LEASE * (now - sentAt);
         long decayed = Math.round(leaseMillis * LEASE_DECAY_FACTOR);
         leaseMillis =
                 Math.clamp(
-                        Math.max(minForLatency, decayed),
+                        Math.max(RENEWAL_TIMES_PER_LEASE * slowness, decayed),
                         leaseTimes.minMillis(),
                         leaseTimes.maxMillis());
     }
 
+    /**
+     * Returns how much later than due a renewal was sent, since this process was busy or paused.
+     */
+    private long latenessMillis(long sentAt) {
+        boolean first = lastRenewedAt == NEVER;
+        return first ? 0 : Math.max(0, sentAt - lastRenewedAt - leaseTimes.renewIntervalMillis());
+    }
+
     /** Records that this process starts to read the jobs as the new holder. */
     public void startReading() {
         readingJobs = true;
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
@@ -105,6 +105,18 @@
         assertThat(renewal(a, 5_200).leaseMillis()).isEqualTo(MAX_LEASE_MILLIS);
     }
 
+    /**
+     * Each holder whose process had stalls of most of a lease lost it before it had started work.
+     */
+    @Test
+    void theLeaseIsLongerAfterAStallOfTheHolder() {
+        HolderElection a = election("a", "vm-a");
+        a.writeSucceeded(row("a", "vm-a", false), 10, 1_000, 1_020);
+        long sentAt = 1_000 + RENEW_INTERVAL_MILLIS + 900;
+        a.writeSucceeded(row("a", "vm-a", false), 11, sentAt, sentAt + 20);
+        assertThat(renewal(a, sentAt + RENEW_INTERVAL_MILLIS).leaseMillis()).isEqualTo(3_600);
+    }
+
     @Test
     void theLeaseIsLongestWhileTheNewHolderReadsTheJobs() {
         HolderElection a = election("a", "vm-a");
