Ignore numbers in reports that no holder or worker can have given

What callers saw: jobs stand as running for good after a worker named run number for their tasks.

Cause: the next run number is the highest reported one plus one, which overflows; each start is then refused as too old. A huge number of an end makes the worker's later ends ignored, and the worker is told to forget them. An end of a task beyond its job held the ends after it for 5 s. The first number of a term overflowed after 2,147,484 terms. A task that used more than 1,000 numbers in one term began below them in the next one, and came up by one each 100 ms.

Change: RunNumbers has the range that holders up to this term can have given: from 1 to the first number of the term, its 1,000 and a reserve for tasks that are refused often. An entry outside of it is ignored and logged once in a lifetime of the worker (7081). As it does not tell which run it is, runs of that task on that worker are not taken as gone by this report. Stored numbers outside of the range, from earlier releases, are not counted on from. The number of an end may be at most a million beyond the worker's clock in milliseconds, as both start anew with its lifetime. A start that is refused as too old skips twice as many numbers each time.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswerHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/OrderAnswerHandler.java
@@ -10,10 +10,12 @@
     private static final long UNHEALTHY_BACK_OFF_MILLIS = 1_000;
 
     private final RunRegistry runs;
+    private final RunNumbers numbers;
     private final Consumer<SchedulerEvent> events;
 
-    OrderAnswerHandler(RunRegistry runs, Consumer<SchedulerEvent> events) {
+    OrderAnswerHandler(RunRegistry runs, RunNumbers numbers, Consumer<SchedulerEvent> events) {
         this.runs = runs;
+        this.numbers = numbers;
         this.events = events;
     }
 
@@ -28,6 +30,7 @@
     private void startAnswered(Run run, OrderAnswer answer, long now) {
         if (answer == OrderAnswer.DONE) {
             run.task().step().job().recordRun(now);
+            run.task().runNumberTaken();
             if (run.phase() != Run.Phase.STOPPING) {
                 run.enterPhase(Run.Phase.RUNNING, now);
             }
@@ -53,6 +56,11 @@
                 run.task().step().advice().discardTicket(run.worker().id());
                 startRefused(run, now);
             }
+            case RUN_TOO_OLD -> {
+                run.task().skipRunNumbers(numbers.highest());
+                run.task().delayUntil(now + REFUSED_BACK_OFF_MILLIS);
+                startRefused(run, now);
+            }
             default -> {
                 run.task().delayUntil(now + REFUSED_BACK_OFF_MILLIS);
                 startRefused(run, now);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressRestorer.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressRestorer.java
@@ -8,10 +8,12 @@
 
     private final JobLifecycle lifecycle;
     private final InheritedStarts inheritedStarts;
+    private final RunNumbers numbers;
 
-    ProgressRestorer(JobLifecycle lifecycle, InheritedStarts inheritedStarts) {
+    ProgressRestorer(JobLifecycle lifecycle, InheritedStarts inheritedStarts, RunNumbers numbers) {
         this.lifecycle = lifecycle;
         this.inheritedStarts = inheritedStarts;
+        this.numbers = numbers;
     }
 
     /** Restores the progress of a job of which this holder knows only what its caller asked for. */
@@ -40,7 +42,7 @@
     }
 
     private void restoreFailures(TaskEntry task, TaskFailures failures) {
-        task.restore(failures);
+        task.restore(failures, numbers);
         failures.crashes().started().forEach(r -> inheritedStarts.add(task, r));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -18,11 +18,18 @@
     private static final long FAILED_SERVICE_DELAY_MILLIS = 200;
     private static final long UNKNOWN_JOB_TIMEOUT_MILLIS = 5_000;
 
+    /**
+     * The most ends that a worker may count beyond one for each millisecond of its clock, which
+     * starts anew with its lifetime as the count does.
+     */
+    private static final long MAX_ENDS_BEYOND_CLOCK = 1_000_000;
+
     /** A long-running task that has run for this long does not crash workers that start it. */
     private static final long CRASH_PROBATION_MILLIS = 10_000;
 
     private final JobTable jobs;
     private final RunRegistry runs;
+    private final RunNumbers numbers;
     private final JobLifecycle lifecycle;
     private final WorkerLossHandler losses;
     private final RunTimeEstimator runTimes;
@@ -31,12 +38,14 @@
     ReportHandler(
             JobTable jobs,
             RunRegistry runs,
+            RunNumbers numbers,
             JobLifecycle lifecycle,
             WorkerLossHandler losses,
             RunTimeEstimator runTimes,
             Consumer<SchedulerEvent> events) {
         this.jobs = jobs;
         this.runs = runs;
+        this.numbers = numbers;
         this.lifecycle = lifecycle;
         this.losses = losses;
         this.runTimes = runTimes;
@@ -53,10 +62,10 @@
      */
     boolean apply(WorkerRecord worker, RunReport report, long sentAt, long now) {
         checkLifetime(worker, report, now);
-        List<EndedRun> unapplied = applyEnds(worker, report.ended(), now);
+        List<EndedRun> unapplied = applyEnds(worker, report, now);
         Set<Run> listed = findRuns(worker, unapplied);
         for (RunningTask running : report.running()) {
-            applyRunning(worker, running, now).ifPresent(listed::add);
+            listed.addAll(applyRunning(worker, running, now));
         }
         if (report.moreEnds()) {
             return false;
@@ -73,9 +82,14 @@
      * Applies the reported ends in their order, up to the first that cannot be applied yet; returns
      * this one and all after it.
      */
-    private List<EndedRun> applyEnds(WorkerRecord worker, List<EndedRun> endedRuns, long now) {
+    private List<EndedRun> applyEnds(WorkerRecord worker, RunReport report, long now) {
         List<EndedRun> unapplied = new ArrayList<>();
-        for (EndedRun ended : endedRuns) {
+        long highest = Math.max(0, report.clockMillis()) + MAX_ENDS_BEYOND_CLOCK;
+        for (EndedRun ended : report.ended()) {
+            if (ended.number() < 1 || ended.number() > highest) {
+                noteOdd(worker, ended.task(), ended.run(), "number=" + ended.number());
+                continue;
+            }
             if (ended.number() <= worker.lastAppliedEnd()) {
                 continue;
             }
@@ -125,18 +139,44 @@
      * known.
      */
     private boolean tryApplyEnd(WorkerRecord worker, EndedRun ended, long now) {
-        Optional<TaskEntry> known = findTask(ended.task());
-        if (known.isEmpty() && !worker.isUnknownJobTimedOut(now, UNKNOWN_JOB_TIMEOUT_MILLIS)) {
+        boolean jobKnown = jobs.find(ended.task().job()).isPresent();
+        if (!jobKnown && !worker.isUnknownJobTimedOut(now, UNKNOWN_JOB_TIMEOUT_MILLIS)) {
             return false;
         }
         worker.markEndApplied(ended.number());
-        if (known.isPresent()) {
+        if (jobKnown) {
             worker.clearUnknownJob();
-            applyEnd(worker, known.get(), ended, now);
+            applyEndOfKnownJob(worker, ended, now);
         }
         return true;
     }
 
+    private void applyEndOfKnownJob(WorkerRecord worker, EndedRun ended, long now) {
+        Optional<TaskEntry> task = findTask(ended.task());
+        if (task.isPresent() && isNumberPossible(task.get(), ended.run(), worker)) {
+            applyEnd(worker, task.get(), ended, now);
+        } else {
+            noteOdd(worker, ended.task(), ended.run(), "end=" + ended.end());
+        }
+    }
+
+    private boolean isNumberPossible(TaskEntry task, int run, WorkerRecord worker) {
+        return numbers.mayBeGiven(run) || task.run(run, worker).isPresent();
+    }
+
+    /** Logs an entry that names what cannot be, once in a worker's lifetime. */
+    private void noteOdd(WorkerRecord worker, TaskId task, int run, String detail) {
+        if (worker.noteOddEntry()) {
+            events.accept(
+                    new SchedulerEvent(
+                            SchedulerEvent.Kind.ODD_ENTRY,
+                            task.job(),
+                            task + "#" + run,
+                            worker.id(),
+                            detail));
+        }
+    }
+
     private void applyEnd(WorkerRecord worker, TaskEntry task, EndedRun ended, long now) {
         events.accept(
                 new SchedulerEvent(
@@ -180,13 +220,27 @@
         }
     }
 
-    /** Applies a run that the worker lists as running; returns it, if its job is known. */
-    private Optional<Run> applyRunning(WorkerRecord worker, RunningTask running, long now) {
+    /**
+     * Applies a run that the worker lists as running; returns the open runs that may be it.
+     *
+     * <p>A number that no holder can have given does not tell which run it is; so none of the task
+     * is over on this worker, but for those that the worker has confirmed to be stopped.
+     */
+    private List<Run> applyRunning(WorkerRecord worker, RunningTask running, long now) {
         Optional<TaskEntry> known = findTask(running.task());
         if (known.isEmpty()) {
-            return Optional.empty();
+            return List.of();
+        }
+        if (isNumberPossible(known.get(), running.run(), worker)) {
+            return List.of(applyRunning(worker, known.get(), running, now));
         }
-        TaskEntry task = known.get();
+        noteOdd(worker, running.task(), running.run(), "percent=" + running.percent());
+        return known.get().runs().stream()
+                .filter(r -> r.worker() == worker && r.phase() != Run.Phase.STOPPING)
+                .toList();
+    }
+
+    private Run applyRunning(WorkerRecord worker, TaskEntry task, RunningTask running, long now) {
         Run run =
                 task.run(running.run(), worker).orElseGet(() -> adopt(worker, task, running, now));
         if (run.phase() == Run.Phase.STARTING || run.phase() == Run.Phase.UNCERTAIN) {
@@ -199,7 +253,7 @@
         if (task.step().spec().longRunning() && now - run.openedAt() >= CRASH_PROBATION_MILLIS) {
             lifecycle.clearCrashes(task);
         }
-        return Optional.of(run);
+        return run;
     }
 
     private Run adopt(WorkerRecord worker, TaskEntry task, RunningTask running, long now) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -31,6 +31,8 @@
         STOP,
         /** An order to change the speed of a run is sent. */
         PACE,
+        /** A worker reports a number that no holder or worker can have given; it is ignored. */
+        ODD_ENTRY,
         /** A worker no longer lists a run, without having reported its end. */
         VANISHED,
         /** A job has reached a final state. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -19,15 +19,13 @@
 /** Decides which waiting tasks start now, and where. */
 final class StartPlanner {
 
-    private static final int RUN_NUMBERS_PER_TERM = 1_000;
-
     /** Runs that are open at once in the whole fleet; each takes up to 1 KB of memory. */
     private static final int MAX_OPEN_RUNS = 40_000;
 
     private final RunRegistry runs;
     private final JobLifecycle lifecycle;
     private final JobRanking ranking;
-    private final SchedulerSettings settings;
+    private final RunNumbers numbers;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
     private final Map<String, WorkerRecord> keptFree = new HashMap<>();
@@ -42,7 +40,7 @@
         this.runs = runs;
         this.lifecycle = lifecycle;
         this.ranking = ranking;
-        this.settings = settings;
+        this.numbers = new RunNumbers(settings.term());
         this.events = events;
         this.isolation = new IsolationPlanner(settings.vmMoveMillis(), events);
     }
@@ -159,7 +157,7 @@
             if (worker.isEmpty()) {
                 return false;
             }
-            orders.add(startRun(task, worker.get(), nextRunNumber(task), now));
+            orders.add(startRun(task, worker.get(), numbers.next(task), now));
             mayBegin -= begins ? 1 : 0;
         }
         return true;
@@ -179,7 +177,7 @@
                 || !isWithinLimit(step, tasks.size(), manifest)) {
             return true;
         }
-        int number = tasks.stream().mapToInt(this::nextRunNumber).max().orElse(1);
+        int number = tasks.stream().mapToInt(numbers::next).max().orElse(1);
         String checkpoint =
                 tasks.stream().map(TaskEntry::checkpoint).max(Comparator.naturalOrder()).orElse("");
         List<Run> placed = new ArrayList<>();
@@ -270,11 +268,6 @@
                 task.step().advice().ticketFor(worker.id(), now));
     }
 
-    private int nextRunNumber(TaskEntry task) {
-        int firstOfTerm = (int) (settings.term() - 1) * RUN_NUMBERS_PER_TERM + 1;
-        return Math.max(task.lastRunNumber() + 1, firstOfTerm);
-    }
-
     /** Returns whether a customer's limit allows runs of some more tasks of a step. */
     boolean isWithinLimit(StepEntry step, int count, Manifest manifest) {
         String name = step.job().job().customer();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -7,11 +7,15 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.chervillift.api.tasks.TaskId;
 
 /** The scheduler's state of one task. */
 final class TaskEntry {
 
+    private static final int MAX_SKIP_SHIFT = 20;
+
     private final StepEntry step;
     private final int index;
     private final List<Run> runs = new ArrayList<>(1);
@@ -19,6 +23,7 @@
     private final CrashHistory crashes;
     private final Set<String> failedWorkers = new HashSet<>();
     private int lastRunNumber;
+    private int tooOldCount;
     private int stallCount;
     private String checkpoint = "";
     private long notBefore = Long.MIN_VALUE;
@@ -72,14 +77,24 @@
         return failedWorkers;
     }
 
-    /** Restores the failed and crashed runs that an earlier holder stored. */
-    void restore(JobProgress.TaskFailures stored) {
+    /**
+     * Restores the failed and crashed runs that an earlier holder stored.
+     *
+     * @param numbers the run numbers that earlier holders may have given; earlier releases also
+     *     stored others, which workers had reported
+     */
+    void restore(JobProgress.TaskFailures stored, RunNumbers numbers) {
         failedRuns.addAll(stored.runs());
         crashes.restore(stored.crashes());
-        stored.runs().forEach(this::recordRunNumber);
-        stored.crashes().confirmed().forEach(this::recordRunNumber);
-        stored.crashes().unconfirmed().forEach(this::recordRunNumber);
-        stored.crashes().started().forEach(r -> recordRunNumber(r.run()));
+        JobProgress.TaskCrashes crashed = stored.crashes();
+        Stream.of(
+                        stored.runs().stream(),
+                        crashed.confirmed().stream(),
+                        crashed.unconfirmed().stream(),
+                        crashed.started().stream().map(JobProgress.StartedRun::run))
+                .flatMap(Function.identity())
+                .filter(numbers::mayBeGiven)
+                .forEach(this::recordRunNumber);
     }
 
     int lastRunNumber() {
@@ -90,6 +105,21 @@
         lastRunNumber = Math.max(lastRunNumber, number);
     }
 
+    /**
+     * Skips run numbers after a worker has refused one as too old: twice as many each time, since
+     * it is not known how many an earlier holder used.
+     */
+    void skipRunNumbers(int highest) {
+        long skipped = 1L << Math.min(tooOldCount, MAX_SKIP_SHIFT);
+        tooOldCount++;
+        recordRunNumber((int) Math.min(lastRunNumber + skipped, highest));
+    }
+
+    /** Records that a worker has taken the last run number. */
+    void runNumberTaken() {
+        tooOldCount = 0;
+    }
+
     /** Returns how many runs were stopped because they made no progress. */
     int stallCount() {
         return stallCount;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -74,12 +74,14 @@
         this.events = Checks.notNull("events", events);
         this.lifecycle = new JobLifecycle(liveJobs, events);
         this.inheritedStarts = new InheritedStarts(lifecycle, events);
-        this.restorer = new ProgressRestorer(lifecycle, inheritedStarts);
+        RunNumbers numbers = new RunNumbers(settings.term());
+        this.restorer = new ProgressRestorer(lifecycle, inheritedStarts, numbers);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
-        this.reportHandler = new ReportHandler(jobs, runs, lifecycle, losses, runTimes, events);
+        this.reportHandler =
+                new ReportHandler(jobs, runs, numbers, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
-        this.answerHandler = new OrderAnswerHandler(runs, events);
+        this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
         this.stalledRunDetector = new StalledRunDetector(events);
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(lifecycle, runs, this::runOf, events);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -29,6 +29,7 @@
     private long acknowledgedEnd;
     private long lastAppliedEnd;
     private Resources usedResources = Resources.NONE;
+    private boolean oddEntryNoted;
     private int consecutiveFailures;
     private long lastFailureAt = Long.MIN_VALUE / 2;
     private long lastBackOffAt = Long.MIN_VALUE;
@@ -123,6 +124,7 @@
         bornAtMillis = newBornAtMillis;
         acknowledgedEnd = 0;
         lastAppliedEnd = 0;
+        oddEntryNoted = false;
         consecutiveFailures = 0;
         lastBackOffAt = Long.MIN_VALUE;
         backOffUntil = Long.MIN_VALUE;
@@ -157,6 +159,13 @@
         lastAppliedEnd = Math.max(lastAppliedEnd, number);
     }
 
+    /** Notes an odd entry in a report; returns whether it is the first of this lifetime. */
+    boolean noteOddEntry() {
+        boolean first = !oddEntryNoted;
+        oddEntryNoted = true;
+        return first;
+    }
+
     Set<Run> runs() {
         return runs;
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -145,6 +145,7 @@
                     case FINAL -> TaskEvent.JOB_ENDED;
                     case LIFETIME, LEASE_OVER -> TaskEvent.WORKER_CHANGED;
                     case LOST -> TaskEvent.RUN_LOST;
+                    case ODD_ENTRY -> TaskEvent.REPORT_ENTRY_IGNORED;
                     default -> TaskEvent.TASK_DECISION;
                 };
         EventLog.log(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -82,6 +82,9 @@
     WORKER_CHANGED(7052, Level.INFO, "A worker has a new lifetime, or its lease has expired."),
     /** A run was lost with its worker. */
     RUN_LOST(7053, Level.WARN, "A run was lost with its worker."),
+    /** A worker reports what cannot be. */
+    REPORT_ENTRY_IGNORED(
+            7081, Level.WARN, "An entry of a worker's report names what cannot be; it is ignored."),
     /** An order for a VM was sent. */
     VM_ORDERED(
             7060,
