Measure a run's progress by the worker's clock, from its first report on

No line of the log names the back-off.

Cause: StalledRunDetector took the time from the decision to start a run to the reading of the first report that listed it as time without progress. Where an order, its answer or the holder's own event loop was 1 s late, each new run seemed to stand still at 0%: it was stopped, and its sound worker was given no task for 3 s.

Change: the time without progress is that between two reports by the worker's own clock, so neither a late order nor a late reading counts. A run that makes none is stopped as before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -65,7 +65,7 @@
         List<EndedRun> unapplied = applyEnds(worker, report, now);
         Set<Run> listed = findRuns(worker, unapplied);
         for (RunningTask running : report.running()) {
-            listed.addAll(applyRunning(worker, running, now));
+            listed.addAll(applyRunning(worker, running, report.clockMillis(), now));
         }
         if (report.moreEnds()) {
             return false;
@@ -225,14 +225,17 @@
      *
      * <p>A number that no holder can have given does not tell which run it is; so none of the task
      * is over on this worker, but for those that the worker has confirmed to be stopped.
+     *
+     * @param workerClock when the worker made the report, by its own clock, in milliseconds
      */
-    private List<Run> applyRunning(WorkerRecord worker, RunningTask running, long now) {
+    private List<Run> applyRunning(
+            WorkerRecord worker, RunningTask running, long workerClock, long now) {
         Optional<TaskEntry> known = findTask(running.task());
         if (known.isEmpty()) {
             return List.of();
         }
         if (isNumberPossible(known.get(), running.run(), worker)) {
-            return List.of(applyRunning(worker, known.get(), running, now));
+            return List.of(applyRunning(worker, known.get(), running, workerClock, now));
         }
         noteOdd(worker, running.task(), running.run(), "percent=" + running.percent());
         return known.get().runs().stream()
@@ -240,14 +243,15 @@
                 .toList();
     }
 
-    private Run applyRunning(WorkerRecord worker, TaskEntry task, RunningTask running, long now) {
+    private Run applyRunning(
+            WorkerRecord worker, TaskEntry task, RunningTask running, long workerClock, long now) {
         Run run =
                 task.run(running.run(), worker).orElseGet(() -> adopt(worker, task, running, now));
         if (run.phase() == Run.Phase.STARTING || run.phase() == Run.Phase.UNCERTAIN) {
             run.enterPhase(Run.Phase.RUNNING, now);
         }
         task.step().job().recordRun(now);
-        run.updateProgress(running.percent(), now);
+        run.updateProgress(running.percent(), workerClock);
         run.gauge(running.gauge());
         task.updateCheckpoint(running.checkpoint());
         if (task.step().spec().longRunning() && now - run.openedAt() >= CRASH_PROBATION_MILLIS) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -18,6 +18,7 @@
     }
 
     private static final long PACE_RETRY_MILLIS = 300;
+    private static final long NEVER_LISTED = Long.MIN_VALUE;
 
     private final TaskEntry task;
     private final int number;
@@ -33,8 +34,8 @@
     private int progressPercent;
     private int pacePercent = 100;
     private long paceSentAt = Long.MIN_VALUE / 2;
-    private long lastProgressAt;
-    private long lastListedAt;
+    private long progressClock = NEVER_LISTED;
+    private long listedClock = NEVER_LISTED;
     private boolean begun;
 
     Run(TaskEntry task, int number, WorkerRecord worker, Phase phase, long now) {
@@ -46,7 +47,6 @@
         this.phaseSince = now;
         this.openedAt = now;
         this.begun = phase == Phase.RUNNING || phase == Phase.STOPPING;
-        this.lastProgressAt = now;
         this.startedAt = phase == Phase.STARTING ? now : 0;
     }
 
@@ -138,22 +138,23 @@
         return progressPercent;
     }
 
-    /** Returns when the progress percentage last changed, in milliseconds. */
-    long lastProgressAt() {
-        return lastProgressAt;
-    }
-
-    /** Returns when the worker last listed the run, in milliseconds. */
-    long lastListedAt() {
-        return lastListedAt;
+    /**
+     * Returns for how long the worker has listed the run without progress, by the worker's clock.
+     *
+     * <p>The time until the first report does not count: an order may be carried out late, and a
+     * report may be read late.
+     */
+    long stalledMillis() {
+        return listedClock - progressClock;
     }
 
-    void updateProgress(int newPercent, long now) {
-        lastListedAt = now;
-        if (newPercent != progressPercent) {
+    /** Records the progress that a report tells, with the worker's time of that report. */
+    void updateProgress(int newPercent, long workerClock) {
+        if (listedClock == NEVER_LISTED || newPercent != progressPercent) {
             progressPercent = newPercent;
-            lastProgressAt = now;
+            progressClock = workerClock;
         }
+        listedClock = workerClock;
     }
 
     int pacePercent() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StalledRunDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StalledRunDetector.java
@@ -52,9 +52,7 @@
                         && !run.task().step().spec().longRunning()
                         && !run.task().step().spec().gang()
                         && run.pacePercent() > 0;
-        // Measured up to the last report: time without reports does not count as time without
-        // progress.
-        long stalledMillis = run.lastListedAt() - run.lastProgressAt();
+        long stalledMillis = run.stalledMillis();
         if (canStall && stalledMillis >= timeoutMillis(run.task())) {
             run.task().recordStall();
             events.accept(
