Say each second which jobs stand still and why, and what the holder last did

Before, a holder that started nothing logged one line (7037), if its copies were old, and none in any other case. No metric told for how long a holder had not planned, stored, heard from a worker, or how old its copies were.

Ages are read when the metrics are asked for, so that they also show an activity that has ended, the check included. Each process tells who holds the lease, for how long the row has not changed, whether it may take the lease (7075, one line a change; HolderElection decides by the same value), and for how long a write of the lease has had no answer. A process that is no holder any more reports nothing of the board.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -147,21 +147,83 @@
         record Wait() implements Decision {}
     }
 
+    /** Whether this process may take the lease, and why not. */
+    public enum Standing {
+        /** There is no row: no process has held the lease. */
+        NEVER_HELD,
+        /** This process holds the lease, as far as the row says. */
+        HELD_HERE,
+        /** This process has released the lease, and does not take it again. */
+        RELEASED_HERE,
+        /** Another process's row has changed too recently. */
+        HELD_BY_OTHER,
+        /** Another process's row is old, but this process cannot read the store now. */
+        STORE_NOT_READABLE,
+        /** Another process's row is old, but this process has only just begun to read the store. */
+        STORE_READABLE_AGAIN,
+        /** The lease may be taken. */
+        FREE
+    }
+
+    /**
+     * What a process knows of the lease.
+     *
+     * @param vm the entry VM of the process that the row names, or empty
+     * @param term the term that the row names; 0 if there is no row
+     * @param unchangedMillis how long this process has seen no change of the row, in milliseconds
+     * @param standing whether this process may take the lease
+     */
+    public record LeaseView(String vm, long term, long unchangedMillis, Standing standing) {
+        public LeaseView {
+            Checks.notNull("vm", vm);
+            Checks.notNull("standing", standing);
+        }
+    }
+
+    /** Returns what this process knows of the lease. */
+    public LeaseView view(long now) {
+        return new LeaseView(
+                currentRow.map(HolderRow::vm).orElse(""),
+                currentRow.map(HolderRow::term).orElse(0L),
+                now - rowUnchangedSince,
+                standing(now));
+    }
+
     /** Decides what this process does next. */
     public Decision decide(long now) {
+        return switch (standing(now)) {
+            case NEVER_HELD -> takeOver(0);
+            case HELD_HERE -> renewIfDue(now);
+            case FREE -> takeOver(currentRow.orElseThrow().term());
+            case RELEASED_HERE, HELD_BY_OTHER, STORE_NOT_READABLE, STORE_READABLE_AGAIN ->
+                    new Decision.Wait();
+        };
+    }
+
+    private Standing standing(long now) {
         if (currentRow.isEmpty()) {
-            return takeOver(0);
+            return Standing.NEVER_HELD;
         }
         HolderRow held = currentRow.get();
         if (held.process().equals(process)) {
-            boolean renew =
-                    !held.released() && now - lastRenewedAt >= leaseTimes.renewIntervalMillis();
-            return renew ? renewal(held) : new Decision.Wait();
+            return held.released() ? Standing.RELEASED_HERE : Standing.HELD_HERE;
+        }
+        if (held.vm().equals(vm)) {
+            return Standing.FREE;
         }
-        boolean ownFormerProcess = held.vm().equals(vm);
-        long confirmedSince = Math.max(rowUnchangedSince, storeReadableSince);
-        boolean free = storeReadable && now - confirmedSince >= takeoverWaitMillis(held);
-        return ownFormerProcess || free ? takeOver(held.term()) : new Decision.Wait();
+        long wait = takeoverWaitMillis(held);
+        if (now - rowUnchangedSince < wait) {
+            return Standing.HELD_BY_OTHER;
+        }
+        if (!storeReadable) {
+            return Standing.STORE_NOT_READABLE;
+        }
+        return now - storeReadableSince < wait ? Standing.STORE_READABLE_AGAIN : Standing.FREE;
+    }
+
+    private Decision renewIfDue(long now) {
+        boolean due = now - lastRenewedAt >= leaseTimes.renewIntervalMillis();
+        return due ? renewal(currentRow.orElseThrow()) : new Decision.Wait();
     }
 
     /** Returns how long another process's row must stay unchanged before its lease is taken. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -139,7 +139,7 @@
                 standing.entrySet().stream()
                         .map(e -> toStandingJobs(e.getKey(), e.getValue(), round))
                         .toList(),
-                startStatus(round));
+                startStatus(now));
     }
 
     private Round newRound(Optional<WaitReason> suspension, long now) {
@@ -271,26 +271,25 @@
                 .id();
     }
 
-    private StartStatus startStatus(Round round) {
-        Set<Run> held = round.moment().heldRuns();
+    /** Returns how far the orders to start have come. */
+    public StartStatus startStatus(long now) {
+        Set<Run> held = gate.heldRuns();
         List<Run> unanswered =
                 workers.stream()
                         .flatMap(w -> w.runs().stream())
                         .filter(r -> !r.hasBegun() && !held.contains(r))
                         .toList();
-        long oldest = unanswered.stream().mapToLong(Run::openedAt).min().orElse(round.now());
+        long oldest = unanswered.stream().mapToLong(Run::openedAt).min().orElse(now);
         return new StartStatus(
-                age(gate.lastRoundAt(), round),
-                age(gate.lastReleaseAt(), round),
-                age(lastReportAt, round),
+                age(gate.lastRoundAt(), now),
+                age(gate.lastReleaseAt(), now),
+                age(lastReportAt, now),
                 held.size(),
                 unanswered.size(),
-                round.now() - oldest);
+                now - oldest);
     }
 
-    private static OptionalLong age(OptionalLong time, Round round) {
-        return time.isPresent()
-                ? OptionalLong.of(round.now() - time.getAsLong())
-                : OptionalLong.empty();
+    private static OptionalLong age(OptionalLong time, long now) {
+        return time.isPresent() ? OptionalLong.of(now - time.getAsLong()) : OptionalLong.empty();
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitReason.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitReason.java
@@ -5,10 +5,10 @@
  * plan to the worker's answer.
  */
 public enum WaitReason {
-    /** No task is started at all, since the copies of the jobs or workers are too old. */
-    STARTS_SUSPENDED,
     /** No order is sent at all, since the lease is not certain to be held. */
     LEASE_UNCERTAIN,
+    /** No task is started at all, since the copies of the jobs or workers are too old. */
+    STARTS_SUSPENDED,
     /** The start is decided, and held until progress is stored. */
     START_HELD,
     /** The order to start is sent, and neither answered nor confirmed by a report. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -20,6 +21,7 @@
 import org.chervillift.core.tasks.SchedulerEvent;
 import org.chervillift.core.tasks.SchedulerSettings;
 import org.chervillift.core.tasks.TaskScheduler;
+import org.chervillift.core.tasks.WaitReason;
 import org.chervillift.daemon.tasks.StoreLayout.HeldWorkers;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
@@ -48,6 +50,7 @@
     private final AdviceRequester advice;
     private final VmController vmController;
     private final HolderStatusPublisher statusPublisher;
+    private final StandstillPublisher standstills;
     private final TableFollower jobsFollower;
     private final WorkerSessions workerSessions;
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
@@ -57,6 +60,7 @@
     private int jobRowCount;
     private long workersVersion;
     private long startedAt;
+    private OptionalLong lastStoredAt = OptionalLong.empty();
     private boolean planScheduled;
     private boolean startsEnabled = true;
     private boolean ready;
@@ -73,7 +77,7 @@
                         settings.workerStopTimeout().toMillis(),
                         settings.moveTime().toMillis());
         this.board = new TaskScheduler(boardSettings, manifest, this::log, context.nowMillis());
-        this.progress = new ProgressWriter(context, board, this::replanSoon, this::onEndStored);
+        this.progress = new ProgressWriter(context, board, this::onStored, this::onEndStored);
         this.finishedJobs = new FinishedJobRemover(context, board, progress);
         this.advice = new AdviceRequester(context, board, this::replanSoon);
         this.vmController = new VmController(context, board, manifests);
@@ -88,6 +92,7 @@
                         context.storeClock(),
                         new JobsListener());
         this.workerSessions = new WorkerSessions(context, board, this::replanSoon);
+        this.standstills = new StandstillPublisher(context, board, new Condition());
     }
 
     long term() {
@@ -110,6 +115,7 @@
 
     void start() {
         startedAt = context.nowMillis();
+        standstills.start();
         manifests.addChangeListener(manifestListener);
         readPredecessorState();
         jobsFollower.start();
@@ -124,11 +130,65 @@
         finishedJobs.stop();
         vmController.stop();
         statusPublisher.stop();
+        standstills.stop();
         advice.stop();
         jobsFollower.stop();
         workerSessions.stop();
     }
 
+    /** Sets the metrics that change with time. */
+    void updateAges() {
+        standstills.updateAges();
+    }
+
+    private void onStored() {
+        lastStoredAt = OptionalLong.of(context.nowMillis());
+        replanSoon();
+    }
+
+    private HolderAges ages() {
+        long now = context.nowMillis();
+        return new HolderAges(
+                now - jobsFollower.completeUntil(),
+                now - workerSessions.completeUntil(),
+                context.leaseAgeMillis(),
+                lastStoredAt.isPresent()
+                        ? OptionalLong.of(now - lastStoredAt.getAsLong())
+                        : OptionalLong.empty());
+    }
+
+    /**
+     * Returns whether cancellations of jobs, and notices of workers that drain or shrink, are
+     * known.
+     */
+    private boolean areCopiesCurrent(HolderAges ages) {
+        return Math.max(ages.jobs(), ages.workers()) <= context.settings().maxCopyAgeMillis();
+    }
+
+    /** Tells what keeps the holder from starting tasks, by the conditions of {@link #plan}. */
+    private final class Condition implements StandstillPublisher.Holder {
+
+        @Override
+        public boolean isReady() {
+            return ready;
+        }
+
+        @Override
+        public HolderAges ages() {
+            return HolderController.this.ages();
+        }
+
+        @Override
+        public Optional<WaitReason> suspension() {
+            if (!context.maySendOrders().getAsBoolean()) {
+                return Optional.of(WaitReason.LEASE_UNCERTAIN);
+            }
+            return areCopiesCurrent(ages())
+                    ? Optional.empty()
+                    : Optional.of(WaitReason.STARTS_SUSPENDED);
+        }
+    }
+
     private void onEndStored(String jobId) {
         finishedJobs.onEndStored(jobId);
     }
@@ -369,17 +429,15 @@
      * shrink, may not have reached this process.
      */
     private List<Order> planOrders(long now, long wallMillis) {
-        long jobsAge = now - jobsFollower.completeUntil();
-        long workersAge = now - workerSessions.completeUntil();
-        boolean copiesAreCurrent =
-                Math.max(jobsAge, workersAge) <= context.settings().maxCopyAgeMillis();
+        HolderAges ages = ages();
+        boolean copiesAreCurrent = areCopiesCurrent(ages);
         if (copiesAreCurrent != startsEnabled) {
             startsEnabled = copiesAreCurrent;
             EventLog.log(
                     copiesAreCurrent ? TaskEvent.STARTS_RESUMED : TaskEvent.STARTS_SUSPENDED,
                     Field.of("term", term()),
-                    Field.of("jobsAgeMillis", jobsAge),
-                    Field.of("workersAgeMillis", workersAge));
+                    Field.of("jobsAgeMillis", ages.jobs()),
+                    Field.of("workersAgeMillis", ages.workers()));
         }
         return copiesAreCurrent
                 ? board.plan(now, wallMillis)
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -13,6 +13,7 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.core.tasks.HolderElection;
 import org.chervillift.core.tasks.HolderElection.Decision;
+import org.chervillift.core.tasks.HolderElection.LeaseView;
 import org.chervillift.core.tasks.HolderRow;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
@@ -40,6 +41,8 @@
     private long firstTriedAt;
     private boolean leaseUncertain;
     private boolean writing;
+    private long lastWriteSentAt;
+    private Optional<LoggedView> lastLoggedView = Optional.empty();
     private boolean stopped;
 
     HolderLeaseManager(
@@ -111,6 +114,11 @@
         return election;
     }
 
+    /** Returns how long a write of the lease has not been answered; 0 if none is under way. */
+    long openWriteMillis() {
+        return writing ? nowMillis() - lastWriteSentAt : 0;
+    }
+
     /** Returns the version of the term row, which changes only when a new holder takes over. */
     long termVersion() {
         return termVersion;
@@ -158,11 +166,31 @@
             return;
         }
         logLeaseCertainty();
+        logLeaseView(election.view(nowMillis()));
         election.recordStoreReadable(follower.hasAnswerSince(lastWriteFailureAt), nowMillis());
         writeLeaseIfDue();
         scheduler.schedule(TICK_INTERVAL, this::tick);
     }
 
+    /** What the last line about the lease said, but for its age. */
+    private record LoggedView(String vm, long term, HolderElection.Standing standing) {}
+
+    /** Logs who holds the lease and whether this process may take it, when that has changed. */
+    private void logLeaseView(LeaseView view) {
+        LoggedView seen = new LoggedView(view.vm(), view.term(), view.standing());
+        if (lastLoggedView.equals(Optional.of(seen))) {
+            return;
+        }
+        lastLoggedView = Optional.of(seen);
+        EventLog.log(
+                TaskEvent.LEASE_SEEN,
+                Field.of("holderVm", view.vm()),
+                Field.of("term", view.term()),
+                Field.of("standing", view.standing()),
+                Field.of("unchangedMillis", view.unchangedMillis()),
+                Field.of("openWriteMillis", openWriteMillis()));
+    }
+
     /** Logs when the lease may have expired, and when it turns out to have been renewed in time. */
     private void logLeaseCertainty() {
         boolean before = leaseUncertain;
@@ -185,6 +213,7 @@
         if (election.decide(nowMillis()) instanceof Decision.Write write) {
             writing = true;
             long sentAt = nowMillis();
+            lastWriteSentAt = sentAt;
             commit(write)
                     .whenComplete(
                             (outcome, fault) -> {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -70,6 +70,15 @@
             7080,
             Level.WARN,
             "The store's clock has started anew or was set; its time is corrected."),
+    /** Jobs have nothing running, although workers have room. */
+    WORK_STANDS_STILL(
+            7070, Level.WARN, "Jobs stand still: a worker has room, and nothing of them runs."),
+    /** No job stands still any more. */
+    WORK_GOES_ON(7071, Level.INFO, "No job stands still any more."),
+    /** The holder has not read all jobs for long. */
+    HOLDER_NOT_READY(7076, Level.WARN, "The holder has not read all jobs yet; no task starts."),
+    /** Another process holds the lease, or this process may or may not take it now. */
+    LEASE_SEEN(7075, Level.INFO, "What this process knows of the fleet lease has changed."),
     /** A worker does not respond. */
     WORKER_UNREACHABLE(7040, Level.WARN, "A worker does not respond."),
     /** A worker responds again. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -26,6 +26,8 @@
     private final Gauge term;
     private final Gauge poolCores;
     private final Gauge pendingJobs;
+    private final WaitMetrics waits = new WaitMetrics(registry);
+    private final LeaseMetrics lease = new LeaseMetrics(registry);
 
     TaskMetrics() {
         answers =
@@ -83,6 +85,17 @@
     void clearHolderMetrics() {
         pendingJobs.clear();
         poolCores.clear();
+        waits.clearHolderMetrics();
+    }
+
+    /** Returns the metrics that tell who holds the lease. */
+    LeaseMetrics lease() {
+        return lease;
+    }
+
+    /** Returns the metrics that tell why work waits. */
+    WaitMetrics waits() {
+        return waits;
     }
 
     void setPoolLoad(String pool, PoolLoad load) {
