Bound each call to the platform, so that its callback always comes

Callers saw: accepted jobs stand while the holder renews its lease. A call whose stage never completes ends the chain that its callback carries on: the poll of a worker, a followed table, the writes of progress, the lists of VMs, the lease, the read window, the commits of submissions. An order to start without an answer leaves its run STARTING for ever, and the run keeps the worker's room. A call that throws, or returns no stage, does the same and leaves flags such as "writing" set. Nothing of this was logged.

Cause: each chain relies on the promise of a client that an answer comes. The HTTP clients bound single reads and writes, not the whole answer.

Change: TaskNode wraps all clients once (BoundedPlatform): a call that throws, answers null or does not answer within a bound fails like any other call, and takes the path of a failed call, which carries on. A call that throws is logged (7072, with the stack, at most once a second for each kind) and counted (chervillift_loop_failures_total).

NodeFixture.await fails now when no answer comes, where it blocked for ever.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
@@ -24,7 +24,7 @@
  * @param workers creates the client of a worker
  * @param vms lists VMs and sends orders for them
  * @param advice the service that selects workers for the queues that require advice, if any
- * @param scheduler the monotonic clock and timers
+ * @param supervision runs the steps and callbacks of what must go on, and has the timers
  * @param settings the settings
  * @param process the unique name of this process
  * @param maySendOrders returns whether the lease is certain to be held long enough for an order
@@ -40,7 +40,7 @@
         Function<WorkerEntry, WorkerCalls> workers,
         FleetVms vms,
         Optional<PlacementAdvice> advice,
-        Scheduler scheduler,
+        Supervision supervision,
         FleetSettings settings,
         String process,
         BooleanSupplier maySendOrders,
@@ -55,13 +55,18 @@
         Checks.notNull("workers", workers);
         Checks.notNull("vms", vms);
         Checks.notNull("advice", advice);
-        Checks.notNull("scheduler", scheduler);
+        Checks.notNull("supervision", supervision);
         Checks.notNull("settings", settings);
         Checks.notNull("process", process);
         Checks.notNull("maySendOrders", maySendOrders);
         Checks.notNull("metrics", metrics);
     }
 
+    /** Returns the monotonic clock and timers. */
+    Scheduler scheduler() {
+        return supervision.scheduler();
+    }
+
     /** Returns the time since the lease was last renewed, in milliseconds. */
     long leaseAgeMillis() {
         return leaseAge.getAsLong();
@@ -69,6 +74,6 @@
 
     /** Returns the monotonic clock in milliseconds. */
     long nowMillis() {
-        return scheduler.now().toEpochMilli();
+        return scheduler().now().toEpochMilli();
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -110,6 +110,9 @@
     /** The reloaded settings are invalid. */
     SETTINGS_REJECTED(
             7005, Level.ERROR, "The reloaded settings contain errors and are not applied."),
+    /** A step or a callback of what must go on has thrown. */
+    CALLBACK_FAILED(
+            7072, Level.ERROR, "A step or a callback has thrown; its loop goes on after a pause."),
     /** A maintenance wave has begun or is completed. */
     WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed.");
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -23,6 +23,7 @@
     private final Counter answers;
     private final Histogram answerSeconds;
     private final Counter decisions;
+    private final Counter loopFailures;
     private final Gauge term;
     private final Gauge poolCores;
     private final Gauge pendingJobs;
@@ -49,6 +50,12 @@
                         .help("Decisions on tasks and workers, by kind.")
                         .labelNames("decision")
                         .register(registry);
+        loopFailures =
+                Counter.builder()
+                        .name("chervillift_loop_failures_total")
+                        .help("Steps, callbacks and calls that threw, by the loop they belong to.")
+                        .labelNames("loop")
+                        .register(registry);
         term =
                 Gauge.builder()
                         .name("chervillift_holder_term")
@@ -77,6 +84,10 @@
         decisions.labelValues(kind.name()).inc();
     }
 
+    void countLoopFailure(String loop) {
+        loopFailures.labelValues(loop).inc();
+    }
+
     void setTerm(long newTerm) {
         term.set(newTerm);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -25,6 +25,7 @@
 
     private FleetSettings settings;
     private final Scheduler scheduler;
+    private final Supervision supervision;
     private final PlatformAccess ports;
     private final String process;
     private final MonitoredStore store;
@@ -68,9 +69,10 @@
             FleetSettings settings, Scheduler scheduler, PlatformAccess ports, String process) {
         this.settings = Checks.notNull("settings", settings);
         this.scheduler = Checks.notNull("scheduler", scheduler);
-        this.ports = Checks.notNull("ports", ports);
+        this.supervision = new Supervision(scheduler, metrics);
+        this.ports = BoundedPlatform.of(Checks.notNull("ports", ports), supervision);
         this.process = Checks.notBlank("process", process);
-        this.store = new MonitoredStore(ports.store(), scheduler);
+        this.store = new MonitoredStore(this.ports.store(), scheduler);
         this.manifests = new ManifestTracker(ports.rows());
         this.operatorFollower =
                 new TableFollower(
@@ -108,7 +110,7 @@
                         ports.workers(),
                         ports.vms(),
                         ports.advice(),
-                        scheduler,
+                        supervision,
                         settings,
                         process,
                         this::maySendOrders,
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -1,5 +1,7 @@
 package org.chervillift.daemon.tasks;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -129,6 +131,23 @@
         TaskNode.PlatformAccess ports =
                 new TaskNode.PlatformAccess(
                         storeView, new FleetRowCodec(), this::connect, fleet, Optional.empty());
+        return startNode(settings, ports, process);
+    }
+
+    /** Starts a node whose calls to the platform may fail in ways that no interface allows. */
+    TaskNode startNode(String vm, FaultyPlatform platform) {
+        TaskNode.PlatformAccess ports =
+                new TaskNode.PlatformAccess(
+                        platform.store(delayingStore),
+                        platform.rows(),
+                        w -> platform.worker(connect(w)),
+                        platform.vms(fleet),
+                        Optional.empty());
+        return startNode(settings(vm, LINK_MBPS), ports, vm + "/" + startedNodes.size());
+    }
+
+    private TaskNode startNode(
+            FleetSettings settings, TaskNode.PlatformAccess ports, String process) {
         TaskNode node = new TaskNode(settings, scheduler, ports, process);
         startedNodes.add(node);
         node.start();
@@ -202,6 +221,7 @@
         for (int i = 0; i < 300 && !stage.toCompletableFuture().isDone(); i++) {
             advanceMillis(10);
         }
+        assertThat(stage.toCompletableFuture()).as("an answer within 3 s").isDone();
         return stage.toCompletableFuture().join();
     }
 
