Skip odd entries of a worker's report instead of the whole report

What callers saw: jobs on a worker stand still; the worker is logged as not responding for as long as it lists the end (7040).

Cause: one unknown kind of end made the decoding of the whole report fail, at each poll; the end was never acknowledged, so it was listed again and again.

Change: the run of such an end is over, and whether the task did its work is not known. RunEnd.UNKNOWN says so; the task starts again after 1 s, and the end is acknowledged and logged (7081).

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/RunEnd.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/RunEnd.java
@@ -13,5 +13,7 @@
     /** Another task of its gang ended. */
     GANG_BROKEN,
     /** The other tasks of its gang did not come in time. */
-    GANG_INCOMPLETE
+    GANG_INCOMPLETE,
+    /** The worker gave a reason that this release does not know. */
+    UNKNOWN
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -16,6 +16,10 @@
 final class ReportHandler {
 
     private static final long FAILED_SERVICE_DELAY_MILLIS = 200;
+
+    /** A task whose runs end at once for an unknown reason is not started without a pause. */
+    private static final long UNKNOWN_END_DELAY_MILLIS = 1_000;
+
     private static final long UNKNOWN_JOB_TIMEOUT_MILLIS = 5_000;
 
     /**
@@ -208,6 +212,9 @@
             } else {
                 lifecycle.taskFailed(task, ended.run(), now);
             }
+        } else if (ended.end() == RunEnd.UNKNOWN) {
+            task.delayUntil(now + UNKNOWN_END_DELAY_MILLIS);
+            noteOdd(worker, ended.task(), ended.run(), "end=" + ended.end());
         }
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/OddReportTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/OddReportTest.java
@@ -26,6 +26,7 @@
     private static final int NUMBERS_PER_TERM = 1_000;
     private static final int MAX_REFUSALS = 20;
     private static final long BACK_OFF_MILLIS = 200;
+    private static final long UNKNOWN_END_DELAY_MILLIS = 1_000;
 
     private final SchedulerFixture fixture = new SchedulerFixture();
 
@@ -132,6 +133,21 @@
         assertThat(fixture.scheduler.stateOf("a")).contains(JobState.COMPLETED);
     }
 
+    /** The run is over; whether the task did its work is not known, so it is done again. */
+    @Test
+    void taskStartsAgainAfterAnEndOfAnUnknownKind() {
+        startTask();
+        report(List.of(), List.of(ended(1, TASK, 1, RunEnd.UNKNOWN)));
+        assertThat(fixture.starts()).isEmpty();
+        fixture.now += UNKNOWN_END_DELAY_MILLIS;
+        assertStartsAgain();
+        fixture.store();
+        assertThat(fixture.scheduler.acknowledgedEnd(WORKER)).isEqualTo(1);
+        assertThat(fixture.events)
+                .filteredOn(e -> e.kind() == SchedulerEvent.Kind.ODD_ENTRY)
+                .hasSize(1);
+    }
+
     @Test
     void restOfAReportWithAnOddEntryIsApplied() {
         fixture.addWorker(WORKER, 4_000);
