Let the timers of the event loop follow the monotonic clock

What callers saw (by construction): when the time of day of a machine is set back, no timer, timeout or retry of its process runs until that time is reached again; when it is set forward, all of them run at once.

Cause: Eventloop takes System.currentTimeMillis unless it is given another time. ReactorScheduler.now was monotonic already, but its timers are those of the event loop.

Change: Reactors gives the event loop a time that starts from the wall clock and follows the monotonic clock. Nothing else reads the event loop's time as a time of day, but for the stand-in of an upstream; no cookie or date is sent.

Red before: MonotonicTimeTest shows in one test that a timer of a loop with the wall clock does not fire within 2 s after a step of an hour back, and that it does with MonotonicTime. Green: it and JsonClientTest.

--- a/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
@@ -1,5 +1,6 @@
 package org.chervillift.http;
 
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
 import java.util.function.Consumer;
 import org.chervillift.api.ChervilliftException;
@@ -12,14 +13,20 @@
     private Reactors() {}
 
     /**
-     * Creates an event loop that goes on after a fault in one of its tasks.
+     * Creates an event loop that goes on after a fault in one of its tasks. Its timers follow the
+     * monotonic clock.
      *
      * @param onFault told of each fault, but for a {@link ChervilliftException}, which is an
      *     expected outcome and travels in the promise
      */
     public static Eventloop create(String name, Consumer<Throwable> onFault) {
+        return create(name, onFault, MonotonicTime.startingNow());
+    }
+
+    static Eventloop create(String name, Consumer<Throwable> onFault, CurrentTimeProvider time) {
         return Eventloop.builder()
                 .withThreadName(name)
+                .withTimeProvider(time)
                 .withFatalErrorHandler((fault, context) -> handle(fault, onFault))
                 .build();
     }
