Tell of the lease only once its row has been read

A process that had not read the row yet logged a lease that was never held and unchanged for as long as its clock had run (seen in the lines of StandstillNodeTest). It exports and logs nothing of the lease until it has read the row, and an age of 0 where there is no row.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -170,7 +170,8 @@
      *
      * @param vm the entry VM of the process that the row names, or empty
      * @param term the term that the row names; 0 if there is no row
-     * @param unchangedMillis how long this process has seen no change of the row, in milliseconds
+     * @param unchangedMillis how long this process has seen no change of the row, in milliseconds;
+     *     0 if there is no row
      * @param standing whether this process may take the lease
      */
     public record LeaseView(String vm, long term, long unchangedMillis, Standing standing) {
@@ -185,7 +186,7 @@
         return new LeaseView(
                 currentRow.map(HolderRow::vm).orElse(""),
                 currentRow.map(HolderRow::term).orElse(0L),
-                now - rowUnchangedSince,
+                currentRow.isPresent() ? now - rowUnchangedSince : 0,
                 standing(now));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -114,6 +114,11 @@
         return election;
     }
 
+    /** Returns what this process knows of the lease, once it has read its row. */
+    Optional<LeaseView> leaseView() {
+        return follower.isLoaded() ? Optional.of(election.view(nowMillis())) : Optional.empty();
+    }
+
     /** Returns how long a write of the lease has not been answered; 0 if none is under way. */
     long openWriteMillis() {
         return writing ? nowMillis() - lastWriteSentAt : 0;
@@ -166,7 +171,7 @@
             return;
         }
         logLeaseCertainty();
-        logLeaseView(election.view(nowMillis()));
+        leaseView().ifPresent(this::logLeaseView);
         election.recordStoreReadable(follower.hasAnswerSince(lastWriteFailureAt), nowMillis());
         writeLeaseIfDue();
         scheduler.schedule(TICK_INTERVAL, this::tick);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/LeaseMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/LeaseMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Optional;
 import org.chervillift.core.tasks.HolderElection.LeaseView;
 
 /** The metrics of each process that tell who holds the lease, and whether it may be taken. */
@@ -29,14 +30,19 @@
     /**
      * Sets what this process knows of the lease.
      *
+     * @param view what it knows, or empty before it has read the row
      * @param openWriteMillis how long a write of the lease has not been answered; 0 if none is
      *     under way
      */
-    void set(LeaseView view, long openWriteMillis) {
+    void set(Optional<LeaseView> view, long openWriteMillis) {
         unchanged.clear();
+        view.ifPresent(this::set);
+        openWrite.set(openWriteMillis / MILLI_UNITS);
+    }
+
+    private void set(LeaseView view) {
         unchanged
                 .labelValues(view.vm(), Long.toString(view.term()), view.standing().name())
                 .set(view.unchangedMillis() / MILLI_UNITS);
-        openWrite.set(openWriteMillis / MILLI_UNITS);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -167,10 +167,7 @@
     /** Returns the metrics in the Prometheus text format. */
     public byte[] metrics() {
         metrics.setTerm(leaseManager.election().heldTerm().orElse(0L));
-        metrics.lease()
-                .set(
-                        leaseManager.election().view(scheduler.now().toEpochMilli()),
-                        leaseManager.openWriteMillis());
+        metrics.lease().set(leaseManager.leaseView(), leaseManager.openWriteMillis());
         leaseManager.holder().ifPresent(HolderController::updateAges);
         return metrics.toPrometheusText();
     }
