Take the lease at once only of a process that wrote before this one started

What callers saw (in the soak): every job queued for good, all processes answering.

Cause: a process took the lease of another one of the same VM at once, as that of its predecessor, also when that process was alive.

Change: a row counts as that of the former process only while it is the first that this process has read. A newer one shows that its writer is alive, so its lease is waited for like any other.

Test: HolderElectionTest#aLiveProcessOfTheSameVmDoesNotLoseItsLeaseAtOnce, red before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -39,6 +39,7 @@
     private Optional<HolderRow> currentRow = Optional.empty();
     private long rowVersion;
     private long rowUnchangedSince;
+    private boolean isFirstRow;
     private long storeReadableSince = NEVER;
     private boolean storeReadable = true;
     private long lastRenewedAt = NEVER;
@@ -80,6 +81,7 @@
     /** Records the row as read from the store; ignores a version older than the known one. */
     public void observe(Optional<HolderRow> read, long readVersion, long now) {
         if (readVersion > rowVersion || (rowVersion == 0 && currentRow.isEmpty())) {
+            isFirstRow = rowVersion == 0;
             currentRow = read;
             rowVersion = readVersion;
             rowUnchangedSince = now;
@@ -209,7 +211,8 @@
         if (held.process().equals(process)) {
             return held.released() ? Standing.RELEASED_HERE : Standing.HELD_HERE;
         }
-        if (held.vm().equals(vm)) {
+        // A row that another process has written while this one runs shows that it is alive.
+        if (held.vm().equals(vm) && isFirstRow) {
             return Standing.FREE;
         }
         long wait = takeoverWaitMillis(held);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/HolderElectionTest.java
@@ -59,6 +59,22 @@
         assertThat(restarted.decide(1)).isInstanceOf(Decision.Write.class);
     }
 
+    /** Two live processes of one VM took the lease from each other at each write. */
+    @Test
+    void aLiveProcessOfTheSameVmDoesNotLoseItsLeaseAtOnce() {
+        HolderElection second = election("a2", "vm-a");
+        second.observe(Optional.of(row("a1", "vm-a", false)), 10, 0);
+        Decision.Write takeover = (Decision.Write) second.decide(1);
+        HolderElection first = election("a1", "vm-a");
+        first.writeSucceeded(row("a1", "vm-a", false), 10, 0, 0);
+
+        second.writeSucceeded(takeover.row(), 11, 1, 2);
+        first.observe(Optional.of(takeover.row()), 11, 2);
+
+        assertThat(first.decide(3)).isInstanceOf(Decision.Wait.class);
+        assertThat(first.decide(2 + MAX_LEASE_MILLIS)).isInstanceOf(Decision.Write.class);
+    }
+
     @Test
     void aLeaseIsValidForItsDurationAfterTheLastRenewalWasSent() {
         HolderElection a = election("a", "vm-a");
