Supervise callbacks and steps, so that one that throws ends no loop

A CompletionStage keeps what its callback throws and logs it nowhere, so the poll of a worker, a followed table, planning, the writes of progress, reading at the start, advice, rounds and orders for VMs, waves and submissions ended in silence with one exception, or left their flag set. One order that threw left the later orders of its round unsent and their runs STARTING for ever; one row of a job or of progress kept all others out, and the holder from ever becoming ready while it renewed its lease.

Cause: what must go on is carried on by its own last step.

Change: Supervision runs steps and callbacks. What throws is logged (7072, with its loop and stack, at most once a second a loop) and counted, and the loop goes on by a way that does not rely on the callback. A table is read whole after its listener threw. An order that throws counts as not answered; one without a session counts as not sent. Rows of jobs are applied one by one. A job whose progress cannot be read is left alone (7013). A fault of the virtual machine still reaches the event loop, which ends the process.

TableFollowerTest: a listener that throws.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
@@ -41,8 +41,14 @@
 
     private void ask(PlacementAdvice service, AdviceRequest question) {
         requestInProgress = true;
-        service.ask(question.job(), question.occurrence(), question.step(), question.workers())
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "advice",
+                        service.ask(
+                                question.job(),
+                                question.occurrence(),
+                                question.step(),
+                                question.workers()),
                         (allowed, fault) -> {
                             if (stopped) {
                                 return;
@@ -52,17 +58,21 @@
                                         TaskEvent.ADVICE_FAILED,
                                         Field.of("job", question.job()),
                                         Field.of("why", fault.getMessage()));
-                                context.scheduler().schedule(RETRY_DELAY, this::retry);
+                                retryLater();
                                 return;
                             }
-                            requestInProgress = false;
                             board.applyAdvice(
                                     question,
                                     allowed.tickets(),
                                     context.nowMillis() + allowed.validity().toMillis());
                             onAnswer.run();
-                            askNext();
-                        });
+                            retry();
+                        },
+                        this::retryLater);
+    }
+
+    private void retryLater() {
+        context.scheduler().schedule(RETRY_DELAY, this::retry);
     }
 
     private void retry() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FinishedJobRemover.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FinishedJobRemover.java
@@ -24,6 +24,7 @@
 final class FinishedJobRemover {
 
     private static final Duration TICK_INTERVAL = Duration.ofSeconds(5);
+    private static final String LOOP = "finished jobs";
 
     /** Each job has two rows in its partition. */
     private static final int MAX_JOBS_PER_COMMIT = 20;
@@ -48,7 +49,12 @@
     }
 
     void start() {
-        context.scheduler().schedule(TICK_INTERVAL, this::tick);
+        context.scheduler()
+                .schedule(
+                        TICK_INTERVAL,
+                        () ->
+                                context.supervision()
+                                        .repeat(LOOP, TICK_INTERVAL, () -> stopped, this::tick));
     }
 
     void stop() {
@@ -66,15 +72,11 @@
     }
 
     private void tick() {
-        if (stopped) {
-            return;
-        }
         long now = context.nowMillis();
         removedAt.values().removeIf(t -> now - t > REMEMBER_MILLIS);
         if (context.maySendOrders().getAsBoolean()) {
             removeDue(now);
         }
-        start();
     }
 
     private void removeDue(long now) {
@@ -108,24 +110,27 @@
             deletions.add(Write.delete(StoreLayout.cancellationKey(id)));
             removedAt.put(id, context.nowMillis());
         }
-        context.store()
-                .commit(partition, List.of(), deletions)
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        LOOP,
+                        context.store().commit(partition, List.of(), deletions),
                         (outcome, fault) -> {
                             if (fault == null && outcome instanceof Outcome.Committed) {
                                 deleteProgress(ids);
                             } else {
                                 ids.forEach(this::onEndStored);
                             }
-                        });
+                        },
+                        () -> ids.forEach(this::onEndStored));
     }
 
     private void deleteProgress(List<String> ids) {
         List<Write> deletions =
                 ids.stream().map(id -> Write.delete(StoreLayout.progressKey(id))).toList();
-        context.fencedStore()
-                .commit(List.of(), deletions)
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        LOOP,
+                        context.fencedStore().commit(List.of(), deletions),
                         (outcome, fault) -> {
                             if (fault == null && outcome instanceof Outcome.Committed) {
                                 ids.forEach(progress::forget);
@@ -133,6 +138,7 @@
                             } else {
                                 ids.forEach(this::onEndStored);
                             }
-                        });
+                        },
+                        () -> ids.forEach(this::onEndStored));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -1,12 +1,15 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -41,6 +44,7 @@
     private static final Duration JOBS_FOLLOW_WAIT = Duration.ofMillis(400);
 
     private static final long MAX_RESTORED_WAIT_MILLIS = 60_000;
+    private static final String PLAN_LOOP = "planning";
 
     private final HolderContext context;
     private final ManifestTracker manifests;
@@ -54,9 +58,11 @@
     private final TableFollower jobsFollower;
     private final WorkerSessions workerSessions;
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
+    private final Set<String> unreadableProgress = new HashSet<>();
     private final Runnable manifestListener = this::onManifestChange;
-    private final List<Runnable> deferredActions = new ArrayList<>();
-    private int pendingReads = 2;
+    private final Deque<Runnable> deferredActions = new ArrayDeque<>();
+    private boolean predecessorWorkersRead;
+    private boolean progressRead;
     private int jobRowCount;
     private long workersVersion;
     private long startedAt;
@@ -88,7 +94,7 @@
                         StoreLayout.JOBS_TABLE,
                         StoreLayout.JOB_PARTITIONS,
                         JOBS_FOLLOW_WAIT,
-                        context.scheduler(),
+                        context.supervision(),
                         context.storeClock(),
                         new JobsListener());
         this.workerSessions = new WorkerSessions(context, board, this::replanSoon);
@@ -126,14 +132,17 @@
     void stop() {
         stopped = true;
         manifests.removeChangeListener(manifestListener);
-        progress.stop();
-        finishedJobs.stop();
-        vmController.stop();
-        statusPublisher.stop();
-        standstills.stop();
-        advice.stop();
-        jobsFollower.stop();
-        workerSessions.stop();
+        List<Runnable> stops =
+                List.of(
+                        progress::stop,
+                        finishedJobs::stop,
+                        vmController::stop,
+                        statusPublisher::stop,
+                        standstills::stop,
+                        advice::stop,
+                        jobsFollower::stop,
+                        workerSessions::stop);
+        stops.forEach(s -> context.supervision().run("stop of the holder", s));
     }
 
     /** Sets the metrics that change with time. */
@@ -227,6 +236,7 @@
                     page.rows().stream()
                             .filter(r -> r.key().equals(StoreLayout.WORKERS_KEY))
                             .forEach(this::addPredecessorWorkers);
+                    predecessorWorkersRead = true;
                     onReadDone();
                 });
         readProgress(KeyRange.ALL);
@@ -241,24 +251,28 @@
 
     /** Applies the jobs once both reads are done, since these tell which tasks may be running. */
     private void onReadDone() {
-        pendingReads--;
-        if (pendingReads == 0) {
+        if (isPredecessorRead()) {
             runDeferredActions();
             workerSessions.onPredecessorRead(workersVersion);
         }
     }
 
+    private boolean isPredecessorRead() {
+        return predecessorWorkersRead && progressRead;
+    }
+
     private void runOnceRead(Runnable task) {
         deferredActions.add(task);
-        if (pendingReads == 0) {
+        if (isPredecessorRead()) {
             runDeferredActions();
         }
     }
 
     /** Applies all job rows read so far, before callers are answered or orders sent by them. */
     private void runDeferredActions() {
-        deferredActions.forEach(Runnable::run);
-        deferredActions.clear();
+        while (!deferredActions.isEmpty()) {
+            deferredActions.removeFirst().run();
+        }
         if (!ready && jobsFollower.isLoaded()) {
             becomeReady();
         }
@@ -269,22 +283,39 @@
         readWithRetry(
                 () -> context.fencedStore().scan(StoreLayout.PROGRESS_TABLE, range),
                 page -> {
-                    for (Row row : page.rows()) {
-                        progress.recordVersion(row);
-                        storedProgress.put(
-                                row.key().key(), Json.decode(row.value(), JobProgress.class));
-                    }
+                    page.rows().forEach(this::addStoredProgress);
                     if (page.hasMore() && !page.rows().isEmpty()) {
                         String last = page.rows().get(page.rows().size() - 1).key().key();
                         readProgress(KeyRange.after(last));
                     } else {
+                        progressRead = true;
                         onReadDone();
                     }
                 });
     }
 
+    /**
+     * Records the progress of a job; a job whose progress cannot be read is left alone, since it is
+     * not known which of its tasks have been done.
+     */
+    private void addStoredProgress(Row row) {
+        String id = row.key().key();
+        progress.recordVersion(row);
+        try {
+            storedProgress.put(id, Json.decode(row.value(), JobProgress.class));
+        } catch (RuntimeException e) {
+            unreadableProgress.add(id);
+            logUnreadable(id, e);
+        }
+    }
+
+    private static void logUnreadable(String key, RuntimeException e) {
+        EventLog.log(
+                TaskEvent.ROW_UNREADABLE, Field.of("key", key), Field.of("why", e.getMessage()));
+    }
+
     private <T> void readWithRetry(Supplier<CompletionStage<T>> call, Consumer<T> then) {
-        RetryingRead.start(context.scheduler(), () -> stopped, call, then);
+        RetryingRead.start(context.supervision(), () -> stopped, call, then);
     }
 
     /** Applies the rows of the jobs table to the board. */
@@ -303,32 +334,41 @@
         private void acceptAll(List<Row> rows) {
             for (Row row : rows) {
                 if (!StoreLayout.isCancellation(row.key())) {
-                    accept(row.key().key(), row.value(), !ready);
+                    boolean knownToPredecessor = !ready;
+                    applyRow(() -> accept(row.key().key(), row.value(), knownToPredecessor));
                 }
             }
             rows.stream()
                     .filter(r -> StoreLayout.isCancellation(r.key()))
-                    .forEach(r -> board.cancel(StoreLayout.jobIdOf(r.key()), context.nowMillis()));
+                    .map(r -> StoreLayout.jobIdOf(r.key()))
+                    .forEach(id -> applyRow(() -> board.cancel(id, context.nowMillis())));
             jobRowCount = rows.size();
         }
 
         private void applyChanges(List<Change> changes) {
-            for (Change change : changes) {
-                String id = StoreLayout.jobIdOf(change.key());
-                if (StoreLayout.isCancellation(change.key())) {
-                    change.value().ifPresent(v -> board.cancel(id, context.nowMillis()));
-                } else if (change.value().isPresent()) {
-                    accept(id, change.value().get(), false);
-                } else {
-                    board.forget(id);
-                }
+            changes.forEach(c -> applyRow(() -> applyChange(c)));
+        }
+
+        /** Applies one row; a row whose job cannot be taken in does not keep the others out. */
+        private void applyRow(Runnable row) {
+            context.supervision().run("job row", row);
+        }
+
+        private void applyChange(Change change) {
+            String id = StoreLayout.jobIdOf(change.key());
+            if (StoreLayout.isCancellation(change.key())) {
+                change.value().ifPresent(v -> board.cancel(id, context.nowMillis()));
+            } else if (change.value().isPresent()) {
+                accept(id, change.value().get(), false);
+            } else {
+                board.forget(id);
             }
         }
 
         private void accept(String id, String value, boolean knownToPredecessor) {
             Optional<JobProgress> stored = Optional.ofNullable(storedProgress.remove(id));
             Optional<JobProgress> ended = stored.filter(p -> p.state().isFinal());
-            if (finishedJobs.wasRemoved(id)) {
+            if (finishedJobs.wasRemoved(id) || unreadableProgress.contains(id)) {
                 return;
             }
             if (ended.isPresent()) {
@@ -356,10 +396,7 @@
             try {
                 return Optional.of(Json.decode(value, AcceptedJob.class));
             } catch (RuntimeException e) {
-                EventLog.log(
-                        TaskEvent.ROW_UNREADABLE,
-                        Field.of("key", id),
-                        Field.of("why", e.getMessage()));
+                logUnreadable(id, e);
                 return Optional.empty();
             }
         }
@@ -376,7 +413,7 @@
         vmController.start();
         removeProgressWithoutJob();
         finishedJobs.start();
-        tick();
+        context.supervision().repeat(PLAN_LOOP, TICK_INTERVAL, () -> stopped, this::plan);
         statusPublisher.start();
     }
 
@@ -391,19 +428,12 @@
         storedProgress.values().removeIf(p -> p.state().isFinal());
     }
 
-    private void tick() {
-        if (stopped) {
-            return;
-        }
-        plan();
-        context.scheduler().schedule(TICK_INTERVAL, this::tick);
-    }
-
     /** Schedules a planning run after a change, unless one is scheduled. */
     private void replanSoon() {
         if (!planScheduled && !stopped && ready) {
             planScheduled = true;
-            context.scheduler().schedule(PLAN_DELAY, this::plan);
+            context.scheduler()
+                    .schedule(PLAN_DELAY, () -> context.supervision().run(PLAN_LOOP, this::plan));
         }
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -29,6 +29,7 @@
     private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(300);
 
     private final MonitoredStore store;
+    private final Supervision supervision;
     private final Scheduler scheduler;
     private final HolderElection election;
     private final TableFollower follower;
@@ -47,11 +48,12 @@
 
     HolderLeaseManager(
             MonitoredStore store,
-            Scheduler scheduler,
+            Supervision supervision,
             HolderElection election,
             LongFunction<HolderController> holderFactory) {
         this.store = Checks.notNull("store", store);
-        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.supervision = Checks.notNull("supervision", supervision);
+        this.scheduler = supervision.scheduler();
         this.election = Checks.notNull("election", election);
         this.holderFactory = Checks.notNull("holderFactory", holderFactory);
         this.follower =
@@ -60,14 +62,14 @@
                         StoreLayout.HOLDER_TABLE,
                         List.of(StoreLayout.HOLDER_PARTITION),
                         TableFollower.DEFAULT_POLL_WAIT,
-                        scheduler,
+                        supervision,
                         store::clock,
                         this);
     }
 
     void start() {
         follower.start();
-        tick();
+        supervision.repeat("lease", TICK_INTERVAL, () -> stopped, this::tick);
     }
 
     /** Stops the controller, and releases the lease once no lease write is in progress. */
@@ -90,15 +92,18 @@
         }
         writing = true;
         long sentAt = nowMillis();
-        commit(release.get())
-                .whenComplete(
-                        (outcome, fault) -> {
-                            writing = false;
-                            if (fault == null) {
-                                onWriteOutcome(release.get(), outcome, sentAt);
-                            }
-                            scheduler.schedule(RELEASE_RETRY_DELAY, () -> release(tries - 1));
-                        });
+        Runnable retry = () -> scheduler.schedule(RELEASE_RETRY_DELAY, () -> release(tries - 1));
+        supervision.whenAnswered(
+                "lease",
+                commit(release.get()),
+                (outcome, fault) -> {
+                    writing = false;
+                    if (fault == null) {
+                        onWriteOutcome(release.get(), outcome, sentAt);
+                    }
+                    retry.run();
+                },
+                retry);
     }
 
     Optional<HolderController> holder() {
@@ -167,14 +172,10 @@
     }
 
     private void tick() {
-        if (stopped) {
-            return;
-        }
         logLeaseCertainty();
         leaseView().ifPresent(this::logLeaseView);
         election.recordStoreReadable(follower.hasAnswerSince(lastWriteFailureAt), nowMillis());
         writeLeaseIfDue();
-        scheduler.schedule(TICK_INTERVAL, this::tick);
     }
 
     /** What the last line about the lease said, but for its age. */
@@ -219,16 +220,18 @@
             writing = true;
             long sentAt = nowMillis();
             lastWriteSentAt = sentAt;
-            commit(write)
-                    .whenComplete(
-                            (outcome, fault) -> {
-                                writing = false;
-                                if (fault != null) {
-                                    onWriteFailure(fault);
-                                } else {
-                                    onWriteOutcome(write, outcome, sentAt);
-                                }
-                            });
+            supervision.whenAnswered(
+                    "lease",
+                    commit(write),
+                    (outcome, fault) -> {
+                        writing = false;
+                        if (fault != null) {
+                            onWriteFailure(fault);
+                        } else {
+                            onWriteOutcome(write, outcome, sentAt);
+                        }
+                    },
+                    () -> lastWriteFailureAt = nowMillis());
         }
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
@@ -18,6 +18,8 @@
     /** Counts older than 2 s are not used; this leaves time to write and read on a slow store. */
     private static final Duration PENDING_COUNT_INTERVAL = Duration.ofMillis(500);
 
+    private static final String COUNTS_LOOP = "pending counts";
+
     private final HolderContext context;
     private final TaskScheduler board;
     private final Supplier<HolderBoard> holderBoard;
@@ -37,7 +39,7 @@
 
     /** Starts publishing; called once all jobs are on the board. */
     void start() {
-        publishLoads();
+        context.supervision().repeat("loads", LOAD_INTERVAL, () -> stopped, this::publishLoads);
         publishPendingCounts();
     }
 
@@ -47,12 +49,8 @@
     }
 
     private void publishLoads() {
-        if (stopped) {
-            return;
-        }
         board.poolLoads(context.nowMillis()).forEach(this::publishLoad);
         context.metrics().setPendingJobs(board.pendingByQueue());
-        context.scheduler().schedule(LOAD_INTERVAL, this::publishLoads);
     }
 
     private void publishLoad(String pool, PoolLoad load) {
@@ -65,22 +63,27 @@
                 Field.of("capacity", load.capacityMilliCores()));
     }
 
-    /** Writes the pending job counts, also when they are unchanged, since their age matters. */
     private void publishPendingCounts() {
-        if (stopped) {
-            return;
+        if (!stopped && !context.supervision().run(COUNTS_LOOP, this::writePendingCounts)) {
+            publishPendingCountsLater();
         }
+    }
+
+    /** Writes the pending job counts, also when they are unchanged, since their age matters. */
+    private void writePendingCounts() {
         Write write =
                 Write.put(
                         StoreLayout.PENDING_COUNTS_KEY,
                         Json.encode(holderBoard.get().pendingCounts(context.storeClock().get())));
-        context.fencedStore()
-                .commit(write)
-                .whenComplete(
-                        (outcome, fault) ->
-                                context.scheduler()
-                                        .schedule(
-                                                PENDING_COUNT_INTERVAL,
-                                                this::publishPendingCounts));
+        context.supervision()
+                .whenAnswered(
+                        COUNTS_LOOP,
+                        context.fencedStore().commit(write),
+                        (outcome, fault) -> publishPendingCountsLater(),
+                        () -> {});
+    }
+
+    private void publishPendingCountsLater() {
+        context.scheduler().schedule(PENDING_COUNT_INTERVAL, this::publishPendingCounts);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/InitialPoolSizes.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/InitialPoolSizes.java
@@ -52,15 +52,15 @@
 
     void load() {
         RetryingRead.start(
-                context.scheduler(),
+                context.supervision(),
                 () -> stopped,
                 () -> context.fencedStore().scan(ROW_KEY.table(), KeyRange.ALL),
                 page -> {
-                    loaded = true;
                     page.rows().stream()
                             .findFirst()
                             .map(r -> Json.decode(r.value(), StoredSizes.class))
                             .ifPresent(s -> sizes = Optional.of(toMap(s)));
+                    loaded = true;
                 });
     }
 
@@ -80,17 +80,23 @@
                         .map(e -> new PoolSize(e.getKey(), e.getValue()))
                         .toList();
         writing = true;
-        context.fencedStore()
-                .commit(
-                        List.of(new Condition(ROW_KEY, 0)),
-                        List.of(Write.put(ROW_KEY, Json.encode(new StoredSizes(list)))))
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "pool sizes",
+                        context.fencedStore()
+                                .commit(
+                                        List.of(new Condition(ROW_KEY, 0)),
+                                        List.of(
+                                                Write.put(
+                                                        ROW_KEY,
+                                                        Json.encode(new StoredSizes(list))))),
                         (outcome, fault) -> {
                             writing = false;
                             if (!stopped) {
                                 load();
                             }
-                        });
+                        },
+                        () -> {});
     }
 
     boolean isKnown() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobIntake.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobIntake.java
@@ -32,6 +32,7 @@
     private static final long MAX_RETRY_MILLIS = 1_500;
 
     private final RowStore store;
+    private final Supervision supervision;
     private final Scheduler scheduler;
     private final int maxRowBytes;
     private final Map<String, PartitionQueue> queuesByPartition = new HashMap<>();
@@ -53,9 +54,10 @@
      *
      * @param maxRowBytes the longest value of a row of the store, in bytes
      */
-    JobIntake(RowStore store, Scheduler scheduler, int maxRowBytes) {
+    JobIntake(RowStore store, Supervision supervision, int maxRowBytes) {
         this.store = Checks.notNull("store", store);
-        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.supervision = Checks.notNull("supervision", supervision);
+        this.scheduler = supervision.scheduler();
         this.maxRowBytes = maxRowBytes;
     }
 
@@ -125,17 +127,22 @@
         queue.commitInProgress = true;
         List<Condition> conditions = batch.stream().map(e -> new Condition(e.key(), 0)).toList();
         List<Write> writes = batch.stream().map(e -> e.write).toList();
-        store.commit(queue.partition, conditions, writes)
-                .whenComplete(
-                        (outcome, fault) -> {
-                            queue.commitInProgress = false;
-                            if (fault == null) {
-                                onOutcome(queue, batch, outcome);
-                            } else {
-                                onFailure(queue, batch, fault);
-                            }
-                            sendNextBatch(queue);
-                        });
+        supervision.whenAnswered(
+                "submissions",
+                store.commit(queue.partition, conditions, writes),
+                (outcome, fault) -> {
+                    queue.commitInProgress = false;
+                    if (fault == null) {
+                        onOutcome(queue, batch, outcome);
+                    } else {
+                        onFailure(queue, batch, fault);
+                    }
+                    sendNextBatch(queue);
+                },
+                () -> {
+                    batch.forEach(e -> e.result.complete(Result.UNKNOWN));
+                    sendNextBatch(queue);
+                });
     }
 
     private void onOutcome(PartitionQueue queue, List<PendingJob> batch, Outcome outcome) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -34,6 +34,7 @@
     private static final Duration START_BATCH_DELAY = Duration.ofMillis(5);
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+    private static final String LOOP = "progress";
 
     private final HolderContext context;
     private final TaskScheduler board;
@@ -79,10 +80,22 @@
         if (!scheduled && !stopped) {
             scheduled = true;
             Duration delay = board.hasHeldStarts() ? START_BATCH_DELAY : BATCH_DELAY;
-            context.scheduler().schedule(delay, this::writeUnstored);
+            writeAfter(delay);
         }
     }
 
+    /** Writes after a delay; a write that fails is followed by another one. */
+    private void writeAfter(Duration delay) {
+        context.scheduler()
+                .schedule(
+                        delay,
+                        () -> {
+                            if (!context.supervision().run(LOOP, this::writeUnstored)) {
+                                writeAfter(RETRY_DELAY);
+                            }
+                        });
+    }
+
     private void writeUnstored() {
         if (stopped) {
             return;
@@ -129,9 +142,9 @@
         }
         if (remaining.isEmpty()) {
             board.markStored(unstored);
-            scheduled = false;
             unstored.endedJobs().forEach(onEndStored);
             onStored.run();
+            scheduled = false;
             return;
         }
         List<Write> writes = remaining.subList(0, CommitBatch.sizeOf(remaining));
@@ -139,21 +152,23 @@
                 writes.stream()
                         .map(w -> new Condition(w.key(), versions.getOrDefault(w.key(), 0L)))
                         .toList();
-        context.fencedStore()
-                .commit(conditions, writes)
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        LOOP,
+                        context.fencedStore().commit(conditions, writes),
                         (outcome, fault) -> {
                             if (fault != null) {
                                 onFailure(fault);
                             } else {
                                 onOutcome(unstored, remaining, writes, outcome);
                             }
-                        });
+                        },
+                        () -> writeAfter(RETRY_DELAY));
     }
 
     private void onFailure(Throwable fault) {
         EventLog.log(TaskEvent.PROGRESS_NOT_STORED, Field.of("why", fault.getMessage()));
-        context.scheduler().schedule(RETRY_DELAY, this::writeUnstored);
+        writeAfter(RETRY_DELAY);
     }
 
     private void onOutcome(
@@ -175,7 +190,7 @@
                         TaskEvent.PROGRESS_NOT_STORED,
                         Field.of("why", "the rows had been changed"),
                         Field.of("rows", writes.size()));
-                context.scheduler().schedule(BATCH_DELAY, this::writeUnstored);
+                writeAfter(BATCH_DELAY);
             }
         }
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -69,7 +69,7 @@
     /** Reads the orders of earlier holders. */
     void load() {
         RetryingRead.start(
-                context.scheduler(),
+                context.supervision(),
                 () -> stopped,
                 () -> context.fencedStore().scan(ROW_KEY.table(), KeyRange.ALL),
                 page -> {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RetryingRead.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RetryingRead.java
@@ -5,7 +5,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.chervillift.runtime.supervision.Scheduler;
 
 /** Retries a read that a component needs before it can start, until the store responds. */
 final class RetryingRead {
@@ -15,32 +14,39 @@
     private RetryingRead() {}
 
     /**
-     * Calls the store, and again after a delay while the call fails.
+     * Calls the store, and again after a delay while the call fails or its value cannot be used.
      *
      * @param stopped returns whether the component has been stopped, which ends the retries
      * @param read makes the call
-     * @param then receives the value, once
+     * @param then receives the value, and once more if it throws
      */
     static <T> void start(
-            Scheduler scheduler,
+            Supervision supervision,
             BooleanSupplier stopped,
             Supplier<CompletionStage<T>> read,
             Consumer<T> then) {
         if (stopped.getAsBoolean()) {
             return;
         }
-        read.get()
-                .whenComplete(
-                        (value, fault) -> {
-                            if (stopped.getAsBoolean()) {
-                                return;
-                            }
-                            if (fault == null) {
-                                then.accept(value);
-                            } else {
-                                scheduler.schedule(
-                                        RETRY_DELAY, () -> start(scheduler, stopped, read, then));
-                            }
-                        });
+        Runnable retry =
+                () ->
+                        supervision
+                                .scheduler()
+                                .schedule(
+                                        RETRY_DELAY, () -> start(supervision, stopped, read, then));
+        supervision.whenAnswered(
+                "read",
+                read.get(),
+                (value, fault) -> {
+                    if (stopped.getAsBoolean()) {
+                        return;
+                    }
+                    if (fault == null) {
+                        then.accept(value);
+                    } else {
+                        retry.run();
+                    }
+                },
+                retry);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -30,6 +30,7 @@
     private final String table;
     private final List<String> partitions;
     private final Duration pollWait;
+    private final Supervision supervision;
     private final Scheduler scheduler;
     private final Supplier<StoreClock> storeClock;
     private final Listener listener;
@@ -57,14 +58,15 @@
             String table,
             List<String> parts,
             Duration wait,
-            Scheduler scheduler,
+            Supervision supervision,
             Supplier<StoreClock> storeClock,
             Listener listener) {
         this.store = Checks.notNull("store", store);
         this.table = Checks.notBlank("table", table);
         this.partitions = List.copyOf(parts);
         this.pollWait = Checks.notNull("wait", wait);
-        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.supervision = Checks.notNull("supervision", supervision);
+        this.scheduler = supervision.scheduler();
         this.storeClock = Checks.notNull("storeClock", storeClock);
         this.listener = Checks.notNull("listener", listener);
     }
@@ -131,26 +133,42 @@
             return;
         }
         long sentAt = nowMillis();
-        store.scan(table, partition, range)
-                .whenComplete(
-                        (page, fault) -> {
-                            if (load.failed) {
-                                return;
-                            }
-                            if (fault != null) {
-                                // Retries only this page; the pages read before are kept.
-                                onFailure(fault, () -> loadPartition(load, partition, range));
-                            } else if (page.storeVersion() < position) {
-                                // The page is older than known changes; start over.
-                                load.failed = true;
-                                onFailure(
-                                        new IllegalStateException(
-                                                "the store returned an outdated page"),
-                                        this::loadAll);
-                            } else {
-                                onPage(load, partition, page, sentAt);
-                            }
-                        });
+        supervision.whenAnswered(
+                loopName(),
+                store.scan(table, partition, range),
+                (page, fault) -> {
+                    if (load.failed) {
+                        return;
+                    }
+                    if (fault != null) {
+                        // Retries only this page; the pages read before are kept.
+                        onFailure(fault, () -> loadPartition(load, partition, range));
+                    } else if (page.storeVersion() < position) {
+                        // The page is older than known changes; start over.
+                        load.failed = true;
+                        onFailure(
+                                new IllegalStateException("the store returned an outdated page"),
+                                this::loadAll);
+                    } else {
+                        onPage(load, partition, page, sentAt);
+                    }
+                },
+                () -> {
+                    load.failed = true;
+                    reloadAfterFailure();
+                });
+    }
+
+    private String loopName() {
+        return "table " + table;
+    }
+
+    /**
+     * Reads the table whole after the listener has failed: it may have applied a part of what it
+     * was told, and the rows that it was told last are not told again.
+     */
+    private void reloadAfterFailure() {
+        onFailure(new IllegalStateException("its rows could not be applied"), this::loadAll);
     }
 
     private void onPage(PendingLoad load, String partition, RowStore.Page page, long sentAt) {
@@ -192,15 +210,17 @@
         }
         // After a failure, do not wait for a change: any answer shows that the store is back.
         long sentAt = nowMillis();
-        store.follow(table, position, failing ? Duration.ZERO : pollWait)
-                .whenComplete(
-                        (changes, fault) -> {
-                            if (fault != null) {
-                                onFailure(fault, this::follow);
-                            } else {
-                                onChanges(changes, sentAt);
-                            }
-                        });
+        supervision.whenAnswered(
+                loopName(),
+                store.follow(table, position, failing ? Duration.ZERO : pollWait),
+                (changes, fault) -> {
+                    if (fault != null) {
+                        onFailure(fault, this::follow);
+                    } else {
+                        onChanges(changes, sentAt);
+                    }
+                },
+                this::reloadAfterFailure);
     }
 
     private void onChanges(Changes changes, long sentAt) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -80,20 +80,21 @@
                         ports.rows().operatorTable(),
                         List.of(RowStore.COMMON_PART),
                         TableFollower.DEFAULT_POLL_WAIT,
-                        scheduler,
+                        supervision,
                         store::clock,
                         manifests);
         HolderElection election =
                 new HolderElection(
                         process, settings.vm(), LEASE_TIMES, settings.leaseYieldMillis());
-        this.leaseManager = new HolderLeaseManager(store, scheduler, election, this::createHolder);
+        this.leaseManager =
+                new HolderLeaseManager(store, supervision, election, this::createHolder);
         this.requestHandler =
                 new JobRequestHandler(
                         store,
                         scheduler,
                         manifests,
                         operatorFollower::isHealthy,
-                        new JobIntake(store, scheduler, settings.maxRowBytes()),
+                        new JobIntake(store, supervision, settings.maxRowBytes()),
                         this::holderBoard,
                         new KnownJobs(settings.keepFinished().toMillis()),
                         metrics);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -83,30 +83,42 @@
             return;
         }
         long sentAt = context.nowMillis();
-        context.vms()
-                .list()
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "VM rounds",
+                        context.vms().list(),
                         (vms, fault) -> {
-                            if (stopped) {
-                                return;
+                            if (!stopped) {
+                                // An empty list is treated as invalid.
+                                boolean listed =
+                                        fault == null && !vms.isEmpty() && waveProgress.isLoaded();
+                                Duration pause =
+                                        listed ? decide(vms, sentAt) : pauseFor(poolLoads());
+                                runRoundAfter(pause);
                             }
-                            // An empty list is treated as invalid.
-                            boolean listed =
-                                    fault == null && !vms.isEmpty() && waveProgress.isLoaded();
-                            if (listed) {
-                                recordList(vms, sentAt);
-                            }
-                            Map<String, PoolLoad> loads = board.poolLoads(context.nowMillis());
-                            if (listed) {
-                                decide(vms, loads);
-                            }
-                            boolean poolIsShort =
-                                    loads.values().stream().anyMatch(PoolLoad::isShortOfCapacity);
-                            context.scheduler()
-                                    .schedule(
-                                            poolIsShort ? SURGE_ROUND_INTERVAL : ROUND_INTERVAL,
-                                            this::runRound);
-                        });
+                        },
+                        () -> runRoundAfter(ROUND_INTERVAL));
+    }
+
+    private void runRoundAfter(Duration pause) {
+        context.scheduler().schedule(pause, this::runRound);
+    }
+
+    private Map<String, PoolLoad> poolLoads() {
+        return board.poolLoads(context.nowMillis());
+    }
+
+    private static Duration pauseFor(Map<String, PoolLoad> loads) {
+        boolean poolIsShort = loads.values().stream().anyMatch(PoolLoad::isShortOfCapacity);
+        return poolIsShort ? SURGE_ROUND_INTERVAL : ROUND_INTERVAL;
+    }
+
+    /** Decides from a list; returns the pause until the next one. */
+    private Duration decide(List<ListedFleetVm> listed, long listedAt) {
+        recordList(listed, listedAt);
+        Map<String, PoolLoad> loads = poolLoads();
+        decide(listed, loads);
+        return pauseFor(loads);
     }
 
     /** Records what a list shows, before decisions are made from it. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
@@ -124,9 +124,10 @@
         unsentOrders.clear();
         storingOrders = true;
         Set<String> vms = orders.stream().map(UnsentOrder::vm).collect(Collectors.toSet());
-        recentOrders
-                .store(vms, context.nowMillis())
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "VM orders",
+                        recentOrders.store(vms, context.nowMillis()),
                         (stored, fault) -> {
                             storingOrders = false;
                             if (fault == null && stored && context.maySendOrders().getAsBoolean()) {
@@ -134,7 +135,8 @@
                             } else {
                                 discard(orders, fault);
                             }
-                        });
+                        },
+                        () -> orders.forEach(o -> pendingOrders.remove(o.vm())));
     }
 
     private void discard(List<UnsentOrder> orders, Throwable fault) {
@@ -154,25 +156,28 @@
     private void send(UnsentOrder order) {
         String vm = order.vm();
         pendingOrders.put(vm, new TrackedOrder(order.kind(), context.nowMillis(), false));
-        order.call()
-                .get()
-                .whenComplete(
-                        (answer, fault) -> {
-                            VmAnswer known = fault == null ? answer : VmAnswer.UNKNOWN;
-                            EventLog.log(
-                                    TaskEvent.VM_ORDERED,
-                                    Field.of("vm", vm),
-                                    Field.of("order", order.description()),
-                                    Field.of("term", context.term()),
-                                    Field.of("answer", known));
-                            if (known == VmAnswer.DONE) {
-                                pendingOrders.put(
-                                        vm,
-                                        new TrackedOrder(order.kind(), context.nowMillis(), true));
-                                order.onDone().run();
-                            } else {
-                                pendingOrders.remove(vm);
-                            }
-                        });
+        context.supervision()
+                .whenAnswered(
+                        "VM order",
+                        order.call().get(),
+                        (answer, fault) ->
+                                onAnswer(order, fault == null ? answer : VmAnswer.UNKNOWN),
+                        () -> pendingOrders.remove(vm));
+    }
+
+    private void onAnswer(UnsentOrder order, VmAnswer answer) {
+        EventLog.log(
+                TaskEvent.VM_ORDERED,
+                Field.of("vm", order.vm()),
+                Field.of("order", order.description()),
+                Field.of("term", context.term()),
+                Field.of("answer", answer));
+        if (answer == VmAnswer.DONE) {
+            pendingOrders.put(
+                    order.vm(), new TrackedOrder(order.kind(), context.nowMillis(), true));
+            order.onDone().run();
+        } else {
+            pendingOrders.remove(order.vm());
+        }
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveProgressStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveProgressStore.java
@@ -72,7 +72,7 @@
     /** Reads the progress that earlier holders stored. */
     void load() {
         RetryingRead.start(
-                context.scheduler(),
+                context.supervision(),
                 () -> stopped,
                 () -> context.fencedStore().scan(TABLE, KeyRange.ALL),
                 page -> {
@@ -221,24 +221,28 @@
             Runnable onDone,
             Consumer<Optional<Row>> onConflict) {
         writing = true;
-        commit.whenComplete(
-                (outcome, fault) -> {
-                    writing = false;
-                    switch (outcome) {
-                        case Outcome.Committed c -> {
-                            versions.put(row, c.version());
-                            onDone.run();
-                            writeNext();
-                        }
-                        case Outcome.Conflict conflict -> {
-                            Optional<Row> current = currentRow(conflict, row);
-                            versions.put(row, current.map(Row::version).orElse(0L));
-                            onConflict.accept(current);
-                            scheduleRetry();
-                        }
-                        case null -> scheduleRetry();
-                    }
-                });
+        context.supervision()
+                .whenAnswered(
+                        "waves",
+                        commit,
+                        (outcome, fault) -> {
+                            writing = false;
+                            switch (outcome) {
+                                case Outcome.Committed c -> {
+                                    versions.put(row, c.version());
+                                    onDone.run();
+                                    writeNext();
+                                }
+                                case Outcome.Conflict conflict -> {
+                                    Optional<Row> current = currentRow(conflict, row);
+                                    versions.put(row, current.map(Row::version).orElse(0L));
+                                    onConflict.accept(current);
+                                    scheduleRetry();
+                                }
+                                case null -> scheduleRetry();
+                            }
+                        },
+                        this::scheduleRetry);
     }
 
     private static Optional<Row> currentRow(Outcome.Conflict conflict, RowKey row) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
@@ -59,7 +59,7 @@
     }
 
     void start() {
-        poll();
+        pollOrRetry();
     }
 
     void stop() {
@@ -82,7 +82,13 @@
 
     private void pollAfter(Duration pause) {
         if (!stopped) {
-            context.scheduler().schedule(pause, this::poll);
+            context.scheduler().schedule(pause, this::pollOrRetry);
+        }
+    }
+
+    private void pollOrRetry() {
+        if (!context.supervision().run("worker poll", this::poll)) {
+            pollAfter(POLL_DELAY_AFTER_FAILURE);
         }
     }
 
@@ -99,16 +105,19 @@
         OptionalLong expiresAt = unreachable ? OptionalLong.empty() : grantLease(sentAt);
         WorkerCalls usedCalls = calls;
         Duration wait = expiresAt.isPresent() ? POLL_WAIT : Duration.ZERO;
-        usedCalls
-                .hold(context.term(), expiresAt, board.acknowledgedEnd(entry.id()), wait)
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "worker poll",
+                        usedCalls.hold(
+                                context.term(), expiresAt, board.acknowledgedEnd(entry.id()), wait),
                         (answer, fault) -> {
                             if (usedCalls == calls && !stopped) {
                                 onHoldAnswer(answer, sentAt);
                             } else {
                                 pollAfter(Duration.ofMillis(1));
                             }
-                        });
+                        },
+                        () -> pollAfter(POLL_DELAY_AFTER_FAILURE));
     }
 
     /**
@@ -153,7 +162,7 @@
         boolean newEndedRuns = board.applyReport(entry.id(), report, sentAt, now);
         onChange.run();
         if (firstReport) {
-            poll();
+            pollAfter(Duration.ZERO);
         } else if (newEndedRuns) {
             pollAfter(POLL_DELAY_AFTER_ENDED_RUNS);
         } else {
@@ -186,13 +195,14 @@
         }
         long sentAt = context.nowMillis();
         WorkerCalls usedCalls = calls;
-        usedCalls
-                .hold(
-                        context.term(),
-                        OptionalLong.empty(),
-                        board.acknowledgedEnd(entry.id()),
-                        Duration.ZERO)
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "worker status",
+                        usedCalls.hold(
+                                context.term(),
+                                OptionalLong.empty(),
+                                board.acknowledgedEnd(entry.id()),
+                                Duration.ZERO),
                         (answer, fault) -> {
                             if (usedCalls == calls
                                     && !stopped
@@ -201,7 +211,8 @@
                                         entry.id(), r.report(), sentAt, context.nowMillis());
                                 onChange.run();
                             }
-                        });
+                        },
+                        onChange);
     }
 
     /** Sends an order, and passes its answer to the board. */
@@ -212,8 +223,12 @@
                     case Order.Stop s -> calls.stop(s.task(), s.run(), context.term());
                     case Order.Pace p -> calls.pace(p.task(), p.run(), p.percent(), context.term());
                 };
-        answer.whenComplete(
-                (a, fault) -> onOrderAnswer(order, fault == null ? a : OrderAnswer.UNKNOWN));
+        context.supervision()
+                .whenAnswered(
+                        "worker order",
+                        answer,
+                        (a, fault) -> onOrderAnswer(order, fault == null ? a : OrderAnswer.UNKNOWN),
+                        () -> onOrderAnswer(order, OrderAnswer.UNKNOWN));
     }
 
     private CompletionStage<OrderAnswer> start(Order.Start order) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -15,6 +15,7 @@
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.Order;
 import org.chervillift.core.tasks.TaskScheduler;
@@ -65,7 +66,7 @@
                         context.rows().workerTable(),
                         List.of(RowStore.COMMON_PART),
                         FOLLOW_WAIT,
-                        context.scheduler(),
+                        context.supervision(),
                         context.storeClock(),
                         new RegistryListener());
     }
@@ -102,11 +103,18 @@
         return follower.completeUntil();
     }
 
-    /** Sends an order to its worker, if there is a session with it. */
+    /**
+     * Sends an order to its worker.
+     *
+     * <p>Without a session nothing is sent, which the board learns as for an order that failed:
+     * otherwise the run would wait for its answer for ever.
+     */
     void send(Order order) {
         WorkerSession session = sessions.get(order.worker());
-        if (session != null) {
-            session.send(order);
+        if (session == null) {
+            board.applyAnswer(order, OrderAnswer.NOTHING_DONE, context.nowMillis());
+        } else if (!context.supervision().run("worker order", () -> session.send(order))) {
+            board.applyAnswer(order, OrderAnswer.UNKNOWN, context.nowMillis());
         }
     }
 
@@ -187,13 +195,16 @@
         }
         storing = true;
         Condition unchanged = new Condition(StoreLayout.WORKERS_KEY, storedVersion);
-        context.fencedStore()
-                .commit(List.of(unchanged), List.of(workersWrite(inUse)))
-                .whenComplete(
+        context.supervision()
+                .whenAnswered(
+                        "workers in use",
+                        context.fencedStore()
+                                .commit(List.of(unchanged), List.of(workersWrite(inUse))),
                         (outcome, fault) -> {
                             storing = false;
                             onStoreAnswer(inUse, Optional.ofNullable(outcome));
-                        });
+                        },
+                        () -> onStoreAnswer(inUse, Optional.empty()));
     }
 
     /**
@@ -237,10 +248,7 @@
         }
         for (WorkerEntry entry : board.listedWorkers()) {
             if (storedWorkers.containsKey(entry.id()) && !sessions.containsKey(entry.id())) {
-                WorkerSession session =
-                        new WorkerSession(context, board, entry, onChange, this::onFenced);
-                sessions.put(entry.id(), session);
-                session.start();
+                context.supervision().run("worker session", () -> openSession(entry));
             }
         }
         List.copyOf(sessions.keySet()).stream()
@@ -248,6 +256,12 @@
                 .forEach(id -> sessions.remove(id).stop());
     }
 
+    private void openSession(WorkerEntry entry) {
+        WorkerSession session = new WorkerSession(context, board, entry, onChange, this::onFenced);
+        sessions.put(entry.id(), session);
+        session.start();
+    }
+
     private void onFenced() {
         EventLog.log(
                 TaskEvent.LEASE_LOST,
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FaultyPlatform.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FaultyPlatform.java
@@ -1,6 +1,7 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,8 +16,11 @@
 import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.platform.WorkerCalls;
+import org.chervillift.api.platform.WorkerCalls.HoldAnswer;
 import org.chervillift.api.tasks.ListedFleetVm;
 import org.chervillift.api.tasks.OrderAnswer;
+import org.chervillift.api.tasks.RunReport;
+import org.chervillift.api.tasks.RunningTask;
 import org.chervillift.api.tasks.TaskId;
 import org.chervillift.platform.fleet.FleetRowCodec;
 
@@ -88,13 +92,43 @@
         };
     }
 
+    /** Lets the next report of a worker be one that no board can apply. */
+    void breakNextReport() {
+        failNext("report", CallFault.THROWS, 1);
+    }
+
+    private HoldAnswer breakIfPlanned(HoldAnswer answer) {
+        if (answer instanceof HoldAnswer.Reported r && takes("report")) {
+            List<RunningTask> unusable = Collections.singletonList(null);
+            RunReport report = r.report();
+            return new HoldAnswer.Reported(
+                    new RunReport(
+                            report.bornAtMillis(),
+                            report.clockMillis(),
+                            unusable,
+                            report.ended(),
+                            report.moreEnds()));
+        }
+        return answer;
+    }
+
+    /** Connects to a worker; the kind is {@code connect}. */
+    WorkerCalls connect(Supplier<WorkerCalls> real) {
+        throwIfPlanned("connect");
+        return worker(real.get());
+    }
+
     /** Wraps the calls to a worker; kinds are {@code hold}, {@code start} and {@code stop}. */
-    WorkerCalls worker(WorkerCalls real) {
+    private WorkerCalls worker(WorkerCalls real) {
         return new WorkerCalls() {
             @Override
             public CompletionStage<HoldAnswer> hold(
                     long fence, OptionalLong expiresAt, long acknowledged, Duration wait) {
-                return call("hold", () -> real.hold(fence, expiresAt, acknowledged, wait));
+                return call(
+                        "hold",
+                        () ->
+                                real.hold(fence, expiresAt, acknowledged, wait)
+                                        .thenApply(FaultyPlatform.this::breakIfPlanned));
             }
 
             @Override
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -140,7 +140,7 @@
                 new TaskNode.PlatformAccess(
                         platform.store(delayingStore),
                         platform.rows(),
-                        w -> platform.worker(connect(w)),
+                        w -> platform.connect(() -> connect(w)),
                         platform.vms(fleet),
                         Optional.empty());
         return startNode(settings(vm, LINK_MBPS), ports, vm + "/" + startedNodes.size());
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TableFollowerTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TableFollowerTest.java
@@ -71,6 +71,60 @@
         }
     }
 
+    /** A listener that threw once was never called again. */
+    @Test
+    void tableIsReadAnewAfterItsListenerHasThrown() {
+        ThrowingListener listener = new ThrowingListener();
+        TableFollower follower = follower(listener);
+        write("p-0", 1, false);
+        follower.start();
+        advanceMillis(1_000);
+        listener.throwNext = true;
+        write("p-1", 2, false);
+        advanceMillis(1_000);
+        write("p-2", 3, false);
+        advanceMillis(3_000);
+        follower.stop();
+        assertThat(followedRows).isEqualTo(expectedRows).hasSize(3);
+    }
+
+    /** Throws twice: when it is told of all rows, and when it is told of a change. */
+    private final class ThrowingListener implements TableFollower.Listener {
+
+        private final CopyListener copy = new CopyListener();
+        private boolean throwNext = true;
+
+        @Override
+        public void loaded(List<Row> rows) {
+            throwIfPlanned();
+            copy.loaded(rows);
+        }
+
+        @Override
+        public void changed(List<Change> changes) {
+            throwIfPlanned();
+            copy.changed(changes);
+        }
+
+        private void throwIfPlanned() {
+            if (throwNext) {
+                throwNext = false;
+                throw new IllegalStateException("injected");
+            }
+        }
+    }
+
+    private TableFollower follower(TableFollower.Listener listener) {
+        return new TableFollower(
+                store,
+                TABLE,
+                PARTITIONS,
+                TableFollower.DEFAULT_POLL_WAIT,
+                new Supervision(scheduler, new TaskMetrics()),
+                () -> StoreClock.UNKNOWN,
+                listener);
+    }
+
     private void followWithRandomChanges(Random random) {
         PARTITIONS.forEach(
                 p -> {
@@ -79,15 +133,7 @@
                     }
                 });
         advanceMillis(10);
-        TableFollower follower =
-                new TableFollower(
-                        store,
-                        TABLE,
-                        PARTITIONS,
-                        TableFollower.DEFAULT_POLL_WAIT,
-                        scheduler,
-                        () -> StoreClock.UNKNOWN,
-                        new CopyListener());
+        TableFollower follower = follower(new CopyListener());
         follower.start();
         for (int i = 0; i < 300; i++) {
             String part = PARTITIONS.get(random.nextInt(PARTITIONS.size()));
