Count a start without an answer as uncertain, so that no run starts for ever

Callers saw: workers that seem full and run nothing, tasks that never start. A run is opened when its start is decided. If planning or a send threw after that, the order was gone, the run stayed STARTING without a bound, took the worker's room, and no report could close it, since the order might still be in flight.

The gate keeps the starts it holds if a round throws.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -37,6 +37,8 @@
     private long progressClock = NEVER_LISTED;
     private long listedClock = NEVER_LISTED;
     private boolean begun;
+    private boolean startHeld;
+    private long startSentAt;
 
     Run(TaskEntry task, int number, WorkerRecord worker, Phase phase, long now) {
         this.task = task;
@@ -47,6 +49,7 @@
         this.phaseSince = now;
         this.openedAt = now;
         this.begun = phase == Phase.RUNNING || phase == Phase.STOPPING;
+        this.startSentAt = now;
         this.startedAt = phase == Phase.STARTING ? now : 0;
     }
 
@@ -60,6 +63,26 @@
         return openedAt;
     }
 
+    /** Records that the order to start is held back until progress is stored. */
+    void holdStart() {
+        startHeld = true;
+    }
+
+    /** Records that the order to start is sent now. */
+    void markStartSent(long now) {
+        startHeld = false;
+        startSentAt = now;
+    }
+
+    boolean isStartHeld() {
+        return startHeld;
+    }
+
+    /** Returns when the order to start was sent, in milliseconds; when it was decided, before. */
+    long startSentAt() {
+        return startSentAt;
+    }
+
     /** Returns whether the worker has confirmed or listed the run. */
     boolean hasBegun() {
         return begun;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -24,7 +24,7 @@
     private final RunRegistry runs;
     private final Function<Order, Optional<Run>> findRun;
     private final Consumer<SchedulerEvent> events;
-    private final List<Order.Start> heldStarts = new ArrayList<>();
+    private List<Order.Start> heldStarts = List.of();
     private OptionalLong lastRoundAt = OptionalLong.empty();
     private OptionalLong lastReleaseAt = OptionalLong.empty();
 
@@ -71,9 +71,9 @@
     List<Order.Start> releaseReady(List<Order.Start> starts, long now) {
         heldStarts.forEach(s -> dropIfWorkerCannotTakeIt(s, now));
         List<Order.Start> ready = new ArrayList<>();
+        List<Order.Start> held = new ArrayList<>();
         List<Order.Start> all = new ArrayList<>(heldStarts);
         all.addAll(starts);
-        heldStarts.clear();
         for (Order.Start start : all) {
             Optional<Run> run = startingRun(start);
             if (run.isEmpty()) {
@@ -82,13 +82,16 @@
             }
             StepEntry step = run.get().task().step();
             if (step.begunPools().isStored(run.get().worker().pool()) && isStartStored(run.get())) {
+                run.get().markStartSent(now);
                 ready.add(start);
             } else {
                 step.begunPools().add(run.get().worker().pool());
                 lifecycle.changedJobs().add(step.job());
-                heldStarts.add(start);
+                run.get().holdStart();
+                held.add(start);
             }
         }
+        heldStarts = held;
         lastRoundAt = OptionalLong.of(now);
         lastReleaseAt = ready.isEmpty() ? lastReleaseAt : OptionalLong.of(now);
         return ready;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -52,6 +52,7 @@
     private final StopPlanner stopPlanner;
     private final WorkerLossHandler losses;
     private final StalledRunDetector stalledRunDetector;
+    private final UnansweredStartDetector unansweredStarts;
     private final PaceControl paceControl;
     private final StartGate startGate;
     private final StandstillDetector standstills;
@@ -83,6 +84,7 @@
         this.stopPlanner = new StopPlanner(events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
         this.stalledRunDetector = new StalledRunDetector(events);
+        this.unansweredStarts = new UnansweredStartDetector(events);
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(lifecycle, runs, this::runOf, events);
         this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
@@ -374,6 +376,7 @@
     public List<Order> planWithoutStarts(long now, long wallMillis) {
         closeRunsOfExpiredLeases(now);
         stalledRunDetector.check(workers.values(), now);
+        unansweredStarts.check(workers.values(), now);
         liveJobs.forEach(j -> j.createDueOccurrences(wallMillis));
         List<Order> orders = new ArrayList<>(stopPlanner.planStops(workers.values(), now));
         orders.addAll(paceControl.decide(workers.values(), now));
