Replace a holder that renews its lease and does nothing

Callers saw: nothing starts, for as long as the process lives. The lease is renewed by a chain of its own, so no other process took over from a holder whose other chains had ended, or whose start had thrown. What ends a chain by a way that nobody has thought of must be noticed as well.

Change: the parts that must go on (reading at the start while it makes progress, planning, writes of progress, the tables of jobs and workers, the polls of all workers together) say when they have done so. HolderLeaseManager then logs 7073 and 7074, stops the controller, and releases the lease. Whoever takes it has a new term, so a new fencing token, and reads everything anew. A controller that cannot be started is given up at once.

A process alone takes its own released lease, which HolderElection did not allow.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderElection.java
@@ -155,15 +155,13 @@
         NEVER_HELD,
         /** This process holds the lease, as far as the row says. */
         HELD_HERE,
-        /** This process has released the lease, and does not take it again. */
-        RELEASED_HERE,
         /** Another process's row has changed too recently. */
         HELD_BY_OTHER,
         /** Another process's row is old, but this process cannot read the store now. */
         STORE_NOT_READABLE,
         /** Another process's row is old, but this process has only just begun to read the store. */
         STORE_READABLE_AGAIN,
-        /** The lease may be taken. */
+        /** The lease may be taken, also by the process that has released it. */
         FREE
     }
 
@@ -198,8 +196,7 @@
             case NEVER_HELD -> takeOver(0);
             case HELD_HERE -> renewIfDue(now);
             case FREE -> takeOver(currentRow.orElseThrow().term());
-            case RELEASED_HERE, HELD_BY_OTHER, STORE_NOT_READABLE, STORE_READABLE_AGAIN ->
-                    new Decision.Wait();
+            case HELD_BY_OTHER, STORE_NOT_READABLE, STORE_READABLE_AGAIN -> new Decision.Wait();
         };
     }
 
@@ -209,7 +206,7 @@
         }
         HolderRow held = currentRow.get();
         if (held.process().equals(process)) {
-            return held.released() ? Standing.RELEASED_HERE : Standing.HELD_HERE;
+            return held.released() ? Standing.FREE : Standing.HELD_HERE;
         }
         // A row that another process has written while this one runs shows that it is alive.
         if (held.vm().equals(vm) && isFirstRow) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -460,11 +460,8 @@
      *     although no other worker can take their tasks yet
      */
     public void drain(String workerId, boolean urgent, long now) {
-        WorkerRecord worker = workers.get(workerId);
-        if (worker == null) {
-            return;
-        }
-        WorkerDrainer.stopRuns(worker, workers.values(), urgent, now);
+        Optional.ofNullable(workers.get(workerId))
+                .ifPresent(w -> WorkerDrainer.stopRuns(w, workers.values(), urgent, now));
     }
 
     /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
@@ -12,6 +12,7 @@
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.WorkerCalls;
 import org.chervillift.api.tasks.WorkerEntry;
+import org.chervillift.core.tasks.HolderHealth;
 import org.chervillift.runtime.supervision.Scheduler;
 
 /**
@@ -31,6 +32,7 @@
  * @param leaseAge returns the time since the lease was last renewed, in milliseconds
  * @param term the number of the holder's term, which is also its fencing token
  * @param metrics the metrics of this process
+ * @param health records that the parts which must go on do so
  */
 record HolderContext(
         RowStore store,
@@ -46,7 +48,8 @@
         BooleanSupplier maySendOrders,
         LongSupplier leaseAge,
         long term,
-        TaskMetrics metrics) {
+        TaskMetrics metrics,
+        HolderHealth health) {
     HolderContext {
         Checks.notNull("store", store);
         Checks.notNull("storeClock", storeClock);
@@ -60,6 +63,7 @@
         Checks.notNull("process", process);
         Checks.notNull("maySendOrders", maySendOrders);
         Checks.notNull("metrics", metrics);
+        Checks.notNull("health", health);
     }
 
     /** Returns the monotonic clock and timers. */
@@ -72,6 +76,11 @@
         return leaseAge.getAsLong();
     }
 
+    /** Records that a part which must go on has done so. */
+    void recordProgress(String part) {
+        health.recordProgress(part, nowMillis());
+    }
+
     /** Returns the monotonic clock in milliseconds. */
     long nowMillis() {
         return scheduler().now().toEpochMilli();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -19,6 +19,7 @@
 import org.chervillift.api.platform.RowStore.KeyRange;
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.Manifest;
+import org.chervillift.core.tasks.HolderHealth;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.Order;
 import org.chervillift.core.tasks.SchedulerEvent;
@@ -45,6 +46,7 @@
 
     private static final long MAX_RESTORED_WAIT_MILLIS = 60_000;
     private static final String PLAN_LOOP = "planning";
+    private static final String READING = "reading at the start";
 
     private final HolderContext context;
     private final ManifestTracker manifests;
@@ -96,7 +98,8 @@
                         JOBS_FOLLOW_WAIT,
                         context.supervision(),
                         context.storeClock(),
-                        new JobsListener());
+                        new JobsListener(),
+                        this::onJobsProgress);
         this.workerSessions = new WorkerSessions(context, board, this::replanSoon);
         this.standstills = new StandstillPublisher(context, board, new Condition());
     }
@@ -119,8 +122,14 @@
         return new HolderBoard(board, jobsFollower.completeUntil(), basis);
     }
 
+    /** Returns the part of the holder that must go on and has not for too long, if any. */
+    Optional<HolderHealth.Silence> silence() {
+        return context.health().check(context.nowMillis());
+    }
+
     void start() {
         startedAt = context.nowMillis();
+        context.recordProgress(READING);
         standstills.start();
         manifests.addChangeListener(manifestListener);
         readPredecessorState();
@@ -286,6 +295,7 @@
                     page.rows().forEach(this::addStoredProgress);
                     if (page.hasMore() && !page.rows().isEmpty()) {
                         String last = page.rows().get(page.rows().size() - 1).key().key();
+                        onReadingProgress();
                         readProgress(KeyRange.after(last));
                     } else {
                         progressRead = true;
@@ -315,7 +325,31 @@
     }
 
     private <T> void readWithRetry(Supplier<CompletionStage<T>> call, Consumer<T> then) {
-        RetryingRead.start(context.supervision(), () -> stopped, call, then);
+        RetryingRead.start(
+                context.supervision(),
+                () -> stopped,
+                () -> call.get().whenComplete((value, fault) -> onReadAnswered(fault)),
+                then);
+    }
+
+    /** A store that fails is no fault of the holder; an answer says nothing until it is used. */
+    private void onReadAnswered(Throwable fault) {
+        if (fault != null) {
+            onReadingProgress();
+        }
+    }
+
+    private void onReadingProgress() {
+        if (!ready) {
+            context.recordProgress(READING);
+        }
+    }
+
+    private void onJobsProgress() {
+        context.recordProgress("jobs");
+        if (!jobsFollower.isLoaded()) {
+            onReadingProgress();
+        }
     }
 
     /** Applies the rows of the jobs table to the board. */
@@ -404,6 +438,7 @@
 
     private void becomeReady() {
         ready = true;
+        context.health().forget(READING);
         EventLog.log(
                 TaskEvent.HOLDER_READY,
                 Field.of("term", term()),
@@ -413,6 +448,7 @@
         vmController.start();
         removeProgressWithoutJob();
         finishedJobs.start();
+        context.recordProgress(PLAN_LOOP);
         context.supervision().repeat(PLAN_LOOP, TICK_INTERVAL, () -> stopped, this::plan);
         statusPublisher.start();
     }
@@ -444,6 +480,7 @@
         }
         if (!context.maySendOrders().getAsBoolean()) {
             progress.scheduleWrite();
+            context.recordProgress(PLAN_LOOP);
             return;
         }
         advice.askNext();
@@ -452,6 +489,7 @@
         }
         progress.scheduleWrite();
         workerSessions.openSessions();
+        context.recordProgress(PLAN_LOOP);
     }
 
     /**
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -14,6 +14,8 @@
 import org.chervillift.core.tasks.HolderElection;
 import org.chervillift.core.tasks.HolderElection.Decision;
 import org.chervillift.core.tasks.HolderElection.LeaseView;
+import org.chervillift.core.tasks.HolderHealth;
+import org.chervillift.core.tasks.HolderReplacement;
 import org.chervillift.core.tasks.HolderRow;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
@@ -28,12 +30,16 @@
     private static final int MAX_RELEASE_TRIES = 8;
     private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(300);
 
+    private static final String START = "start of the holder";
+
     private final MonitoredStore store;
     private final Supervision supervision;
     private final Scheduler scheduler;
     private final HolderElection election;
     private final TableFollower follower;
     private final LongFunction<HolderController> holderFactory;
+    private final TaskMetrics metrics;
+    private final HolderReplacement replacement = new HolderReplacement();
     private Optional<HolderController> holder = Optional.empty();
     private long termVersion;
     private long acquiredAt;
@@ -44,18 +50,22 @@
     private boolean writing;
     private long lastWriteSentAt;
     private Optional<LoggedView> lastLoggedView = Optional.empty();
+    private boolean silenceLogged;
+    private boolean givingUp;
     private boolean stopped;
 
     HolderLeaseManager(
             MonitoredStore store,
             Supervision supervision,
             HolderElection election,
-            LongFunction<HolderController> holderFactory) {
+            LongFunction<HolderController> holderFactory,
+            TaskMetrics metrics) {
         this.store = Checks.notNull("store", store);
         this.supervision = Checks.notNull("supervision", supervision);
         this.scheduler = supervision.scheduler();
         this.election = Checks.notNull("election", election);
         this.holderFactory = Checks.notNull("holderFactory", holderFactory);
+        this.metrics = Checks.notNull("metrics", metrics);
         this.follower =
                 new TableFollower(
                         store,
@@ -174,6 +184,7 @@
     private void tick() {
         logLeaseCertainty();
         leaseView().ifPresent(this::logLeaseView);
+        replaceSilentHolder();
         election.recordStoreReadable(follower.hasAnswerSince(lastWriteFailureAt), nowMillis());
         writeLeaseIfDue();
     }
@@ -197,6 +208,40 @@
                 Field.of("openWriteMillis", openWriteMillis()));
     }
 
+    /** Gives the lease up once a part of the holder has stopped: the lease alone says nothing. */
+    private void replaceSilentHolder() {
+        Optional<HolderHealth.Silence> silence = holder.flatMap(HolderController::silence);
+        if (silence.isPresent() && !silenceLogged) {
+            EventLog.log(
+                    TaskEvent.LOOP_SILENT,
+                    Field.of("part", silence.get().part()),
+                    Field.of("millis", silence.get().millis()),
+                    Field.of("term", holder.get().term()));
+        }
+        silenceLogged = silence.isPresent();
+        if (silence.isPresent() && replacement.mayReplace(acquiredAt, nowMillis())) {
+            giveUp(silence.get().part());
+        }
+    }
+
+    /**
+     * Stops the controller, and releases the lease as soon as it can be written. The next holder,
+     * here or elsewhere, has a new term and reads everything anew.
+     */
+    private void giveUp(String part) {
+        EventLog.log(
+                TaskEvent.HOLDER_REPLACED,
+                Field.of("part", part),
+                Field.of("term", election.heldTerm().orElse(0L)),
+                Field.of("heldMillis", nowMillis() - acquiredAt));
+        metrics.countReplacement();
+        replacement.recordGivenUp(nowMillis());
+        givingUp = true;
+        holder.ifPresent(HolderController::stop);
+        holder = Optional.empty();
+        election.finishReading(false);
+    }
+
     /** Logs when the lease may have expired, and when it turns out to have been renewed in time. */
     private void logLeaseCertainty() {
         boolean before = leaseUncertain;
@@ -216,7 +261,7 @@
         if (holder.flatMap(HolderController::board).isPresent()) {
             election.finishReading(true);
         }
-        if (election.decide(nowMillis()) instanceof Decision.Write write) {
+        if (nextWrite() instanceof Decision.Write write) {
             writing = true;
             long sentAt = nowMillis();
             lastWriteSentAt = sentAt;
@@ -235,6 +280,20 @@
         }
     }
 
+    private Decision nextWrite() {
+        if (givingUp) {
+            Optional<Decision.Write> release = election.release();
+            givingUp = release.isPresent();
+            return release.<Decision>map(w -> w).orElseGet(Decision.Wait::new);
+        }
+        Decision decision = election.decide(nowMillis());
+        boolean tooEarly =
+                decision instanceof Decision.Write write
+                        && write.takeover()
+                        && !replacement.mayTakeOver(nowMillis());
+        return tooEarly ? new Decision.Wait() : decision;
+    }
+
     private boolean isBeforeWriteRetry() {
         return nowMillis() < lastWriteFailureAt + WRITE_RETRY_DELAY.toMillis();
     }
@@ -305,16 +364,22 @@
             holder.get().stop();
             holder = Optional.empty();
         }
-        if (holder.isEmpty() && term.isPresent() && !stopped) {
+        if (holder.isEmpty() && term.isPresent() && !stopped && !givingUp) {
             acquiredAt = nowMillis();
             EventLog.log(
                     TaskEvent.LEASE_ACQUIRED,
                     Field.of("term", term.get()),
                     Field.of("writeMillis", nowMillis() - firstTriedAt));
             election.startReading();
-            HolderController next = holderFactory.apply(term.get());
-            holder = Optional.of(next);
-            next.start();
+            if (!supervision.run(START, () -> startHolder(term.get()))) {
+                giveUp(START);
+            }
         }
     }
+
+    private void startHolder(long term) {
+        HolderController next = holderFactory.apply(term);
+        holder = Optional.of(next);
+        next.start();
+    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -79,6 +79,7 @@
     void scheduleWrite() {
         if (!scheduled && !stopped) {
             scheduled = true;
+            context.recordProgress(LOOP);
             Duration delay = board.hasHeldStarts() ? START_BATCH_DELAY : BATCH_DELAY;
             writeAfter(delay);
         }
@@ -102,7 +103,7 @@
         }
         UnstoredProgress unstored = board.unstoredProgress();
         if (unstored.isEmpty()) {
-            scheduled = false;
+            finish();
             return;
         }
         List<Write> writes = encode(unstored);
@@ -113,6 +114,11 @@
         }
     }
 
+    private void finish() {
+        scheduled = false;
+        context.health().forget(LOOP);
+    }
+
     private static List<Write> encode(UnstoredProgress unstored) {
         List<Write> writes = new ArrayList<>();
         unstored.progress()
@@ -144,7 +150,7 @@
             board.markStored(unstored);
             unstored.endedJobs().forEach(onEndStored);
             onStored.run();
-            scheduled = false;
+            finish();
             return;
         }
         List<Write> writes = remaining.subList(0, CommitBatch.sizeOf(remaining));
@@ -167,6 +173,7 @@
     }
 
     private void onFailure(Throwable fault) {
+        context.recordProgress(LOOP);
         EventLog.log(TaskEvent.PROGRESS_NOT_STORED, Field.of("why", fault.getMessage()));
         writeAfter(RETRY_DELAY);
     }
@@ -175,6 +182,7 @@
             UnstoredProgress unstored, List<Write> remaining, List<Write> writes, Outcome outcome) {
         switch (outcome) {
             case Outcome.Committed c -> {
+                context.recordProgress(LOOP);
                 writes.forEach(w -> versions.put(w.key(), c.version()));
                 writeNextBatch(unstored, remaining.subList(writes.size(), remaining.size()));
             }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -34,6 +34,7 @@
     private final Scheduler scheduler;
     private final Supplier<StoreClock> storeClock;
     private final Listener listener;
+    private final Runnable onProgress;
     private Duration retryDelay = MIN_RETRY_DELAY;
     private long position;
     private long lastAnswerAt;
@@ -41,6 +42,7 @@
     private boolean loaded;
     private long failingSince;
     private boolean failing;
+    private boolean listenerFailed;
     private boolean stopped;
 
     /** Receives the rows of the table. */
@@ -61,6 +63,24 @@
             Supervision supervision,
             Supplier<StoreClock> storeClock,
             Listener listener) {
+        this(store, table, parts, wait, supervision, storeClock, listener, () -> {});
+    }
+
+    /**
+     * Creates a follower.
+     *
+     * @param onProgress called when the follower has gone on: its rows are applied, more were read,
+     *     or the store has failed; not when the listener fails again and again
+     */
+    TableFollower(
+            RowStore store,
+            String table,
+            List<String> parts,
+            Duration wait,
+            Supervision supervision,
+            Supplier<StoreClock> storeClock,
+            Listener listener,
+            Runnable onProgress) {
         this.store = Checks.notNull("store", store);
         this.table = Checks.notBlank("table", table);
         this.partitions = List.copyOf(parts);
@@ -69,6 +89,7 @@
         this.scheduler = supervision.scheduler();
         this.storeClock = Checks.notNull("storeClock", storeClock);
         this.listener = Checks.notNull("listener", listener);
+        this.onProgress = Checks.notNull("onProgress", onProgress);
     }
 
     void start() {
@@ -168,6 +189,7 @@
      * was told, and the rows that it was told last are not told again.
      */
     private void reloadAfterFailure() {
+        listenerFailed = true;
         onFailure(new IllegalStateException("its rows could not be applied"), this::loadAll);
     }
 
@@ -201,6 +223,7 @@
                 Field.of("version", position),
                 Field.of("rows", load.rows.size()));
         listener.loaded(load.rows);
+        onApplied();
         follow();
     }
 
@@ -235,6 +258,7 @@
                 if (!next.rows().isEmpty()) {
                     listener.changed(next.rows());
                 }
+                onApplied();
                 follow();
             }
             case Changes.HistoryLost h -> {
@@ -254,7 +278,15 @@
                 .earliestStampedAt(new StoreClock.Stamp(storeMillis, version, sentAt, nowMillis()));
     }
 
+    private void onApplied() {
+        listenerFailed = false;
+        onProgress.run();
+    }
+
     private void onAnswer() {
+        if (!listenerFailed) {
+            onProgress.run();
+        }
         lastAnswerAt = nowMillis();
         retryDelay = MIN_RETRY_DELAY;
         failing = false;
@@ -264,6 +296,9 @@
         if (stopped) {
             return;
         }
+        if (!listenerFailed) {
+            onProgress.run();
+        }
         if (!failing) {
             failing = true;
             failingSince = nowMillis();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -113,6 +113,11 @@
     /** A step or a callback of what must go on has thrown. */
     CALLBACK_FAILED(
             7072, Level.ERROR, "A step or a callback has thrown; its loop goes on after a pause."),
+    /** A part of the holder that must go on has not for too long. */
+    LOOP_SILENT(7073, Level.ERROR, "A part of the holder that must go on has stopped."),
+    /** This process gives the lease back, since its holder does not work. */
+    HOLDER_REPLACED(
+            7074, Level.ERROR, "The holder does not work; this process gives the lease back."),
     /** A maintenance wave has begun or is completed. */
     WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed.");
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -24,6 +24,7 @@
     private final Histogram answerSeconds;
     private final Counter decisions;
     private final Counter loopFailures;
+    private final Counter replacements;
     private final Gauge term;
     private final Gauge poolCores;
     private final Gauge pendingJobs;
@@ -56,6 +57,11 @@
                         .help("Steps, callbacks and calls that threw, by the loop they belong to.")
                         .labelNames("loop")
                         .register(registry);
+        replacements =
+                Counter.builder()
+                        .name("chervillift_holder_replacements_total")
+                        .help("Leases that this process gave back since its holder did not work.")
+                        .register(registry);
         term =
                 Gauge.builder()
                         .name("chervillift_holder_term")
@@ -84,6 +90,10 @@
         decisions.labelValues(kind.name()).inc();
     }
 
+    void countReplacement() {
+        replacements.inc();
+    }
+
     void countLoopFailure(String loop) {
         loopFailures.labelValues(loop).inc();
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -14,6 +14,7 @@
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.HolderElection;
+import org.chervillift.core.tasks.HolderHealth;
 import org.chervillift.runtime.supervision.Scheduler;
 
 /** Handles job requests in one process, and controls the fleet while it holds the lease. */
@@ -87,7 +88,7 @@
                 new HolderElection(
                         process, settings.vm(), LEASE_TIMES, settings.leaseYieldMillis());
         this.leaseManager =
-                new HolderLeaseManager(store, supervision, election, this::createHolder);
+                new HolderLeaseManager(store, supervision, election, this::createHolder, metrics);
         this.requestHandler =
                 new JobRequestHandler(
                         store,
@@ -119,7 +120,8 @@
                                 scheduler.now().toEpochMilli()
                                         - leaseManager.election().lastRenewedAt(),
                         term,
-                        metrics);
+                        metrics,
+                        new HolderHealth(scheduler.now().toEpochMilli()));
         return new HolderController(context, manifests, manifests.manifest().orElseThrow());
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
@@ -20,6 +20,9 @@
 /** Renews the lease of one worker, polls its run reports, and sends it orders. */
 final class WorkerSession {
 
+    /** The polls of all workers: one that goes on shows that polling works. */
+    static final String POLLS = "worker polls";
+
     private static final Duration POLL_WAIT = Duration.ofMillis(700);
     private static final Duration POLL_DELAY_AFTER_ENDED_RUNS = Duration.ofMillis(30);
     private static final Duration POLL_DELAY_AFTER_FAILURE = Duration.ofMillis(200);
@@ -97,6 +100,7 @@
             return;
         }
         if (!context.maySendOrders().getAsBoolean()) {
+            context.recordProgress(POLLS);
             pollAfter(POLL_DELAY_AFTER_FAILURE);
             return;
         }
@@ -116,6 +120,7 @@
                             } else {
                                 pollAfter(Duration.ofMillis(1));
                             }
+                            context.recordProgress(POLLS);
                         },
                         () -> pollAfter(POLL_DELAY_AFTER_FAILURE));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -68,7 +68,8 @@
                         FOLLOW_WAIT,
                         context.supervision(),
                         context.storeClock(),
-                        new RegistryListener());
+                        new RegistryListener(),
+                        () -> context.recordProgress("workers"));
     }
 
     void start() {
@@ -254,10 +255,16 @@
         List.copyOf(sessions.keySet()).stream()
                 .filter(id -> !board.knowsWorker(id))
                 .forEach(id -> sessions.remove(id).stop());
+        if (sessions.isEmpty()) {
+            context.health().forget(WorkerSession.POLLS);
+        }
     }
 
     private void openSession(WorkerEntry entry) {
         WorkerSession session = new WorkerSession(context, board, entry, onChange, this::onFenced);
+        if (sessions.isEmpty()) {
+            context.recordProgress(WorkerSession.POLLS);
+        }
         sessions.put(entry.id(), session);
         session.start();
     }
