Lend idle VMs of a pool in which a task waits for ever

What callers saw (in the soak): all jobs of a queue queued for good. Its pool had no VM and wanted 63 cores, another one had 14 VMs of which 11 were idle, and no move was ordered any more.

Cause: no VM leaves a pool while tasks wait in it. One task that waits for ever (a gang wider than its customer's limit, a label that no worker has) therefore kept all VMs that a surge had brought to its pool, also from pools without any.

Change: such a pool keeps what it could use and one VM more than its home size, and lends the others to pools that are short. It still sends none to standby.

Test: PoolPlannerTest#aTaskThatWaitsForEverDoesNotKeepIdleVmsFromAPoolWithoutAny, red before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
@@ -286,7 +286,7 @@
             long since = now - IDLE_BEFORE_LENDING_MILLIS;
             return movableVms.stream()
                     .filter(v -> !v.vm().pool().equals(recipient))
-                    .filter(v -> isStandby(v) || canBeSpared(v, since))
+                    .filter(v -> isStandby(v) || canBeLent(v, since))
                     .min(
                             Comparator.comparing((VmView v) -> !isStandby(v))
                                     .thenComparing(v -> maxDemandSince(v.vm().pool(), since)))
@@ -298,17 +298,35 @@
         }
 
         /**
-         * Returns whether a pool has more VMs than its minimum and, with one to spare, more than it
-         * could use at any time since a given one.
+         * Returns whether a VM that its pool has no use for may go to a pool that is short.
          *
-         * <p>The last VM of its kind stays. No VM leaves a pool while tasks wait in it.
+         * <p>A task may wait for ever, such as for a label that no worker has. Its pool keeps one
+         * VM more than its home size, and lends the others.
          */
+        private boolean canBeLent(VmView view, long since) {
+            String pool = view.vm().pool();
+            return waitingSince.containsKey(pool)
+                    ? hasMoreThanItCouldUse(view, since)
+                            && sizeOf(pool) > homeSizes.getOrDefault(pool, 0) + 1
+                    : canBeSpared(view, since);
+        }
+
+        /** Returns whether a pool in which no tasks wait has more VMs than it could use. */
         private boolean canBeSpared(VmView view, long since) {
+            return !waitingSince.containsKey(view.vm().pool())
+                    && hasMoreThanItCouldUse(view, since);
+        }
+
+        /**
+         * Returns whether a pool has more VMs than its minimum and, with one to spare, more than it
+         * could use at any time since a given one. The last VM of its kind stays.
+         */
+        private boolean hasMoreThanItCouldUse(VmView view, long since) {
             String pool = view.vm().pool();
             int size = sizeOf(pool);
-            boolean needed =
-                    countsByKind.get(VmKind.of(view)) == 1 || waitingSince.containsKey(pool);
-            return !needed && size > Math.max(maxDemandSince(pool, since) + 1, minSize(pool, size));
+            boolean lastOfItsKind = countsByKind.get(VmKind.of(view)) == 1;
+            return !lastOfItsKind
+                    && size > Math.max(maxDemandSince(pool, since) + 1, minSize(pool, size));
         }
 
         /** Moves VMs that a pool can spare to a pool below its minimum size, else to standby. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
@@ -84,6 +84,32 @@
         assertThat(decide(blocked, 20_000)).as("no more than one VM above the home size").isEmpty();
     }
 
+    /** A gang wider than its customer's limit kept all VMs of a surge from all other pools. */
+    @Test
+    void aTaskThatWaitsForEverDoesNotKeepIdleVmsFromAPoolWithoutAny() {
+        vms("p", 7, WorkerLoad.IDLE);
+        decide(blockedBesideAnEmptyPool(), 0);
+        assertThat(decide(blockedBesideAnEmptyPool(), 10_000))
+                .extracting(Move::from, Move::to)
+                .containsExactly(tuple("p", "q"), tuple("p", "q"));
+    }
+
+    @Test
+    void aPoolInWhichATaskWaitsKeepsOneVmMoreThanItsHomeSize() {
+        vms("p", 4, WorkerLoad.IDLE);
+        decide(blockedBesideAnEmptyPool(), 0);
+        assertThat(decide(blockedBesideAnEmptyPool(), 10_000)).hasSize(1);
+    }
+
+    /** Returns loads with a short task that waits in p, and with work for two VMs in q. */
+    private static Map<String, PoolLoad> blockedBesideAnEmptyPool() {
+        return Map.of(
+                "p",
+                new PoolLoad(0, VM_MILLI_CORES / 10, 7 * VM_MILLI_CORES, 0),
+                "q",
+                new PoolLoad(0, 2 * VM_MILLI_CORES, 0, 0));
+    }
+
     @Test
     void theLastVmOfItsKindStaysInItsPool() {
         for (int i = 0; i < 5; i++) {
