--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -25,7 +24,6 @@
 import org.chervillift.core.tasks.SchedulerEvent;
 import org.chervillift.core.tasks.SchedulerSettings;
 import org.chervillift.core.tasks.TaskScheduler;
-import org.chervillift.core.tasks.WaitReason;
 import org.chervillift.daemon.tasks.StoreLayout.HeldWorkers;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
@@ -59,6 +57,7 @@
     private final StandstillPublisher standstills;
     private final TableFollower jobsFollower;
     private final WorkerSessions workerSessions;
+    private final StartCondition condition;
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
     private final Set<String> unreadableProgress = new HashSet<>();
     private final Runnable manifestListener = this::onManifestChange;
@@ -68,7 +67,6 @@
     private int jobRowCount;
     private long workersVersion;
     private long startedAt;
-    private OptionalLong lastStoredAt = OptionalLong.empty();
     private boolean planScheduled;
     private boolean startsEnabled = true;
     private boolean ready;
@@ -101,7 +99,13 @@
                         new JobsListener(),
                         this::onJobsProgress);
         this.workerSessions = new WorkerSessions(context, board, this::replanSoon);
-        this.standstills = new StandstillPublisher(context, board, new Condition());
+        this.condition =
+                new StartCondition(
+                        context,
+                        jobsFollower::completeUntil,
+                        workerSessions::completeUntil,
+                        () -> ready);
+        this.standstills = new StandstillPublisher(context, board, condition);
     }
 
     long term() {
@@ -160,53 +164,10 @@
     }
 
     private void onStored() {
-        lastStoredAt = OptionalLong.of(context.nowMillis());
+        condition.recordStored();
         replanSoon();
     }
 
-    private HolderAges ages() {
-        long now = context.nowMillis();
-        return new HolderAges(
-                now - jobsFollower.completeUntil(),
-                now - workerSessions.completeUntil(),
-                context.leaseAgeMillis(),
-                lastStoredAt.isPresent()
-                        ? OptionalLong.of(now - lastStoredAt.getAsLong())
-                        : OptionalLong.empty());
-    }
-
-    /**
-     * Returns whether cancellations of jobs, and notices of workers that drain or shrink, are
-     * known.
-     */
-    private boolean areCopiesCurrent(HolderAges ages) {
-        return Math.max(ages.jobs(), ages.workers()) <= context.settings().maxCopyAgeMillis();
-    }
-
-    /** Tells what keeps the holder from starting tasks, by the conditions of {@link #plan}. */
-    private final class Condition implements StandstillPublisher.Holder {
-
-        @Override
-        public boolean isReady() {
-            return ready;
-        }
-
-        @Override
-        public HolderAges ages() {
-            return HolderController.this.ages();
-        }
-
-        @Override
-        public Optional<WaitReason> suspension() {
-            if (!context.maySendOrders().getAsBoolean()) {
-                return Optional.of(WaitReason.LEASE_UNCERTAIN);
-            }
-            return areCopiesCurrent(ages())
-                    ? Optional.empty()
-                    : Optional.of(WaitReason.STARTS_SUSPENDED);
-        }
-    }
-
     private void onEndStored(String jobId) {
         finishedJobs.onEndStored(jobId);
     }
@@ -497,8 +458,8 @@
      * shrink, may not have reached this process.
      */
     private List<Order> planOrders(long now, long wallMillis) {
-        HolderAges ages = ages();
-        boolean copiesAreCurrent = areCopiesCurrent(ages);
+        HolderAges ages = condition.ages();
+        boolean copiesAreCurrent = condition.areCopiesCurrent(ages);
         if (copiesAreCurrent != startsEnabled) {
             startsEnabled = copiesAreCurrent;
             EventLog.log(
