Let runs that fail or stand still keep no more than half of a pool's workers from tasks

What callers saw: jobs of a pool stood for 2 s and more though its workers were idle.

Several hopeless jobs, a job of which one step fails and another ends well, or a wide job whose estimate is far too low made each worker of their pool look faulty.

Change: FaultyWorkerLimit lets at most half of a pool's usable workers, and one in any case, be presumed faulty; those whose time is over soonest get tasks again. Refusals of a worker (no room, unhealthy) are no presumption and stay as they are.

Likewise a gang of which a pool takes some tasks only kept the worker with the most room free for good; it must fit as a whole beside long-running tasks.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StalledRunDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StalledRunDetector.java
@@ -60,7 +60,7 @@
                             SchedulerEvent.Kind.STANDSTILL,
                             run,
                             "percent=" + run.progressPercent() + " stillMs=" + stalledMillis));
-            worker.backOff(now, WORKER_BACK_OFF_MILLIS);
+            worker.presumeFaulty(now, WORKER_BACK_OFF_MILLIS);
             run.enterPhase(Run.Phase.STOPPING, now);
         }
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -14,7 +14,6 @@
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.Resources;
-import org.chervillift.api.tasks.StepSpec;
 
 /** Decides which waiting tasks start now, and where. */
 final class StartPlanner {
@@ -61,6 +60,7 @@
         unknownUsage = UnknownUsage.of(liveJobs, unknownPools);
         Map<String, List<WorkerRecord>> pools =
                 workers.stream().collect(Collectors.groupingBy(WorkerRecord::pool));
+        pools.values().forEach(p -> FaultyWorkerLimit.apply(p, now));
         Map<String, List<Candidate>> candidatesByPool =
                 liveJobs.stream()
                         .flatMap(JobEntry::steps)
@@ -282,14 +282,24 @@
     /**
      * Chooses the worker that is likely to fit a task of the step first. It is kept free for this
      * step, so that lower-ranked steps do not starve it. A worker whose long-running tasks leave
-     * too little capacity is never going to fit it.
+     * too little capacity is never going to fit it, and no worker is kept free for a gang that the
+     * pool is never going to fit as a whole.
      */
     private static Optional<WorkerRecord> chooseReservedWorker(
             StepEntry step, List<WorkerRecord> pool, long now) {
-        StepSpec spec = step.spec();
-        return pool.stream()
-                .filter(w -> Placement.isEligible(step, w, now))
-                .filter(w -> spec.footprint().fitsIn(w.capacityBesideLongRunning()))
+        Resources footprint = step.spec().footprint();
+        List<WorkerRecord> eligible =
+                pool.stream().filter(w -> Placement.isEligible(step, w, now)).toList();
+        if (!Places.suffice(
+                step,
+                startedAtOnce(step),
+                footprint,
+                eligible,
+                WorkerRecord::capacityBesideLongRunning)) {
+            return Optional.empty();
+        }
+        return eligible.stream()
+                .filter(w -> footprint.fitsIn(w.capacityBesideLongRunning()))
                 .max(Comparator.comparingLong(w -> w.freeResources().milliCores()));
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -36,6 +36,7 @@
     private long unknownJobSince = Long.MAX_VALUE;
     private long unreachableSince = Long.MAX_VALUE;
     private long backOffUntil = Long.MIN_VALUE;
+    private long presumedFaultyUntil = Long.MIN_VALUE;
     private long nextBackOffMillis = INITIAL_BACK_OFF_MILLIS;
 
     WorkerRecord(WorkerEntry entry) {
@@ -128,6 +129,7 @@
         consecutiveFailures = 0;
         lastBackOffAt = Long.MIN_VALUE;
         backOffUntil = Long.MIN_VALUE;
+        presumedFaultyUntil = Long.MIN_VALUE;
     }
 
     /**
@@ -256,7 +258,9 @@
         if (entry.draining()) {
             return WorkerObstacle.DRAINING;
         }
-        return now >= backOffUntil ? WorkerObstacle.NONE : WorkerObstacle.BACKING_OFF;
+        return now >= backOffUntil && !isPresumedFaulty(now)
+                ? WorkerObstacle.NONE
+                : WorkerObstacle.BACKING_OFF;
     }
 
     void recordSuccess() {
@@ -282,12 +286,34 @@
         lastFailureAt = now;
         consecutiveFailures++;
         if (consecutiveFailures >= FAILURES_BEFORE_BACK_OFF) {
-            backOff(now, nextBackOffMillis);
+            presumeFaulty(now, nextBackOffMillis);
             lastBackOffAt = now;
             nextBackOffMillis = Math.min(MAX_BACK_OFF_MILLIS, nextBackOffMillis * 2);
         }
     }
 
+    /**
+     * Keeps tasks off a worker for a time, since runs on it fail or stand still. These may be at
+     * fault as well, see {@link FaultyWorkerLimit}.
+     */
+    void presumeFaulty(long now, long millis) {
+        presumedFaultyUntil = Math.max(presumedFaultyUntil, now + millis);
+    }
+
+    boolean isPresumedFaulty(long now) {
+        return now < presumedFaultyUntil;
+    }
+
+    long presumedFaultyUntil() {
+        return presumedFaultyUntil;
+    }
+
+    /** Lets the worker get tasks again. */
+    void presumeSound() {
+        presumedFaultyUntil = Long.MIN_VALUE;
+    }
+
+    /** Keeps tasks off a worker for a time, since it has refused one. */
     void backOff(long now, long millis) {
         backOffUntil = Math.max(backOffUntil, now + millis);
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/ReservedWorkerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ReservedWorkerTest.java
@@ -36,4 +36,13 @@
         fixture.accept("small", SchedulerFixture.step(1, 1_000));
         assertThat(startedJobs()).isEmpty();
     }
+
+    /** A gang of which the only worker takes some tasks kept it free for good. */
+    @Test
+    void aGangThatNeverFitsAsAWholeKeepsNoWorkerFree() {
+        fixture.addWorker("w1", 10_000);
+        fixture.accept("gang", SchedulerFixture.step(4, 4_000, List.of(), true, true, 0));
+        fixture.accept("small", SchedulerFixture.step(1, 1_000));
+        assertThat(startedJobs()).containsExactly("small");
+    }
 }
