Refuse interim answers, and bound each call of JsonClient as a whole

What callers saw (by construction): after a server has sent "100 Continue", a call has the status 100 and an empty body; the answer proper stays on the connection.

Cause: the HTTP client takes an interim answer for the final one. It enforces timeouts by itself only.

Change: an answer with a status below 200 fails the call, and the client is replaced, so that the connection is not used again. Each call fails at the latest one second after its timeout, when the HTTP client looks for overdue calls. A failed conditional read replaces the client, too, as other failed calls did.

Red before: JsonClientTest.anInterimAnswerIsNotTakenForTheAnswer ("100 "). Green before already: anAnswerThatComesByteByByteIsNotWaitedForBeyondTheTimeout, so the timeout of a read does not begin anew with each byte of a body of known length. Not reproduced: a call that takes twice its timeout. Green: all tests of JsonClientTest and of platform.

--- a/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/JsonClient.java
@@ -2,11 +2,13 @@
 
 import io.activej.common.MemSize;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpException;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
@@ -26,6 +28,11 @@
 public final class JsonClient {
 
     private static final MemSize MOST_BODY = MemSize.megabytes(16);
+    private static final int FIRST_FINAL_STATUS = 200;
+
+    /** The HTTP client looks for overdue calls once in this time, so they may last that longer. */
+    private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofSeconds(1);
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(5);
     private static final SocketSettings RESET_ON_CLOSE =
@@ -41,7 +48,7 @@
     /**
      * Creates a client.
      *
-     * @param timeout the bound on the wait for an answer
+     * @param timeout the bound on the wait for the whole answer; enforced up to a second late
      * @param bearer the credential that each request carries, if any
      */
     public JsonClient(
@@ -52,7 +59,7 @@
     /**
      * Creates a client.
      *
-     * @param timeout the bound on the wait for an answer
+     * @param timeout the bound on the wait for the whole answer; enforced up to a second late
      * @param keepAlive how long an idle connection is kept
      * @param bearer the credential that each request carries, if any
      */
@@ -111,11 +118,15 @@
             request.withBody(body);
         }
         HttpClient used = client;
-        return used.request(request.build())
-                .then(JsonClient::load)
+        return bounded(used.request(request.build()).then(JsonClient::load))
                 .whenException(e -> replace(used));
     }
 
+    /** Fails a call whose end the HTTP client does not enforce, as after it was stopped. */
+    private <T> Promise<T> bounded(Promise<T> call) {
+        return Promises.timeout(reactor, timeout.plus(TIMEOUT_CHECK_INTERVAL), call);
+    }
+
     private void replace(HttpClient failed) {
         if (client == failed) {
             client = open();
@@ -133,13 +144,9 @@
         HttpRequest.Builder request = HttpRequest.get(base + path);
         bearer.ifPresent(b -> request.withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + b));
         tag.ifPresent(t -> request.withHeader(HttpHeaders.IF_NONE_MATCH, t));
-        return client.request(request.build())
-                .then(
-                        r -> {
-                            Optional<String> newTag =
-                                    Optional.ofNullable(r.getHeader(HttpHeaders.ETAG));
-                            return load(r).map(a -> new TaggedAnswer(a, newTag));
-                        });
+        HttpClient used = client;
+        return bounded(used.request(request.build()).then(JsonClient::loadTagged))
+                .whenException(e -> replace(used));
     }
 
     /** Closes all connections. */
@@ -147,7 +154,20 @@
         return client.stop();
     }
 
+    private static Promise<TaggedAnswer> loadTagged(HttpResponse response) {
+        Optional<String> tag = Optional.ofNullable(response.getHeader(HttpHeaders.ETAG));
+        return load(response).map(a -> new TaggedAnswer(a, tag));
+    }
+
+    /**
+     * Loads the body; fails for an interim answer, which the HTTP client takes for the answer. The
+     * connection must not be used again then, since the answer proper follows on it.
+     */
     private static Promise<HttpAnswer> load(HttpResponse response) {
+        if (response.getCode() < FIRST_FINAL_STATUS) {
+            return Promise.ofException(
+                    new HttpException("The server sent an interim answer: " + response.getCode()));
+        }
         return response.loadBody(MOST_BODY)
                 .map(
                         body ->
--- a/chervillift-http/src/test/java/org/chervillift/http/JsonClientTest.java
+++ b/chervillift-http/src/test/java/org/chervillift/http/JsonClientTest.java
@@ -10,11 +10,14 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import org.chervillift.runtime.settings.HostPort;
@@ -26,6 +29,8 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final Duration START_OF_SLOW = Duration.ofSeconds(1);
     private static final Duration ANSWER_OF_SLOW = Duration.ofMillis(1_200);
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration PAUSE_BETWEEN_BYTES = Duration.ofMillis(100);
     private static final int SMALL_BUFFER_BYTES = 4_096;
     private static final int LARGE_BODY = 8_000_000;
 
@@ -82,6 +87,98 @@
         }
     }
 
+    /** Writes the answer to the next request on a connection. */
+    private interface RawAnswer {
+        void write(int connection, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    /** Answers each connection's requests with bytes, until a write fails. */
+    private static HostPort serveRaw(ServerSocket server, RawAnswer answer) {
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            try {
+                                for (int i = 1; true; i++) {
+                                    Socket accepted = server.accept();
+                                    int number = i;
+                                    Thread.ofVirtual().start(() -> serve(accepted, number, answer));
+                                }
+                            } catch (IOException e) {
+                                // The test has ended.
+                            }
+                        });
+        return new HostPort("127.0.0.1", server.getLocalPort());
+    }
+
+    private static void serve(Socket accepted, int number, RawAnswer answer) {
+        byte[] request = new byte[SMALL_BUFFER_BYTES];
+        try (accepted) {
+            while (accepted.getInputStream().read(request) > 0) {
+                answer.write(number, accepted.getOutputStream());
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private String callRaw(JsonClient client) {
+        return thread.await(
+                () ->
+                        client.send(HttpMethod.GET, "/x")
+                                .map(a -> a.status() + " " + a.body(), fault -> "failed"));
+    }
+
+    /** A timeout of each read alone would begin anew with each byte. */
+    @Test
+    void anAnswerThatComesByteByByteIsNotWaitedForBeyondTheTimeout() throws IOException {
+        loadClientClasses();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HostPort address =
+                    serveRaw(
+                            server,
+                            (connection, out) -> {
+                                out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n"));
+                                for (int i = 0; i < 60; i++) {
+                                    Thread.sleep(PAUSE_BETWEEN_BYTES);
+                                    out.write('x');
+                                }
+                            });
+            JsonClient client =
+                    new JsonClient(thread.reactor(), address, SHORT_TIMEOUT, Optional.empty());
+            assertThat(callRaw(client)).isEqualTo("failed");
+        }
+    }
+
+    /** The answer proper stayed on the connection, and was taken for that of the next call. */
+    @Test
+    void anInterimAnswerIsNotTakenForTheAnswer() throws IOException {
+        loadClientClasses();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HostPort address =
+                    serveRaw(
+                            server,
+                            (connection, out) -> {
+                                if (connection == 1) {
+                                    out.write(ascii("HTTP/1.1 100 Continue\r\n\r\n"));
+                                }
+                                out.write(
+                                        ascii(
+                                                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+                                                        + connection));
+                            });
+            JsonClient client =
+                    new JsonClient(thread.reactor(), address, TIMEOUT, Optional.empty());
+            assertThat(callRaw(client)).isEqualTo("failed");
+            assertThat(callRaw(client)).isEqualTo("200 2");
+        }
+    }
+
     /** Makes a call, since loading the classes may take longer than the connect timeout. */
     private void loadClientClasses() {
         HostPort address = thread.await(this::listen);
