Start no occurrence of a job that a report names before it is due

What callers saw (by construction): a report that names a task of a later occurrence, running or ended, makes this occurrence begin at once, before its time.

Cause: finding the task creates the steps of its occurrence, and all steps that are there are started when they can.

Change: an occurrence is found by a report only if it was due when the job was accepted, or has been created or restored since. Of an ended job all occurrences are found, so that their runs are stopped.

Red before: OccurrenceNotDueTest (a.3.0.0 was started three hours early). Green: all tests of core.tasks (175).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -130,6 +130,18 @@
                 && index < specs.get(step).count();
     }
 
+    /**
+     * Returns whether tasks of an occurrence may have been started: it was due when the job was
+     * accepted, or has been created or restored since. Of a job that has ended all are taken, so
+     * that their runs are stopped.
+     */
+    boolean mayHaveBegun(int occurrence) {
+        return isFinal()
+                || job.spec().schedule().dueAtMillis(occurrence) <= job.acceptedAtMillis()
+                || occurrences.containsKey(occurrence)
+                || condensed.contains(occurrence);
+    }
+
     /** Returns the steps of all occurrences created so far. */
     Stream<StepEntry> steps() {
         return occurrences.values().stream().flatMap(List::stream);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -313,6 +313,7 @@
     private Optional<TaskEntry> findTask(TaskId id) {
         return jobs.find(id.job())
                 .filter(j -> j.hasTask(id.occurrence(), id.step(), id.index()))
+                .filter(j -> j.mayHaveBegun(id.occurrence()))
                 .map(j -> j.step(id.occurrence(), id.step()).tasks().get(id.index()));
     }
 }
