--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
+import org.chervillift.api.platform.RowKey;
 import org.chervillift.api.platform.RowStore.Change;
 import org.chervillift.api.platform.RowStore.KeyRange;
 import org.chervillift.api.tasks.AcceptedJob;
@@ -330,29 +331,40 @@
             for (Row row : rows) {
                 if (!StoreLayout.isCancellation(row.key())) {
                     boolean knownToPredecessor = !ready;
-                    applyRow(() -> accept(row.key().key(), row.value(), knownToPredecessor));
+                    applyRow(
+                            row.key(),
+                            () -> accept(row.key().key(), row.value(), knownToPredecessor));
                 }
             }
             rows.stream()
                     .filter(r -> StoreLayout.isCancellation(r.key()))
-                    .map(r -> StoreLayout.jobIdOf(r.key()))
-                    .forEach(id -> applyRow(() -> board.cancel(id, context.nowMillis())));
+                    .map(Row::key)
+                    .forEach(k -> applyRow(k, () -> cancel(k)));
             jobRowCount = rows.size();
         }
 
         private void applyChanges(List<Change> changes) {
-            changes.forEach(c -> applyRow(() -> applyChange(c)));
+            changes.forEach(c -> applyRow(c.key(), () -> applyChange(c)));
         }
 
         /** Applies one row; a row whose job cannot be taken in does not keep the others out. */
-        private void applyRow(Runnable row) {
-            context.supervision().run("job row", row);
+        private void applyRow(RowKey key, Runnable row) {
+            if (!context.supervision().run("job row", row)) {
+                EventLog.log(
+                        TaskEvent.ROW_UNREADABLE,
+                        Field.of("key", key.key()),
+                        Field.of("why", "its job could not be taken in"));
+            }
+        }
+
+        private void cancel(RowKey key) {
+            board.cancel(StoreLayout.jobIdOf(key), context.nowMillis());
         }
 
         private void applyChange(Change change) {
             String id = StoreLayout.jobIdOf(change.key());
             if (StoreLayout.isCancellation(change.key())) {
-                change.value().ifPresent(v -> board.cancel(id, context.nowMillis()));
+                change.value().ifPresent(v -> cancel(change.key()));
             } else if (change.value().isPresent()) {
                 accept(id, change.value().get(), false);
             } else {
@@ -444,13 +456,18 @@
             context.recordProgress(PLAN_LOOP);
             return;
         }
-        advice.askNext();
-        for (Order order : planOrders(context.nowMillis(), System.currentTimeMillis())) {
-            workerSessions.send(order);
-        }
+        // A failure of one part keeps neither starts, stored progress nor new workers from it.
+        context.supervision().run("advice", advice::askNext);
+        boolean planned = context.supervision().run(PLAN_LOOP, this::sendOrders);
         progress.scheduleWrite();
         workerSessions.openSessions();
-        context.recordProgress(PLAN_LOOP);
+        if (planned) {
+            context.recordProgress(PLAN_LOOP);
+        }
+    }
+
+    private void sendOrders() {
+        planOrders(context.nowMillis(), System.currentTimeMillis()).forEach(workerSessions::send);
     }
 
     /**
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -262,12 +262,13 @@
             election.finishReading(true);
         }
         if (nextWrite() instanceof Decision.Write write) {
-            writing = true;
             long sentAt = nowMillis();
             lastWriteSentAt = sentAt;
+            CompletionStage<Outcome> call = commit(write);
+            writing = true;
             supervision.whenAnswered(
                     "lease",
-                    commit(write),
+                    call,
                     (outcome, fault) -> {
                         writing = false;
                         if (fault != null) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/SettingsReloader.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/SettingsReloader.java
@@ -34,10 +34,11 @@
         scheduler.schedule(
                 CHECK_INTERVAL,
                 () -> {
+                    // First, so that a reload that throws does not end the checks.
+                    watch(scheduler);
                     if (!lastModified().equals(lastReadModification)) {
                         reload();
                     }
-                    watch(scheduler);
                 });
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
@@ -122,12 +122,13 @@
         }
         List<UnsentOrder> orders = List.copyOf(unsentOrders);
         unsentOrders.clear();
-        storingOrders = true;
         Set<String> vms = orders.stream().map(UnsentOrder::vm).collect(Collectors.toSet());
+        CompletionStage<Boolean> call = recentOrders.store(vms, context.nowMillis());
+        storingOrders = true;
         context.supervision()
                 .whenAnswered(
                         "VM orders",
-                        recentOrders.store(vms, context.nowMillis()),
+                        call,
                         (stored, fault) -> {
                             storingOrders = false;
                             if (fault == null && stored && context.maySendOrders().getAsBoolean()) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveProgressStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaveProgressStore.java
@@ -249,9 +249,15 @@
         return conflict.current().stream().filter(r -> r.key().equals(row)).findFirst();
     }
 
+    private void retry() {
+        if (!context.supervision().run("waves", this::writeNext)) {
+            scheduleRetry();
+        }
+    }
+
     private void scheduleRetry() {
         if (!stopped) {
-            context.scheduler().schedule(RETRY_DELAY, this::writeNext);
+            context.scheduler().schedule(RETRY_DELAY, this::retry);
         }
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.FleetRows.WorkerRow;
@@ -194,13 +195,14 @@
             openSessions();
             return;
         }
-        storing = true;
         Condition unchanged = new Condition(StoreLayout.WORKERS_KEY, storedVersion);
+        CompletionStage<Outcome> call =
+                context.fencedStore().commit(List.of(unchanged), List.of(workersWrite(inUse)));
+        storing = true;
         context.supervision()
                 .whenAnswered(
                         "workers in use",
-                        context.fencedStore()
-                                .commit(List.of(unchanged), List.of(workersWrite(inUse))),
+                        call,
                         (outcome, fault) -> {
                             storing = false;
                             onStoreAnswer(inUse, Optional.ofNullable(outcome));
