Add a soak in virtual time with a check from outside for work that stands still

3 to 6 nodes, 12 to 18 workers in 3 pools and 3 standby VMs run random load under random, overlapping troubles of the store, links, workers, platform and nodes. The check uses only what workers run and callers are told: in a calm spell no job stands still for 3 s while there is room for it twice over, and 20 s after all load has ended each accepted job is completed, rightly failed or cancelled. What a callback throws fails the run.

--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
@@ -0,0 +1,172 @@
+package org.chervillift.daemon.tasks;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.chervillift.api.tasks.JobAnswer;
+import org.chervillift.api.tasks.JobRequest;
+import org.chervillift.api.tasks.JobSpec;
+import org.chervillift.api.tasks.Resources;
+import org.chervillift.api.tasks.Schedule;
+import org.chervillift.api.tasks.StepSpec;
+
+/** Callers that hand in and cancel jobs of many kinds. */
+final class SoakLoad {
+
+    private static final double JOBS_PER_SECOND = 3;
+    private static final double SURGE_JOBS_PER_SECOND = 25;
+    private static final double SURGES_PER_SECOND = 0.06;
+    private static final double CANCELLED_SHARE = 0.06;
+    private static final double HOPELESS_SHARE = 0.06;
+    private static final double GANG_SHARE = 0.1;
+    private static final double WIDE_SHARE = 0.06;
+    private static final double REPEATING_SHARE = 0.08;
+    private static final double SMALL_CUSTOMER_SHARE = 0.05;
+    private static final double LIMITED_SHARE = 0.25;
+    private static final int MAX_SERVICES = 4;
+    private static final int SURGE_MILLIS = 1_500;
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private final SoakWorld world;
+    private final Random random;
+    private final Map<String, SoakJob> jobs = new LinkedHashMap<>();
+    private long surgeUntil;
+    private int services;
+
+    SoakLoad(SoakWorld world) {
+        this.world = world;
+        this.random = world.random;
+    }
+
+    Collection<SoakJob> jobs() {
+        return jobs.values();
+    }
+
+    /** Hands in what callers send within a short time. */
+    void step(int millis) {
+        double seconds = (double) millis / MILLIS_PER_SECOND;
+        if (random.nextDouble() < SURGES_PER_SECOND * seconds) {
+            surgeUntil = world.now() + SURGE_MILLIS;
+        }
+        double rate = world.now() < surgeUntil ? SURGE_JOBS_PER_SECOND : JOBS_PER_SECOND;
+        double due = rate * seconds;
+        while (random.nextDouble() < due) {
+            due--;
+            submit(newJob());
+        }
+        cancelOne(CANCELLED_SHARE * rate * seconds);
+    }
+
+    private SoakJob newJob() {
+        String id = String.format("%016x", jobs.size() + 1);
+        String queue = "q" + random.nextInt(SoakWorld.HOME_POOLS.size());
+        String key = randomKey();
+        boolean service = services < MAX_SERVICES && random.nextInt(20) == 0;
+        if (service) {
+            services++;
+            StepSpec step = step(2 + random.nextInt(2), 1_000, List.of(), false, true);
+            return new SoakJob(
+                    new JobSpec(id, "payload", List.of(step), Schedule.ONCE),
+                    queue,
+                    "kc0",
+                    0,
+                    false);
+        }
+        boolean hopeless = random.nextDouble() < HOPELESS_SHARE;
+        boolean repeats = random.nextDouble() < REPEATING_SHARE;
+        Schedule schedule = repeats ? new Schedule(2 + random.nextInt(6), 1, 1) : Schedule.ONCE;
+        long taskMillis = 100 + random.nextInt(random.nextInt(10) == 0 ? 2_500 : 700);
+        JobSpec spec = new JobSpec(id, "payload", steps(repeats), schedule);
+        // A gang that is wider than the limit of its customer would wait for ever.
+        boolean hasGang = spec.steps().stream().anyMatch(StepSpec::gang);
+        return new SoakJob(spec, queue, hasGang ? "kc0" : key, taskMillis, hopeless);
+    }
+
+    /** Few jobs are of the customers with limits, or these would wait for themselves. */
+    private String randomKey() {
+        double share = random.nextDouble();
+        if (share < SMALL_CUSTOMER_SHARE) {
+            return "kc2";
+        }
+        return share < LIMITED_SHARE ? "kc1" : "kc0";
+    }
+
+    private List<StepSpec> steps(boolean repeats) {
+        List<StepSpec> steps = new ArrayList<>();
+        int count = 1 + random.nextInt(3);
+        for (int i = 0; i < count; i++) {
+            List<Integer> after = i > 0 && random.nextInt(4) > 0 ? List.of(i - 1) : List.of();
+            boolean gang = !repeats && random.nextDouble() < GANG_SHARE;
+            boolean wide = !gang && !repeats && random.nextDouble() < WIDE_SHARE;
+            int tasks = wide ? 20 + random.nextInt(40) : 1 + random.nextInt(4);
+            long cores = wide ? 500 : 500 * (1 + random.nextInt(4));
+            steps.add(step(tasks, cores, after, gang, false));
+        }
+        return steps;
+    }
+
+    private static StepSpec step(
+            int count, long milliCores, List<Integer> after, boolean gang, boolean service) {
+        return new StepSpec(
+                count,
+                new Resources(milliCores, 100, 0),
+                500,
+                after,
+                gang,
+                false,
+                "",
+                "",
+                0,
+                false,
+                service,
+                "",
+                0,
+                false,
+                service ? 1 : 0,
+                false);
+    }
+
+    private void submit(SoakJob job) {
+        jobs.put(job.id(), job);
+        world.fleet.add(job);
+        List<SoakWorld.Node> nodes = world.awakeNodes();
+        if (nodes.isEmpty()) {
+            return;
+        }
+        TaskNode node = nodes.get(random.nextInt(nodes.size())).node();
+        node.answer(request(JobRequest.Action.SUBMIT, job))
+                .whenComplete(
+                        (answer, fault) -> {
+                            if (answer instanceof JobAnswer.Accepted) {
+                                job.accepted();
+                            }
+                        });
+    }
+
+    private void cancelOne(double probability) {
+        if (random.nextDouble() >= probability || jobs.isEmpty()) {
+            return;
+        }
+        List<SoakJob> all = List.copyOf(jobs.values());
+        SoakJob job = all.get(Math.max(0, all.size() - 1 - random.nextInt(10)));
+        List<SoakWorld.Node> nodes = world.awakeNodes();
+        if (!nodes.isEmpty()) {
+            job.cancelSent();
+            TaskNode node = nodes.get(random.nextInt(nodes.size())).node();
+            node.answer(request(JobRequest.Action.CANCEL, job));
+        }
+    }
+
+    static JobRequest request(JobRequest.Action action, SoakJob job) {
+        return new JobRequest(
+                action,
+                SoakWorld.HOST,
+                "/" + job.queue() + "/" + job.id(),
+                Optional.of(job.key()),
+                id -> job.spec());
+    }
+}
