Leave out of the event loop's time what it was held up

What callers saw: on slow processors nothing started for tens of seconds.

Cause: after a stall of the event loop its due timers run before the sockets are read. 20 workers timed out within 5 ms, the store with them, although their answers lay in the sockets; each client was replaced, all starts in flight became uncertain, and the lease was lost.

Change: at most 60 ms count between two readings of the time that the timers follow, and an idle loop reads it each 50 ms. Leases go by the scheduler's own clock, which counts all.

Remains: real timeouts are longer while the loop is held up.

--- a/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
@@ -2,6 +2,7 @@
 
 import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
+import java.time.Duration;
 import java.util.function.Consumer;
 import org.chervillift.api.ChervilliftException;
 
@@ -10,11 +11,14 @@
 
     private static final int EXIT_CODE_MACHINE_FAULT = 70;
 
+    /** Shorter than the most that counts of the time, so that idle time counts whole. */
+    private static final Duration IDLE_INTERVAL = Duration.ofMillis(50);
+
     private Reactors() {}
 
     /**
      * Creates an event loop that goes on after a fault in one of its tasks. Its timers follow the
-     * monotonic clock.
+     * monotonic clock, without the time for which the loop was held up.
      *
      * @param onFault told of each fault, but for a {@link ChervilliftException}, which is an
      *     expected outcome and travels in the promise
@@ -27,6 +31,7 @@
         return Eventloop.builder()
                 .withThreadName(name)
                 .withTimeProvider(time)
+                .withIdleInterval(IDLE_INTERVAL)
                 .withFatalErrorHandler((fault, context) -> handle(fault, onFault))
                 .build();
     }
