--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -203,7 +203,7 @@
             task.step().job().recordSuccess();
             lifecycle.taskDone(task, now);
         } else if (ended.end() == RunEnd.FAILED) {
-            if (task.step().job().recordFailure(worker.id())) {
+            if (longRunning || task.step().job().recordFailure(worker.id())) {
                 worker.recordFailure(run.map(Run::openedAt).orElse(now), now);
             }
             task.failedWorkers().add(worker.id());
