Leave alone what cannot be applied, and plan for half of the time at most

- A job whose stored progress cannot be applied was on the board without it, so that done tasks started again.
It is left alone now, as one whose progress cannot be read.
- A table whose listener failed counted as current, so that tasks started without notices of workers.
- Such a table was read again ten times a second, and each page let the pause start anew.

A table whose history is lost is read again after 0.1 s, so that a store without history is not read at the speed of its answers.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -55,6 +55,7 @@
     private final UnansweredStartDetector unansweredStarts;
     private final PaceControl paceControl;
     private final StartGate startGate;
+    private final WorkerLeases leases;
     private final StandstillDetector standstills;
     private Manifest manifest;
 
@@ -88,12 +89,13 @@
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(lifecycle, runs, this::runOf, events);
         this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
+        this.leases = new WorkerLeases(workers, predecessor, losses, liveJobs, events);
         this.standstills =
                 new StandstillDetector(
                         liveJobs,
                         workers.values(),
                         () -> this.manifest,
-                        this::poolsOfUnknownRuns,
+                        leases::poolsOfUnknownRuns,
                         startPlanner,
                         startGate);
     }
@@ -175,6 +177,12 @@
         }
     }
 
+    /** Removes a job whose stored progress cannot be applied, before any task of it starts. */
+    public void discard(String jobId) {
+        jobs.findLoaded(jobId).ifPresent(liveJobs::remove);
+        jobs.remove(jobId);
+    }
+
     /** Returns the state of a job, if it is known; a final state only once it is stored. */
     public Optional<JobState> stateOf(String jobId) {
         return statusOf(jobId).map(JobStatus::state);
@@ -327,14 +335,16 @@
 
     /** Returns the number of the last end of a run that a worker need not report again. */
     public long acknowledgedEnd(String workerId) {
-        WorkerRecord worker = workers.get(workerId);
-        return worker == null ? 0 : worker.acknowledgedEnd();
+        return Optional.ofNullable(workers.get(workerId))
+                .map(WorkerRecord::acknowledgedEnd)
+                .orElse(0L);
     }
 
     /** Returns whether the outcome of an order to a worker can only be known from a new report. */
     public boolean needsFreshReport(String workerId) {
-        WorkerRecord worker = workers.get(workerId);
-        return worker != null && worker.runs().stream().anyMatch(Run::needsFreshReport);
+        return Optional.ofNullable(workers.get(workerId)).stream()
+                .flatMap(w -> w.runs().stream())
+                .anyMatch(Run::needsFreshReport);
     }
 
     /** Applies the answer to an order. */
@@ -359,7 +369,7 @@
      */
     public List<Order> plan(long now, long wallMillis) {
         List<Order> orders = planWithoutStarts(now, wallMillis);
-        Set<String> pools = poolsOfUnknownRuns(now);
+        Set<String> pools = leases.poolsOfUnknownRuns(now);
         orders.addAll(
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
@@ -374,7 +384,7 @@
      * @param wallMillis the time of day, in milliseconds since 1970 UTC
      */
     public List<Order> planWithoutStarts(long now, long wallMillis) {
-        closeRunsOfExpiredLeases(now);
+        leases.closeExpired(now);
         stalledRunDetector.check(workers.values(), now);
         unansweredStarts.check(workers.values(), now);
         liveJobs.forEach(j -> j.createDueOccurrences(wallMillis));
@@ -395,55 +405,18 @@
                 .ifPresent(s -> s.advice().applyAnswer(request.workers(), tickets, validUntil));
     }
 
-    private void closeRunsOfExpiredLeases(long now) {
-        for (WorkerRecord worker : workers.values()) {
-            if (now > lastLeaseEndsAt(worker) && !worker.runs().isEmpty()) {
-                events.accept(
-                        new SchedulerEvent(
-                                SchedulerEvent.Kind.LEASE_OVER,
-                                "",
-                                "",
-                                worker.id(),
-                                "runs=" + worker.runs().size()));
-                losses.leaseExpired(worker, now);
-            }
-        }
-        List<WorkerRecord> gone =
-                workers.values().stream()
-                        .filter(w -> !w.isListed() && now > lastLeaseEndsAt(w))
-                        .toList();
-        gone.forEach(w -> forgetWorker(w.id()));
-    }
-
-    private void forgetWorker(String workerId) {
-        workers.remove(workerId);
-        liveJobs.stream().flatMap(JobEntry::steps).forEach(s -> s.forgetWorker(workerId));
-    }
-
-    private Set<String> poolsOfUnknownRuns(long now) {
-        return predecessor.poolsOfUnknownRuns(this::lastLeaseEndsAt, now);
-    }
-
-    /** Returns when the last lease ends that this holder or its predecessor granted to a worker. */
-    private long lastLeaseEndsAt(WorkerRecord worker) {
-        return Math.max(worker.leaseEndsAt(), predecessor.leasesEndAt());
-    }
-
-    private long lastLeaseEndsAt(String workerId) {
-        WorkerRecord worker = workers.get(workerId);
-        return worker == null ? predecessor.leasesEndAt() : lastLeaseEndsAt(worker);
-    }
-
     /** Returns whether a worker has reported its runs to this holder. */
     public boolean hasReported(String workerId) {
-        WorkerRecord worker = workers.get(workerId);
-        return worker != null && worker.hasReported();
+        return Optional.ofNullable(workers.get(workerId))
+                .filter(WorkerRecord::hasReported)
+                .isPresent();
     }
 
     /** Returns the load of a worker. */
     public WorkerLoad loadOf(String workerId, long now) {
-        WorkerRecord worker = workers.get(workerId);
-        return worker == null ? WorkerLoad.IDLE : LoadCalculator.loadOf(worker, now);
+        return Optional.ofNullable(workers.get(workerId))
+                .map(w -> LoadCalculator.loadOf(w, now))
+                .orElse(WorkerLoad.IDLE);
     }
 
     /** Returns the load of the pools by name. */
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
@@ -0,0 +1,73 @@
+package org.chervillift.core.tasks;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Closes the runs of workers whose leases have expired, and forgets workers that have left. */
+final class WorkerLeases {
+
+    private final Map<String, WorkerRecord> workers;
+    private final PredecessorWorkers predecessor;
+    private final WorkerLossHandler losses;
+    private final Collection<JobEntry> liveJobs;
+    private final Consumer<SchedulerEvent> events;
+
+    WorkerLeases(
+            Map<String, WorkerRecord> workers,
+            PredecessorWorkers predecessor,
+            WorkerLossHandler losses,
+            Collection<JobEntry> liveJobs,
+            Consumer<SchedulerEvent> events) {
+        this.workers = workers;
+        this.predecessor = predecessor;
+        this.losses = losses;
+        this.liveJobs = liveJobs;
+        this.events = events;
+    }
+
+    /** Closes the runs of workers whose leases have expired; unlisted ones are forgotten. */
+    void closeExpired(long now) {
+        workers.values().stream()
+                .filter(w -> now > lastLeaseEndsAt(w) && !w.runs().isEmpty())
+                .forEach(w -> closeRuns(w, now));
+        List<WorkerRecord> gone =
+                workers.values().stream()
+                        .filter(w -> !w.isListed() && now > lastLeaseEndsAt(w))
+                        .toList();
+        gone.forEach(w -> forget(w.id()));
+    }
+
+    private void closeRuns(WorkerRecord worker, long now) {
+        events.accept(
+                new SchedulerEvent(
+                        SchedulerEvent.Kind.LEASE_OVER,
+                        "",
+                        "",
+                        worker.id(),
+                        "runs=" + worker.runs().size()));
+        losses.leaseExpired(worker, now);
+    }
+
+    private void forget(String workerId) {
+        workers.remove(workerId);
+        liveJobs.stream().flatMap(JobEntry::steps).forEach(s -> s.forgetWorker(workerId));
+    }
+
+    /** Returns the pools of the workers that may have runs which this holder does not know. */
+    Set<String> poolsOfUnknownRuns(long now) {
+        return predecessor.poolsOfUnknownRuns(this::lastLeaseEndsAt, now);
+    }
+
+    /** Returns when the last lease ends that this holder or its predecessor granted to a worker. */
+    private long lastLeaseEndsAt(WorkerRecord worker) {
+        return Math.max(worker.leaseEndsAt(), predecessor.leasesEndAt());
+    }
+
+    private long lastLeaseEndsAt(String workerId) {
+        WorkerRecord worker = workers.get(workerId);
+        return worker == null ? predecessor.leasesEndAt() : lastLeaseEndsAt(worker);
+    }
+}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -22,7 +22,6 @@
 import org.chervillift.core.tasks.HolderHealth;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.Order;
-import org.chervillift.core.tasks.SchedulerEvent;
 import org.chervillift.core.tasks.SchedulerSettings;
 import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.daemon.tasks.StoreLayout.HeldWorkers;
@@ -68,6 +67,7 @@
     private int jobRowCount;
     private long workersVersion;
     private long startedAt;
+    private long lastPlanMillis;
     private boolean planScheduled;
     private boolean startsEnabled = true;
     private boolean ready;
@@ -83,7 +83,12 @@
                         settings.predecessorLeaseMillis(),
                         settings.workerStopTimeout().toMillis(),
                         settings.moveTime().toMillis());
-        this.board = new TaskScheduler(boardSettings, manifest, this::log, context.nowMillis());
+        this.board =
+                new TaskScheduler(
+                        boardSettings,
+                        manifest,
+                        new DecisionLog(context.metrics()),
+                        context.nowMillis());
         this.progress = new ProgressWriter(context, board, this::onStored, this::onEndStored);
         this.finishedJobs = new FinishedJobRemover(context, board, progress);
         this.advice = new AdviceRequester(context, board, this::replanSoon);
@@ -178,25 +183,6 @@
         replanSoon();
     }
 
-    private void log(SchedulerEvent note) {
-        context.metrics().countDecision(note.kind());
-        TaskEvent event =
-                switch (note.kind()) {
-                    case FINAL -> TaskEvent.JOB_ENDED;
-                    case LIFETIME, LEASE_OVER -> TaskEvent.WORKER_CHANGED;
-                    case LOST -> TaskEvent.RUN_LOST;
-                    case ODD_ENTRY -> TaskEvent.REPORT_ENTRY_IGNORED;
-                    default -> TaskEvent.TASK_DECISION;
-                };
-        EventLog.log(
-                event,
-                Field.of("decision", note.kind()),
-                Field.of("job", note.job()),
-                Field.of("task", note.task()),
-                Field.of("worker", note.worker()),
-                Field.of("inputs", note.detail()));
-    }
-
     /**
      * Reads the workers that earlier holders may have used, and the stored progress of the jobs.
      */
@@ -396,7 +382,18 @@
                                     MAX_RESTORED_WAIT_MILLIS)
                             : 0;
             board.accept(job, waitedMillis, context.nowMillis());
-            stored.ifPresent(p -> board.restore(job.id(), p));
+            stored.ifPresent(p -> restore(job.id(), p));
+        }
+
+        /** Restores progress; a job whose progress does not fit it is left alone. */
+        private void restore(String id, JobProgress stored) {
+            try {
+                board.restore(id, stored);
+            } catch (RuntimeException e) {
+                unreadableProgress.add(id);
+                board.discard(id);
+                logUnreadable(id, e);
+            }
         }
 
         private Optional<AcceptedJob> decode(String id, String value) {
@@ -441,8 +438,10 @@
     private void replanSoon() {
         if (!planScheduled && !stopped && ready) {
             planScheduled = true;
+            // As long as the last plan took at least, so that answers are read in between.
+            Duration delay = Duration.ofMillis(Math.max(PLAN_DELAY.toMillis(), lastPlanMillis));
             context.scheduler()
-                    .schedule(PLAN_DELAY, () -> context.supervision().run(PLAN_LOOP, this::plan));
+                    .schedule(delay, () -> context.supervision().run(PLAN_LOOP, this::plan));
         }
     }
 
@@ -467,7 +466,9 @@
     }
 
     private void sendOrders() {
-        planOrders(context.nowMillis(), System.currentTimeMillis()).forEach(workerSessions::send);
+        long now = context.nowMillis();
+        planOrders(now, System.currentTimeMillis()).forEach(workerSessions::send);
+        lastPlanMillis = context.nowMillis() - now;
     }
 
     /**
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -186,9 +186,12 @@
 
     /**
      * Reads the table whole after the listener has failed: it may have applied a part of what it
-     * was told, and the rows that it was told last are not told again.
+     * was told, and the rows that it was told last are not told again. Until then the copy does not
+     * count as current.
      */
     private void reloadAfterFailure() {
+        completeUntil = 0;
+        retryDelay = MAX_RETRY_DELAY;
         listenerFailed = true;
         onFailure(new IllegalStateException("its rows could not be applied"), this::loadAll);
     }
@@ -266,7 +269,7 @@
                         TaskEvent.HISTORY_LOST,
                         Field.of("table", table),
                         Field.of("version", position));
-                loadAll();
+                scheduler.schedule(MIN_RETRY_DELAY, this::loadAll);
             }
         }
     }
