--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
@@ -19,6 +19,7 @@
 
     private final Map<String, Ticket> ticketsByWorker = new HashMap<>();
     private final Set<String> refusedWorkers = new HashSet<>();
+    private long failedAt = Long.MIN_VALUE;
 
     private record Ticket(String text, long validUntil) {}
 
@@ -38,6 +39,7 @@
      * @param validUntil when the tickets expire, in milliseconds
      */
     void applyAnswer(List<String> asked, Map<String, String> allowed, long validUntil) {
+        failedAt = Long.MIN_VALUE;
         for (String worker : asked) {
             String ticket = allowed.get(worker);
             if (ticket == null) {
@@ -53,14 +55,27 @@
         return refusedWorkers.contains(worker);
     }
 
+    /** Records that a request about the step failed. */
+    void recordFailure(long now) {
+        failedAt = now;
+    }
+
+    /** Returns when the last request failed, in milliseconds; long ago if it was answered. */
+    long failedAt() {
+        return failedAt;
+    }
+
     /** Discards a ticket that its worker refused. */
     void discardTicket(String worker) {
         ticketsByWorker.remove(worker);
     }
 
-    /** Returns whether the waiting tasks need more tickets than are valid. */
+    /** Returns whether the waiting tasks need more tickets than workers that accept tasks have. */
     boolean needsTickets(Collection<WorkerRecord> pool, long waitingTasks, long now) {
-        long usable = pool.stream().filter(w -> ticketFor(w.id(), now).isPresent()).count();
+        long usable =
+                pool.stream()
+                        .filter(w -> w.acceptsTasks(now) && ticketFor(w.id(), now).isPresent())
+                        .count();
         long notRefused = pool.stream().filter(w -> !refusedWorkers.contains(w.id())).count();
         return usable < Math.min(waitingTasks, notRefused);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -398,6 +398,13 @@
         return AdvicePlanner.nextRequest(liveJobs, workers.values(), now);
     }
 
+    /** Records that a request to the advice service failed, so that others go first. */
+    public void adviceFailed(AdviceRequest request, long now) {
+        jobs.findLoaded(request.job())
+                .map(j -> j.step(request.occurrence(), request.step()))
+                .ifPresent(s -> s.advice().recordFailure(now));
+    }
+
     /** Applies an answer of the advice service: tickets for the workers that may run the step. */
     public void applyAdvice(AdviceRequest request, Map<String, String> tickets, long validUntil) {
         jobs.findLoaded(request.job())
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
@@ -58,7 +58,7 @@
                                         TaskEvent.ADVICE_FAILED,
                                         Field.of("job", question.job()),
                                         Field.of("why", fault.getMessage()));
-                                retryLater();
+                                onFailure(question);
                                 return;
                             }
                             board.applyAdvice(
@@ -68,10 +68,11 @@
                             onAnswer.run();
                             retry();
                         },
-                        this::retryLater);
+                        () -> onFailure(question));
     }
 
-    private void retryLater() {
+    private void onFailure(AdviceRequest question) {
+        board.adviceFailed(question, context.nowMillis());
         context.scheduler().schedule(RETRY_DELAY, this::retry);
     }
 
