Count no time at which a run was paced to nothing as time without progress

A run that filled spare capacity was stopped once it might go on, and its sound worker was given no tasks for 3 s.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -184,7 +184,9 @@
         return pacePercent;
     }
 
+    /** Records the pace in force; the time at which a run was paced to nothing is no stall. */
     void setPacePercent(int newPercent) {
+        progressClock = pacePercent == 0 ? listedClock : progressClock;
         pacePercent = newPercent;
     }
 
