--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -8,6 +8,7 @@
 import org.chervillift.api.SaturatedMath;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
+import org.chervillift.api.tasks.Resources;
 
 /** Calculates the load of workers and pools. */
 final class LoadCalculator {
@@ -72,28 +73,37 @@
             long remaining = remainingLimits.computeIfAbsent(customer, this::remainingLimitOf);
             String pool = job.policy().pool();
             long wholeWorker = largestWorkers.getOrDefault(pool, 0L);
-            long requested = Math.min(remaining, waitingMilliCores(job, wholeWorker));
+            long requested =
+                    Math.min(remaining, waitingMilliCores(job, wholeWorker, limitOf(customer)));
             remainingLimits.put(customer, remaining - requested);
             waiting.merge(pool, requested, SaturatedMath::add);
         }
         return waiting;
     }
 
-    private long remainingLimitOf(String name) {
+    private Resources limitOf(String name) {
         Customer customer = manifest.customers().get(name);
-        if (customer == null || customer.limit().milliCores() == 0) {
-            return Long.MAX_VALUE;
-        }
-        return Math.max(0, customer.limit().milliCores() - runs.usageOf(name).milliCores());
+        return customer == null ? Resources.NONE : customer.limit();
     }
 
-    private static long waitingMilliCores(JobEntry job, long wholeWorker) {
+    private long remainingLimitOf(String name) {
+        long limit = limitOf(name).milliCores();
+        return limit == 0 ? Long.MAX_VALUE : Math.max(0, limit - runs.usageOf(name).milliCores());
+    }
+
+    private static long waitingMilliCores(JobEntry job, long wholeWorker, Resources limit) {
         return job.steps()
-                .filter(s -> !s.isDone() && s.isReady())
+                .filter(s -> !s.isDone() && s.isReady() && canEverStart(s, limit))
                 .mapToLong(s -> waitingMilliCores(s, wholeWorker))
                 .reduce(0, SaturatedMath::add);
     }
 
+    /** Returns whether a customer's limit allows a step; a gang starts as a whole or not at all. */
+    private static boolean canEverStart(StepEntry step, Resources limit) {
+        return !step.spec().gang()
+                || step.spec().request().times(step.tasks().count()).fitsInLimit(limit);
+    }
+
     /** Returns the cores that waiting tasks need; one that must run alone needs a whole worker. */
     private static long waitingMilliCores(StepEntry step, long wholeWorker) {
         long footprint = step.spec().footprint().milliCores();
