Read the time of an event loop each 40 ms, so that the time of an idle one counts whole

Cause: an event loop waits until its next timer, however far that is, and only 60 ms of that wait counted: timeouts took several times as long. The idle interval of the library holds only for a loop without timers.

Change: a timer each 40 ms, which does not keep the loop running.

--- a/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
+++ b/chervillift-http/src/main/java/org/chervillift/http/Reactors.java
@@ -2,6 +2,7 @@
 
 import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.chervillift.api.ChervilliftException;
@@ -11,8 +12,10 @@
 
     private static final int EXIT_CODE_MACHINE_FAULT = 70;
 
-    /** Shorter than the most that counts of the time, so that idle time counts whole. */
-    private static final Duration IDLE_INTERVAL = Duration.ofMillis(50);
+    /**
+     * Shorter than the most that counts of the time, so that the time of an idle loop counts whole.
+     */
+    private static final Duration TIME_READING_INTERVAL = Duration.ofMillis(40);
 
     private Reactors() {}
 
@@ -28,12 +31,22 @@
     }
 
     static Eventloop create(String name, Consumer<Throwable> onFault, CurrentTimeProvider time) {
-        return Eventloop.builder()
-                .withThreadName(name)
-                .withTimeProvider(time)
-                .withIdleInterval(IDLE_INTERVAL)
-                .withFatalErrorHandler((fault, context) -> handle(fault, onFault))
-                .build();
+        Eventloop loop =
+                Eventloop.builder()
+                        .withThreadName(name)
+                        .withTimeProvider(time)
+                        .withFatalErrorHandler((fault, context) -> handle(fault, onFault))
+                        .build();
+        loop.execute(() -> readTimeOften(loop));
+        return loop;
+    }
+
+    /** Wakes the event loop so often that it reads the time; this does not keep it running. */
+    private static void readTimeOften(Eventloop loop) {
+        loop.scheduleBackground(
+                ScheduledRunnable.of(
+                        loop.currentTimeMillis() + TIME_READING_INTERVAL.toMillis(),
+                        () -> readTimeOften(loop)));
     }
 
     private static void handle(Throwable fault, Consumer<Throwable> onFault) {
--- a/chervillift-http/src/test/java/org/chervillift/http/MonotonicTimeTest.java
+++ b/chervillift-http/src/test/java/org/chervillift/http/MonotonicTimeTest.java
@@ -14,6 +14,7 @@
     private static final long START_MILLIS = 1_700_000_000_000L;
     private static final Duration HOUR = Duration.ofHours(1);
     private static final Duration TIMER = Duration.ofMillis(50);
+    private static final Duration IDLE_WAIT = Duration.ofSeconds(1);
     private static final Duration GUARD = Duration.ofSeconds(2);
 
     @Test
@@ -83,4 +84,21 @@
         MonotonicTime time = new MonotonicTime(wallClock.currentTimeMillis(), System::nanoTime);
         assertThat(firesAfterAStepBack(time, stepMillis)).as("by monotonic time").isTrue();
     }
+
+    /** Waits for a timer far away counted little, so that timeouts took many times as long. */
+    @Test
+    void theTimeOfAnIdleLoopCountsWhole() {
+        Eventloop loop = Reactors.create("idle", Throwable::printStackTrace);
+        loop.keepAlive(true);
+        long startNanos = System.nanoTime();
+        loop.post(
+                () ->
+                        loop.scheduleBackground(
+                                ScheduledRunnable.of(
+                                        loop.currentTimeMillis() + IDLE_WAIT.toMillis(),
+                                        loop::breakEventloop)));
+        loop.run();
+        assertThat(Duration.ofNanos(System.nanoTime() - startNanos))
+                .isLessThan(IDLE_WAIT.multipliedBy(2));
+    }
 }
