--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -74,8 +74,9 @@
         startSentAt = now;
     }
 
+    /** Returns whether the order to start is decided, and held back until progress is stored. */
     boolean isStartHeld() {
-        return startHeld;
+        return startHeld && phase == Phase.STARTING;
     }
 
     /** Returns when the order to start was sent, in milliseconds; when it was decided, before. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -99,7 +99,7 @@
         this.manifest = manifest;
         this.unknownPools = unknownPools;
         this.gate = gate;
-        this.explainer = new WaitExplainer(planner, gate);
+        this.explainer = new WaitExplainer(planner);
     }
 
     /** Records that a worker's report was applied. */
@@ -161,7 +161,7 @@
                 pools,
                 usage,
                 suspension,
-                explainer.moment(manifest.get(), unknownPools.apply(now), workers, now));
+                WaitExplainer.moment(manifest.get(), unknownPools.apply(now), workers, now));
     }
 
     /** Returns whether a step could run as far as its job is concerned, and no worker runs it. */
@@ -273,18 +273,18 @@
 
     /** Returns how far the orders to start have come. */
     public StartStatus startStatus(long now) {
-        Set<Run> held = gate.heldRuns();
-        List<Run> unanswered =
+        List<Run> notBegun =
                 workers.stream()
                         .flatMap(w -> w.runs().stream())
-                        .filter(r -> !r.hasBegun() && !held.contains(r))
+                        .filter(r -> !r.hasBegun())
                         .toList();
+        List<Run> unanswered = notBegun.stream().filter(r -> !r.isStartHeld()).toList();
         long oldest = unanswered.stream().mapToLong(Run::openedAt).min().orElse(now);
         return new StartStatus(
                 age(gate.lastRoundAt(), now),
                 age(gate.lastReleaseAt(), now),
                 age(lastReportAt, now),
-                held.size(),
+                notBegun.size() - unanswered.size(),
                 unanswered.size(),
                 now - oldest);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -4,10 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /**
  * Holds back start orders until the store records what a new holder must know of the task: that its
@@ -50,13 +48,6 @@
         return !heldStarts.isEmpty();
     }
 
-    /** Returns the open runs whose starts are held back. */
-    Set<Run> heldRuns() {
-        return heldStarts.stream()
-                .flatMap(s -> startingRun(s).stream())
-                .collect(Collectors.toSet());
-    }
-
     /** Returns when starts were last planned, in milliseconds. */
     OptionalLong lastRoundAt() {
         return lastRoundAt;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitExplainer.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitExplainer.java
@@ -13,11 +13,9 @@
 final class WaitExplainer {
 
     private final StartPlanner planner;
-    private final StartGate gate;
 
-    WaitExplainer(StartPlanner planner, StartGate gate) {
+    WaitExplainer(StartPlanner planner) {
         this.planner = planner;
-        this.gate = gate;
     }
 
     /**
@@ -25,13 +23,11 @@
      *
      * @param unknownPools the pools of the workers that may have runs which this holder does not
      *     know
-     * @param heldRuns the runs whose orders to start are held
      * @param room the capacity of the workers that is left by the runs that have begun
      */
     record Moment(
             Manifest manifest,
             Set<String> unknownPools,
-            Set<Run> heldRuns,
             Map<WorkerRecord, Resources> room,
             long now) {
 
@@ -42,14 +38,14 @@
     }
 
     /** Returns the moment that is explained. */
-    Moment moment(
+    static Moment moment(
             Manifest manifest,
             Set<String> unknownPools,
             Collection<WorkerRecord> workers,
             long now) {
         Map<WorkerRecord, Resources> room = new HashMap<>();
         workers.forEach(w -> room.put(w, w.capacityBesideBegunRuns()));
-        return new Moment(manifest, unknownPools, gate.heldRuns(), room, now);
+        return new Moment(manifest, unknownPools, room, now);
     }
 
     /**
@@ -59,7 +55,7 @@
      */
     WaitReason explain(StepEntry step, Collection<WorkerRecord> workers, Moment at) {
         if (step.runs().anyMatch(r -> !r.hasBegun())) {
-            boolean held = step.runs().anyMatch(at.heldRuns()::contains);
+            boolean held = step.runs().anyMatch(Run::isStartHeld);
             return held ? WaitReason.START_HELD : WaitReason.START_UNANSWERED;
         }
         if (step.begunPools().mayHaveBegunByPredecessor(at.unknownPools())) {
