Look at the failed steps only if no other step waits for advice

Since steps whose request failed come last, each look compared all steps of all advised jobs; it runs in each plan. The first step that has not failed ends it again. No behaviour changes.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/AdvicePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/AdvicePlanner.java
@@ -19,11 +19,22 @@
     /** Returns the next request, if a step waits for tickets. */
     static Optional<AdviceRequest> nextRequest(
             Collection<JobEntry> liveJobs, Collection<WorkerRecord> workers, long now) {
+        return stepsToAskAbout(liveJobs, workers, now)
+                .filter(s -> !s.advice().hasFailed())
+                .findFirst()
+                .or(() -> failedLongestAgo(stepsToAskAbout(liveJobs, workers, now)))
+                .map(s -> requestFor(s, poolOf(s.job(), workers), now));
+    }
+
+    private static Optional<StepEntry> failedLongestAgo(Stream<StepEntry> steps) {
+        return steps.min(Comparator.comparingLong(s -> s.advice().failedAt()));
+    }
+
+    private static Stream<StepEntry> stepsToAskAbout(
+            Collection<JobEntry> liveJobs, Collection<WorkerRecord> workers, long now) {
         return liveJobs.stream()
                 .filter(j -> j.policy().advised())
-                .flatMap(j -> stepsToAskAbout(j, poolOf(j, workers), now))
-                .min(Comparator.comparingLong(s -> s.advice().failedAt()))
-                .map(s -> requestFor(s, poolOf(s.job(), workers), now));
+                .flatMap(j -> stepsToAskAbout(j, poolOf(j, workers), now));
     }
 
     private static List<WorkerRecord> poolOf(JobEntry job, Collection<WorkerRecord> workers) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepAdvice.java
@@ -13,13 +13,14 @@
 final class StepAdvice {
 
     private static final int MAX_WORKERS_PER_REQUEST = 12;
+    private static final long NEVER = Long.MIN_VALUE;
 
     /** A ticket must remain valid for at least this long to be used. */
     private static final long MIN_VALIDITY_MILLIS = 300;
 
     private final Map<String, Ticket> ticketsByWorker = new HashMap<>();
     private final Set<String> refusedWorkers = new HashSet<>();
-    private long failedAt = Long.MIN_VALUE;
+    private long failedAt = NEVER;
 
     private record Ticket(String text, long validUntil) {}
 
@@ -39,7 +40,7 @@
      * @param validUntil when the tickets expire, in milliseconds
      */
     void applyAnswer(List<String> asked, Map<String, String> allowed, long validUntil) {
-        failedAt = Long.MIN_VALUE;
+        failedAt = NEVER;
         for (String worker : asked) {
             String ticket = allowed.get(worker);
             if (ticket == null) {
@@ -60,6 +61,11 @@
         failedAt = now;
     }
 
+    /** Returns whether the last request failed. */
+    boolean hasFailed() {
+        return failedAt != NEVER;
+    }
+
     /** Returns when the last request failed, in milliseconds; long ago if it was answered. */
     long failedAt() {
         return failedAt;
