Repeat the check for standstills by Supervision, and calculate ages in one place

The check carried itself on by a schedule of its own, as no loop of the holder does any more, and a fault of its first run would have ended the start of the holder. The same calculation of an age stood three times.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -281,15 +281,11 @@
         List<Run> unanswered = notBegun.stream().filter(r -> !r.isStartHeld()).toList();
         long oldest = unanswered.stream().mapToLong(Run::openedAt).min().orElse(now);
         return new StartStatus(
-                age(gate.lastRoundAt(), now),
-                age(gate.lastReleaseAt(), now),
-                age(lastReportAt, now),
+                Ages.since(gate.lastRoundAt(), now),
+                Ages.since(gate.lastReleaseAt(), now),
+                Ages.since(lastReportAt, now),
                 notBegun.size() - unanswered.size(),
                 unanswered.size(),
                 now - oldest);
     }
-
-    private static OptionalLong age(OptionalLong time, long now) {
-        return time.isPresent() ? OptionalLong.of(now - time.getAsLong()) : OptionalLong.empty();
-    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StandstillPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StandstillPublisher.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.chervillift.api.Checks;
+import org.chervillift.core.tasks.Ages;
 import org.chervillift.core.tasks.StandstillReport;
 import org.chervillift.core.tasks.StandstillReport.StandingJobs;
 import org.chervillift.core.tasks.StandstillReport.StartStatus;
@@ -54,7 +55,8 @@
     }
 
     void start() {
-        check();
+        context.supervision()
+                .repeat("standstill check", CHECK_INTERVAL, () -> stopped, this::check);
     }
 
     void stop() {
@@ -63,10 +65,6 @@
     }
 
     private void check() {
-        if (stopped) {
-            return;
-        }
-        context.scheduler().schedule(CHECK_INTERVAL, this::check);
         long now = context.nowMillis();
         lastCheckAt = OptionalLong.of(now);
         if (holder.isReady()) {
@@ -135,10 +133,7 @@
             return;
         }
         long now = context.nowMillis();
-        OptionalLong checkAge =
-                lastCheckAt.isPresent()
-                        ? OptionalLong.of(now - lastCheckAt.getAsLong())
-                        : OptionalLong.empty();
+        OptionalLong checkAge = Ages.since(lastCheckAt, now);
         context.metrics().waits().setCheck(holder.isReady(), now - startedAt, checkAge);
         if (holder.isReady()) {
             context.metrics().waits().setAges(holder.ages());
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StartCondition.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StartCondition.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.chervillift.api.Checks;
+import org.chervillift.core.tasks.Ages;
 import org.chervillift.core.tasks.WaitReason;
 
 /** Tells whether the holder may start tasks now, by its lease and by the ages of its copies. */
@@ -51,9 +52,7 @@
                 now - jobsCompleteUntil.getAsLong(),
                 now - workersCompleteUntil.getAsLong(),
                 context.leaseAgeMillis(),
-                lastStoredAt.isPresent()
-                        ? OptionalLong.of(now - lastStoredAt.getAsLong())
-                        : OptionalLong.empty());
+                Ages.since(lastStoredAt, now));
     }
 
     /**
