--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderHealth.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/HolderHealth.java
@@ -44,7 +44,7 @@
         wentOnAt.put(Checks.notBlank("part", part), now);
     }
 
-    /** Records that a part has begun, or has nothing to do any more. */
+    /** Stops watching a part that has nothing to do, until it goes on again. */
     public void forget(String part) {
         wentOnAt.remove(part);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerObstacle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerObstacle.java
@@ -1,7 +1,7 @@
 package org.chervillift.core.tasks;
 
 /** Why a worker may not run a task of a step, whatever its free capacity. */
-public enum WorkerObstacle {
+enum WorkerObstacle {
     /** The worker may run tasks of the step. */
     NONE,
     /** The registry does not list the worker any more. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.WorkerEntry;
 
@@ -195,12 +196,16 @@
 
     /** Returns the capacity that is left by the runs that the worker has confirmed or listed. */
     Resources capacityBesideBegunRuns() {
-        Resources begun =
+        return capacityBeside(Run::hasBegun);
+    }
+
+    private Resources capacityBeside(Predicate<Run> counted) {
+        Resources used =
                 runs.stream()
-                        .filter(Run::hasBegun)
+                        .filter(counted)
                         .map(Run::footprint)
                         .reduce(Resources.NONE, Resources::plus);
-        return entry.capacity().minus(begun);
+        return entry.capacity().minus(used);
     }
 
     /** Returns whether the open runs exceed the capacity, which may shrink while they run. */
@@ -210,12 +215,7 @@
 
     /** Returns the capacity that is left once all runs have ended that end by themselves. */
     Resources capacityBesideLongRunning() {
-        Resources longRunning =
-                runs.stream()
-                        .filter(r -> r.task().step().spec().longRunning())
-                        .map(Run::footprint)
-                        .reduce(Resources.NONE, Resources::plus);
-        return entry.capacity().minus(longRunning);
+        return capacityBeside(r -> r.task().step().spec().longRunning());
     }
 
     /** Returns the capacity that open runs leave, with nothing below zero. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderLeaseManager.java
@@ -285,7 +285,7 @@
         if (givingUp) {
             Optional<Decision.Write> release = election.release();
             givingUp = release.isPresent();
-            return release.<Decision>map(w -> w).orElseGet(Decision.Wait::new);
+            return release.isPresent() ? release.get() : new Decision.Wait();
         }
         Decision decision = election.decide(nowMillis());
         boolean tooEarly =
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/Supervision.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/Supervision.java
@@ -12,7 +12,9 @@
 import org.chervillift.runtime.supervision.Scheduler;
 
 /**
- * Runs the steps and callbacks of what must go on, so that a failure of one does not end it.
+ * Runs the steps and callbacks of what must go on, so that a failure of one does not end it. (A
+ * {@link org.chervillift.runtime.supervision.Supervisor} restarts whole parts of a process that say
+ * that they have failed.)
  *
  * <p>Each failure is counted and logged with the name of its loop; one that comes back at each step
  * is logged once a second. A fault of the virtual machine is passed on to the event loop, which
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TableFollower.java
@@ -23,6 +23,9 @@
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
 
+    /** A time before any, for a copy that is complete up to no time. */
+    private static final long NEVER = 0;
+
     private static final long MAX_SILENCE_MILLIS = 3_500;
     private static final long TOLERATED_FAILURE_MILLIS = 300;
 
@@ -38,7 +41,7 @@
     private Duration retryDelay = MIN_RETRY_DELAY;
     private long position;
     private long lastAnswerAt;
-    private long completeUntil;
+    private long completeUntil = NEVER;
     private boolean loaded;
     private long failingSince;
     private boolean failing;
@@ -190,7 +193,7 @@
      * count as current.
      */
     private void reloadAfterFailure() {
-        completeUntil = 0;
+        completeUntil = NEVER;
         retryDelay = MAX_RETRY_DELAY;
         listenerFailed = true;
         onFailure(new IllegalStateException("its rows could not be applied"), this::loadAll);
@@ -283,13 +286,18 @@
 
     private void onApplied() {
         listenerFailed = false;
-        onProgress.run();
+        reportProgress();
     }
 
-    private void onAnswer() {
+    /** Reports that the follower goes on, unless its rows were read and could not be applied. */
+    private void reportProgress() {
         if (!listenerFailed) {
             onProgress.run();
         }
+    }
+
+    private void onAnswer() {
+        reportProgress();
         lastAnswerAt = nowMillis();
         retryDelay = MIN_RETRY_DELAY;
         failing = false;
@@ -299,9 +307,7 @@
         if (stopped) {
             return;
         }
-        if (!listenerFailed) {
-            onProgress.run();
-        }
+        reportProgress();
         if (!failing) {
             failing = true;
             failingSince = nowMillis();
