--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/FaultyWorkerLimitTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/FaultyWorkerLimitTest.java
@@ -3,11 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.RunReport;
 import org.chervillift.api.tasks.RunningTask;
-import org.chervillift.api.tasks.StepSpec;
 import org.junit.jupiter.api.Test;
 
 /** Tests that jobs whose runs fail or stand still do not keep all workers of a pool from others. */
@@ -53,7 +51,10 @@
     @Test
     void aJobThatFailsInOneStepOnlyDoesNotKeepOtherJobsOffAllWorkers() {
         addWorkers(8_000);
-        fixture.accept("a", atMostFour(), atMostFour());
+        fixture.accept(
+                "a",
+                SchedulerFixture.stepWithMaxPerWorker(16, 4),
+                SchedulerFixture.stepWithMaxPerWorker(16, 4));
         assertThat(fixture.starts()).hasSize(32);
         WORKERS.forEach(this::endOneStepWellAndFailTheOther);
         assertAnotherJobStarts();
@@ -75,7 +76,7 @@
     @Test
     void aJobThatRunsLongerThanEstimatedDoesNotKeepOtherJobsOffAllWorkers() {
         addWorkers(10_000);
-        fixture.accept("slow", atMostFour());
+        fixture.accept("slow", SchedulerFixture.stepWithMaxPerWorker(16, 4));
         assertThat(fixture.starts()).hasSize(16);
         WORKERS.forEach(this::reportNoProgress);
         fixture.now += STALL_MILLIS;
@@ -96,25 +97,4 @@
                 fixture.now);
         fixture.scheduler.leaseGranted(worker, fixture.now + SchedulerFixture.LEASE_MILLIS);
     }
-
-    /** Returns a step of 16 tasks, of which each worker takes four. */
-    private static StepSpec atMostFour() {
-        return new StepSpec(
-                16,
-                new Resources(1_000, 100, 0),
-                1_000,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                4,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
-    }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
@@ -5,14 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.chervillift.api.tasks.AcceptedJob;
-import org.chervillift.api.tasks.JobSpec;
-import org.chervillift.api.tasks.Manifest;
-import org.chervillift.api.tasks.QueuePolicy;
-import org.chervillift.api.tasks.QueueRoute;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunningTask;
-import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.TaskId;
 import org.junit.jupiter.api.Test;
@@ -24,23 +17,7 @@
     private final SchedulerFixture fixture = new SchedulerFixture();
 
     private static StepSpec longRunning(long tailTargetMillis, boolean fillsSpareCapacity) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 100, 0),
-                0,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                true,
-                "image",
-                tailTargetMillis,
-                fillsSpareCapacity,
-                0,
-                false);
+        return SchedulerFixture.imageStep(0, true, tailTargetMillis, fillsSpareCapacity);
     }
 
     /**
@@ -91,27 +68,11 @@
         assertThat(reportTail(3 * TARGET_MILLIS)).extracting(p -> p.task().job()).containsOnly("x");
     }
 
-    private void acceptAdvisedJob() {
-        QueuePolicy policy =
-                new QueuePolicy(
-                        SchedulerFixture.QUEUE, SchedulerFixture.POOL, 0, 2, 1.6, 600, true);
-        fixture.scheduler.configure(
-                Manifest.of(
-                        2,
-                        List.of(new QueueRoute("h.example", "/q/", true, policy)),
-                        List.of(),
-                        List.of(),
-                        1_000));
-        JobSpec spec =
-                new JobSpec("a", "p", List.of(SchedulerFixture.step(1, 1_000)), Schedule.ONCE);
-        fixture.scheduler.accept(new AcceptedJob(spec, policy, "", 0), 0, fixture.now);
-    }
-
     @Test
     void anAdvisedStepStartsOnlyOnAWorkerWithAValidTicket() {
         fixture.addWorker("w1", 4_000);
         fixture.addWorker("w2", 4_000);
-        acceptAdvisedJob();
+        fixture.acceptAdvised("a");
         assertThat(fixture.starts()).isEmpty();
 
         AdviceRequest request = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
@@ -131,7 +92,7 @@
     @Test
     void anExpiredTicketIsNotUsedButRequestedAgain() {
         fixture.addWorker("w1", 4_000);
-        acceptAdvisedJob();
+        fixture.acceptAdvised("a");
         fixture.starts();
         AdviceRequest request = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
         fixture.scheduler.applyAdvice(request, Map.of("w1", "old"), fixture.now + 100);
@@ -145,7 +106,7 @@
     void adviceIsRequestedAgainAfterWorkersThatWereNotAllowedHaveBeenReplaced() {
         fixture.addWorker("w1", 4_000);
         fixture.addWorker("w2", 4_000);
-        acceptAdvisedJob();
+        fixture.acceptAdvised("a");
         fixture.starts();
         AdviceRequest first = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
         fixture.scheduler.applyAdvice(first, Map.of("w1", "ticket"), fixture.now + 300);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PacedRunTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PacedRunTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunningTask;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.TaskId;
@@ -44,30 +43,10 @@
     }
 
     private static StepSpec serving() {
-        return spec(true, 100, false, 0);
+        return SchedulerFixture.imageStep(0, true, 100, false);
     }
 
     private static StepSpec filling() {
-        return spec(false, 0, true, 1_000);
-    }
-
-    private static StepSpec spec(boolean lasting, long target, boolean fills, long estimate) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 100, 0),
-                estimate,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                lasting,
-                "image",
-                target,
-                fills,
-                0,
-                false);
+        return SchedulerFixture.imageStep(1_000, false, 0, true);
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -109,6 +109,54 @@
                 false);
     }
 
+    /** Returns a step of which each worker takes only some tasks, of one core each. */
+    static StepSpec stepWithMaxPerWorker(int count, int maxPerWorker) {
+        return new StepSpec(
+                count,
+                new Resources(1_000, 100, 0),
+                1_000,
+                List.of(),
+                false,
+                false,
+                "",
+                "",
+                maxPerWorker,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0,
+                false);
+    }
+
+    /**
+     * Returns a step of one task of an image, of one core.
+     *
+     * @param tailTargetMillis the bound on its tail latency, or 0 if it serves no users
+     * @param fills whether it runs on spare capacity
+     */
+    static StepSpec imageStep(
+            long estimatedMillis, boolean longRunning, long tailTargetMillis, boolean fills) {
+        return new StepSpec(
+                1,
+                new Resources(1_000, 100, 0),
+                estimatedMillis,
+                List.of(),
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                longRunning,
+                "image",
+                tailTargetMillis,
+                fills,
+                0,
+                false);
+    }
+
     static AcceptedJob job(String id, StepSpec... steps) {
         JobSpec spec = new JobSpec(id, "payload", List.of(steps), Schedule.ONCE);
         return new AcceptedJob(spec, QUEUE_POLICY, CUSTOMER, 0);
@@ -118,6 +166,20 @@
         scheduler.accept(job(id, steps), 0, now);
     }
 
+    /** Adds a job of one task to an advised queue. */
+    void acceptAdvised(String id) {
+        QueuePolicy policy = new QueuePolicy(QUEUE, POOL, 0, 2, 1.6, 600, true);
+        scheduler.configure(
+                Manifest.of(
+                        2,
+                        List.of(new QueueRoute("h.example", "/q/", true, policy)),
+                        List.of(),
+                        List.of(),
+                        1_000));
+        JobSpec spec = new JobSpec(id, "p", List.of(step(1, 1_000)), Schedule.ONCE);
+        scheduler.accept(new AcceptedJob(spec, policy, "", 0), 0, now);
+    }
+
     /** Adds a job whose first step an earlier holder may have started. */
     void acceptBegun(String id, StepSpec... steps) {
         accept(id, steps);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/BrokenCallTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/BrokenCallTest.java
@@ -4,32 +4,16 @@
 
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
-import org.chervillift.api.tasks.JobState;
-import org.chervillift.api.tasks.JobStatus;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** A call that breaks what its interface promises, once, must end no loop of the holder. */
-class BrokenCallTest {
-
-    private static final String JOB = "5c0e7a21d94b36f8";
-    private static final JobAnswer COMPLETED =
-            new JobAnswer.State(JobStatus.of(JobState.COMPLETED));
-
-    private final NodeFixture fixture = new NodeFixture();
-    private final FaultyPlatform platform = new FaultyPlatform();
-
-    private TaskNode startHolder() {
-        fixture.addVm("v1");
-        TaskNode node = fixture.startNode("a", platform);
-        fixture.advanceMillis(1_000);
-        return node;
-    }
+class BrokenCallTest extends FaultyPlatformTestBase {
 
     private void assertJobCompletes(TaskNode node, String kind) {
         fixture.advanceMillis(20_000);
         assertThat(platform.isDone(kind)).as("the fault has come").isTrue();
-        assertThat(fixture.ask(node, Action.READ, JOB)).isEqualTo(COMPLETED);
+        assertJobIsCompleted(node);
     }
 
     /** A worker whose poll ends in silence tells no end of a run any more. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FailedCallbackTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/FailedCallbackTest.java
@@ -6,34 +6,17 @@
 import java.util.List;
 import org.chervillift.api.platform.RowKey;
 import org.chervillift.api.platform.Transaction.Write;
-import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
-import org.chervillift.api.tasks.JobState;
-import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.platform.fleet.FleetRowCodec;
 import org.junit.jupiter.api.Test;
 
 /** A callback that throws must end no loop of the holder, and must be seen. */
-class FailedCallbackTest {
-
-    private static final String JOB = "5c0e7a21d94b36f8";
-    private static final JobAnswer COMPLETED =
-            new JobAnswer.State(JobStatus.of(JobState.COMPLETED));
-
-    private final NodeFixture fixture = new NodeFixture();
-    private final FaultyPlatform platform = new FaultyPlatform();
-
-    private TaskNode startHolder() {
-        fixture.addVm("v1");
-        TaskNode node = fixture.startNode("a", platform);
-        fixture.advanceMillis(1_000);
-        return node;
-    }
+class FailedCallbackTest extends FaultyPlatformTestBase {
 
     private void assertJobCompletes(TaskNode node) {
         fixture.ask(node, Action.SUBMIT, JOB);
         fixture.advanceMillis(20_000);
-        assertThat(fixture.ask(node, Action.READ, JOB)).isEqualTo(COMPLETED);
+        assertJobIsCompleted(node);
     }
 
     private static void assertFailureIsCounted(TaskNode node, String loop) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SilentHolderTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SilentHolderTest.java
@@ -3,23 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
-import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
-import org.chervillift.api.tasks.JobState;
-import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.standin.tasks.StoreFault;
 import org.junit.jupiter.api.Test;
 
 /** A holder that renews its lease and does nothing must be replaced. */
-class SilentHolderTest {
+class SilentHolderTest extends FaultyPlatformTestBase {
 
-    private static final String JOB = "5c0e7a21d94b36f8";
     private static final int ALWAYS = Integer.MAX_VALUE;
-    private static final JobAnswer COMPLETED =
-            new JobAnswer.State(JobStatus.of(JobState.COMPLETED));
-
-    private final NodeFixture fixture = new NodeFixture();
-    private final FaultyPlatform platform = new FaultyPlatform();
 
     private static boolean wasReplaced(TaskNode node) {
         return !new String(node.metrics(), StandardCharsets.UTF_8)
@@ -36,7 +27,7 @@
         TaskNode b = fixture.startNodeAndWait("b");
         fixture.ask(b, Action.SUBMIT, JOB);
         fixture.advanceMillis(10_000);
-        assertThat(fixture.ask(b, Action.READ, JOB)).isEqualTo(COMPLETED);
+        assertJobIsCompleted(b);
     }
 
     /** With one process alone, nobody took the lease that it gave back. */
@@ -48,7 +39,7 @@
         fixture.advanceMillis(8_000);
         fixture.ask(a, Action.SUBMIT, JOB);
         fixture.advanceMillis(3_000);
-        assertThat(fixture.ask(a, Action.READ, JOB)).isEqualTo(COMPLETED);
+        assertJobIsCompleted(a);
         assertThat(wasReplaced(a)).isTrue();
     }
 
@@ -62,7 +53,7 @@
         TaskNode b = fixture.startNodeAndWait("b");
         fixture.ask(b, Action.SUBMIT, JOB);
         fixture.advanceMillis(30_000);
-        assertThat(fixture.ask(b, Action.READ, JOB)).isEqualTo(COMPLETED);
+        assertJobIsCompleted(b);
         assertThat(wasReplaced(a)).isTrue();
     }
 
@@ -88,7 +79,7 @@
         fixture.advanceMillis(60_000);
         fixture.store.setFault(StoreFault.NONE);
         fixture.advanceMillis(10_000);
-        assertThat(fixture.ask(a, Action.READ, JOB)).isEqualTo(COMPLETED);
+        assertJobIsCompleted(a);
         assertThat(wasReplaced(a)).isFalse();
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/TaskNodeTest.java
@@ -177,6 +177,15 @@
         assertThat(fleet.starts()).as("the third task").hasSizeGreaterThan(2);
     }
 
+    /** Submits jobs to a new holder, and returns the moves that it orders meanwhile. */
+    private List<SeenMove> movesForNewJobs(TaskNode node, long previousTerm) {
+        for (int i = 0; i < 5; i++) {
+            ask(node, JobRequest.Action.SUBMIT, "00000000000000a" + i);
+        }
+        advanceMillis(HANDOVER_DELAY_MILLIS + 1_000);
+        return fleet.moves().stream().filter(m -> m.term() > previousTerm).toList();
+    }
+
     @Test
     void aNewHolderMovesVmsAtOnceButWaitsForThoseThatItsPredecessorMoved() {
         addWorker("w1", 1_000);
@@ -191,12 +200,7 @@
         a.drain();
         addStandby("s2");
         long releasedAt = scheduler.now().toEpochMilli();
-        for (int i = 0; i < 5; i++) {
-            ask(b, JobRequest.Action.SUBMIT, "00000000000000a" + i);
-        }
-        advanceMillis(HANDOVER_DELAY_MILLIS + 1_000);
-
-        List<SeenMove> after = fleet.moves().stream().filter(m -> m.term() > previousTerm).toList();
+        List<SeenMove> after = movesForNewJobs(b, previousTerm);
         assertThat(firstMoveAtMillis(after, "s2") - releasedAt).isLessThan(1_000);
         assertThat(firstMoveAtMillis(after, "s1") - releasedAt)
                 .isGreaterThanOrEqualTo(HANDOVER_DELAY_MILLIS);
@@ -216,12 +220,7 @@
 
         a.drain();
         long releasedAt = scheduler.now().toEpochMilli();
-        for (int i = 0; i < 5; i++) {
-            ask(b, JobRequest.Action.SUBMIT, "00000000000000a" + i);
-        }
-        advanceMillis(HANDOVER_DELAY_MILLIS + 1_000);
-
-        List<SeenMove> after = fleet.moves().stream().filter(m -> m.term() > previousTerm).toList();
+        List<SeenMove> after = movesForNewJobs(b, previousTerm);
         assertThat(firstMoveAtMillis(after, "s1") - releasedAt)
                 .isGreaterThanOrEqualTo(HANDOVER_DELAY_MILLIS);
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/UnappliedRowsTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/UnappliedRowsTest.java
@@ -18,12 +18,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests what a holder does with rows that it can read and cannot apply. */
-class UnappliedRowsTest {
-
-    private static final String JOB = "5c0e7a21d94b36f8";
-
-    private final NodeFixture fixture = new NodeFixture();
-    private final FaultyPlatform platform = new FaultyPlatform();
+class UnappliedRowsTest extends FaultyPlatformTestBase {
 
     private static StepProgress progress(int step, List<Integer> done) {
         return new StepProgress(0, step, done, List.of(), List.of(NodeFixture.POOL), List.of());
