--- /dev/null
+++ b/review/stand-ins-2/Fleet.java
@@ -0,0 +1,132 @@
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A small deployment: the platform, the executors of one service, one queue and one tenant. */
+final class Fleet implements ExecutorStandIn.Work {
+
+    static final String HOST = "pule25.example";
+    static final String PREFIX = "/puxa400/";
+    static final String KEY = "key-of-glenside";
+    static final String POOL = "huvo11a";
+    private static final String[] ZONES = {"scot-a", "scot-b", "scot-c"};
+
+    final Record record;
+    final StoreStandIn store = new StoreStandIn();
+    final HttpStandIn storeServer = new HttpStandIn();
+    final PlatformStandIn platform;
+    final Daemons daemons;
+    final List<ExecutorStandIn> executors = new ArrayList<>();
+    private final Map<String, JobShape> jobs = new ConcurrentHashMap<>();
+
+    /** What each work unit of a job needs and how long it works. */
+    record JobShape(long cpu, long memory, long millis) {}
+
+    Fleet(Path folder, Record record) throws IOException {
+        this.record = record;
+        this.platform = new PlatformStandIn();
+        this.daemons = new Daemons(folder);
+        store.serve(storeServer);
+        storeServer.open();
+    }
+
+    /** Adds executors of 64 cores and 128 GB, four a rack. */
+    void addExecutors(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            ExecutorStandIn executor =
+                    new ExecutorStandIn(
+                            store,
+                            record,
+                            this,
+                            "m-" + (i + 1),
+                            POOL,
+                            ZONES[i % ZONES.length],
+                            "r1-" + (i / 4 + 1),
+                            64_000,
+                            131_072);
+            executors.add(executor);
+            platform.add(executor);
+            executor.begin();
+        }
+    }
+
+    /** Writes a manifest with one queue; its keys are those given. */
+    long putManifest(int version, List<String> keys) {
+        ObjectNode manifest = Json.object().put("version", version);
+        manifest.putArray("routes")
+                .addObject()
+                .put("name", "r-tyiikdr")
+                .put("host", HOST)
+                .put("path_prefix", PREFIX)
+                .put("route_type", "non_idempotent")
+                .put("timeout_ms", 3_000)
+                .put("target_latency_ms", 600)
+                .put("priority", 0)
+                .put("backend", POOL)
+                .put("max_attempts", 4)
+                .put("stretch_factor", 1.6)
+                .put("public", false);
+        manifest.putArray("services")
+                .addObject()
+                .put("name", POOL)
+                .put("health_path", "/health")
+                .put("max_connections", 64)
+                .put("protocol", "h1")
+                .put("enforces_capacity", true)
+                .put("standby", false);
+        ObjectNode tenant = manifest.putArray("tenants").addObject().put("name", "glenside");
+        ArrayNode list = tenant.putArray("api_keys");
+        keys.forEach(list::add);
+        tenant.put("weight", 1.0);
+        tenant.putObject("cap").put("cpu", 0).put("mem_mb", 0).put("gpu", 0);
+        manifest.putObject("limits").put("max_body_bytes", 262_144);
+        return store.put("op", "config", manifest.toString());
+    }
+
+    Client.Answer submit(Daemons.Entry entry, String key, String id, JobShape shape, String body) {
+        jobs.put(id, shape);
+        return call(entry, "POST", key, id, body);
+    }
+
+    Client.Answer read(Daemons.Entry entry, String id) {
+        return call(entry, "GET", KEY, id, "");
+    }
+
+    private Client.Answer call(
+            Daemons.Entry entry, String method, String key, String id, String body) {
+        Client.Answer answer = Client.call(entry.front, method, PREFIX + id, HOST, key, body);
+        record.line(
+                "%s %s at %s key=%s -> %d %s",
+                method, id, entry.name, key, answer.status(), answer.body());
+        return answer;
+    }
+
+    private JobShape shapeOf(String task) {
+        return jobs.get(task.substring(0, task.indexOf('.')));
+    }
+
+    @Override
+    public long cpu(String task) {
+        return shapeOf(task).cpu();
+    }
+
+    @Override
+    public long memory(String task) {
+        return shapeOf(task).memory();
+    }
+
+    @Override
+    public long millis(String task, int run, ExecutorStandIn executor) {
+        return shapeOf(task).millis();
+    }
+
+    @Override
+    public boolean fails(String task, int run, ExecutorStandIn executor) {
+        return false;
+    }
+}
