--- a/review/stand-ins-2/Daemons.java
+++ b/review/stand-ins-2/Daemons.java
@@ -49,6 +49,17 @@
             process = builder.start();
         }
 
+        /** Sends SIGTERM, and SIGKILL after the time that the settings give; starts it again. */
+        void restart() throws IOException, InterruptedException {
+            process.destroy();
+            if (!process.waitFor(6, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+                process.waitFor();
+            }
+            HttpStandIn.pause(500);
+            start();
+        }
+
         private String settings() {
             return String.join(
                     "\n",
--- a/review/stand-ins-2/ExecutorStandIn.java
+++ b/review/stand-ins-2/ExecutorStandIn.java
@@ -22,6 +22,7 @@
     private static final long HEARTBEAT_MILLIS = 1_500;
     private static final long MAX_HOLD_MILLIS = 6_000;
     private static final int SILENT_HEARTBEATS = 3;
+    private static final long UPKEEP_MILLIS = 2_000;
     private static final ScheduledExecutorService TIMERS =
             Executors.newScheduledThreadPool(2, Thread.ofPlatform().daemon().factory());
 
@@ -50,7 +51,7 @@
     private final long memory;
     private Life life;
     private int lives;
-    private String state = "down";
+    private volatile String state = "down";
 
     /** One lifetime of the executor. */
     private final class Life {
@@ -140,6 +141,35 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    boolean isUp() {
+        return state.equals("up");
+    }
+
+    boolean isInUpkeep() {
+        return state.equals("upkeep");
+    }
+
+    /** Terminates all that runs; a new executor joins the pool after the time of an upkeep. */
+    synchronized void beginUpkeep() {
+        Life ended = life;
+        record.line("upkeep of %s begins, runs=%d", machine, ended.running.size());
+        life = null;
+        state = "upkeep";
+        server.close();
+        record.executorGone(ended.id);
+        notifyAll();
+        store.remove("servers", ended.id);
+        TIMERS.schedule(this::beginAgain, UPKEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void beginAgain() {
+        try {
+            begin();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     private synchronized void beat() {
         if (life == null) {
             return;
--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -29,7 +29,7 @@
 
     Fleet(Path folder, Record record) throws IOException {
         this.record = record;
-        this.platform = new PlatformStandIn();
+        this.platform = new PlatformStandIn(record);
         this.daemons = new Daemons(folder);
         store.serve(storeServer);
         storeServer.open();
