--- a/review/stand-ins-2/CrashUnderManyCase.java
+++ b/review/stand-ins-2/CrashUnderManyCase.java
@@ -6,12 +6,12 @@
 final class CrashUnderManyCase {
 
     private static final String JOB = "5c0e7a21d94b36f8";
-    private static final int COUNT = 900;
-    private static final Fleet.JobShape SHAPE = new Fleet.JobShape(50, 64, 4_000);
+    private static final int COUNT = 450;
+    private static final Fleet.JobShape SHAPE = new Fleet.JobShape(100, 128, 4_000);
     private static final String BODY =
             "{\"spec\":\"fit study\",\"steps\":[{\"count\":"
                     + COUNT
-                    + ",\"cpu\":50,\"mem_mb\":64,\"estimated_ms\":4000}]}";
+                    + ",\"cpu\":100,\"mem_mb\":128,\"estimated_ms\":4000}]}";
     private static final long CRASHED_MILLIS = 2_500;
     private static final long WATCH_MILLIS = 40_000;
 
