--- a/review/stand-ins-2/ExecutorStandIn.java
+++ b/review/stand-ins-2/ExecutorStandIn.java
@@ -35,8 +35,14 @@
         /** Returns how long a run takes, in milliseconds. */
         long millis(String task, int run, ExecutorStandIn executor);
 
-        /** Returns whether the run ends {@code failed} then, by the executor's fault. */
-        boolean fails(String task, int run, ExecutorStandIn executor);
+        /** Returns whether runs last until they are stopped; the time is then that of the startup. */
+        boolean lasts(String task);
+
+        /** Is told of a lasting work unit that was at work and has been ended by an upkeep. */
+        void endedByUpkeep(String task);
+
+        /** Is told of a lasting work unit that is at work after its startup. */
+        void atWork(String task);
     }
 
     private final StoreStandIn store;
@@ -75,7 +81,11 @@
         }
     }
 
-    private record Run(String task, int number, long startedAt, long millis) {}
+    private record Run(String task, int number, long startedAt, long millis) {
+        long percent() {
+            return Math.min(100, (Clock.now() - startedAt) * 100 / millis);
+        }
+    }
 
     private record End(long number, String task, int run, String how) {}
 
@@ -157,6 +167,9 @@
         state = "upkeep";
         server.close();
         record.executorGone(ended.id);
+        ended.running.values().stream()
+                .filter(r -> work.lasts(r.task()) && r.percent() >= 100)
+                .forEach(r -> work.endedByUpkeep(r.task()));
         notifyAll();
         store.remove("servers", ended.id);
         TIMERS.schedule(this::beginAgain, UPKEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -279,8 +292,13 @@
 
     private synchronized void finish(Life l, Run run) {
         expire();
-        if (life == l && l.running.get(run.task()) == run) {
-            end(l, run, work.fails(run.task(), run.number(), this) ? "failed" : "done");
+        if (life != l || l.running.get(run.task()) != run) {
+            return;
+        }
+        if (work.lasts(run.task())) {
+            work.atWork(run.task());
+        } else {
+            end(l, run, "done");
         }
     }
 
@@ -330,8 +348,12 @@
         ObjectNode body = Json.object().put("clock_ms", l.clock()).put("born", l.born);
         ArrayNode running = body.putArray("running");
         for (Run r : l.running.values()) {
-            long percent = Math.min(99, (Clock.now() - r.startedAt()) * 100 / r.millis());
-            running.addArray().add(r.task()).add(r.number()).add("").add(percent).add(work.cpu(r.task()));
+            running.addArray()
+                    .add(r.task())
+                    .add(r.number())
+                    .add("")
+                    .add(r.percent())
+                    .add(work.cpu(r.task()));
         }
         ArrayNode ended = body.putArray("ended_runs");
         l.ends.stream()
--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A small deployment: the platform, the executors of one service, one queue and one tenant. */
@@ -22,10 +24,17 @@
     final PlatformStandIn platform;
     final Daemons daemons;
     final List<ExecutorStandIn> executors = new ArrayList<>();
+    /** The lasting work units that upkeeps have ended and that are not at work again. */
+    private final Set<String> away = new TreeSet<>();
+    private int mostAway;
     private final Map<String, JobShape> jobs = new ConcurrentHashMap<>();
 
     /** What each work unit of a job needs and how long it works. */
-    record JobShape(long cpu, long memory, long millis) {}
+    record JobShape(long cpu, long memory, long millis, boolean lasts) {
+        JobShape(long cpu, long memory, long millis) {
+            this(cpu, memory, millis, false);
+        }
+    }
 
     Fleet(Path folder, Record record) throws IOException {
         this.record = record;
@@ -43,7 +52,7 @@
                             store,
                             record,
                             this,
-                            "m-" + (i + 1),
+                            String.format("m-%02d", i + 1),
                             POOL,
                             ZONES[i % ZONES.length],
                             "r1-" + (i / 4 + 1),
@@ -126,7 +135,35 @@
     }
 
     @Override
-    public boolean fails(String task, int run, ExecutorStandIn executor) {
-        return false;
+    public boolean lasts(String task) {
+        return shapeOf(task).lasts();
+    }
+
+    /**
+     * An upkeep has ended a work unit that was at work. The others of its step that upkeeps have
+     * ended are away until they are at work again.
+     */
+    @Override
+    public void endedByUpkeep(String task) {
+        synchronized (away) {
+            record.line("an upkeep ends %s, which is at work, while away: %s", task, away);
+            away.add(task);
+            mostAway = Math.max(mostAway, away.size());
+        }
+    }
+
+    @Override
+    public void atWork(String task) {
+        synchronized (away) {
+            record.line("%s is at work", task);
+            away.remove(task);
+        }
+    }
+
+    /** Returns how many lasting work units were away at once, all ended by upkeeps. */
+    int endedTogether() {
+        synchronized (away) {
+            return mostAway;
+        }
     }
 }
