--- a/review/stand-ins-2/ExecutorStandIn.java
+++ b/review/stand-ins-2/ExecutorStandIn.java
@@ -23,6 +23,9 @@
     private static final long MAX_HOLD_MILLIS = 6_000;
     private static final int SILENT_HEARTBEATS = 3;
     private static final long UPKEEP_MILLIS = 2_000;
+    private static final long MOVE_MILLIS = 1_500;
+    /** The pool whose machines are off. */
+    static final String STANDBY = "lohu93e";
     private static final ScheduledExecutorService TIMERS =
             Executors.newScheduledThreadPool(2, Thread.ofPlatform().daemon().factory());
 
@@ -50,7 +53,7 @@
     private final Work work;
     private final HttpStandIn server = new HttpStandIn();
     private final String machine;
-    private final String pool;
+    private volatile String pool;
     private final String zone;
     private final String rack;
     private final long cpu;
@@ -126,11 +129,14 @@
         return life == null ? 0 : life.running.size();
     }
 
-    /** Starts a new lifetime under a new id. */
+    /** Starts a new lifetime under a new id; a machine of the standby pool is off. */
     synchronized void begin() throws IOException {
+        state = "up";
+        if (pool.equals(STANDBY)) {
+            return;
+        }
         lives++;
         life = new Life("i-" + machine + "-" + lives);
-        state = "up";
         server.open();
         record.line("executor %s is up on %s", life.id, machine);
         beat();
@@ -159,20 +165,41 @@
         return state.equals("upkeep");
     }
 
+    String pool() {
+        return pool;
+    }
+
     /** Terminates all that runs; a new executor joins the pool after the time of an upkeep. */
     synchronized void beginUpkeep() {
-        Life ended = life;
-        record.line("upkeep of %s begins, runs=%d", machine, ended.running.size());
+        record.line("upkeep of %s begins", machine);
+        leave("upkeep", UPKEEP_MILLIS);
+    }
+
+    /** Terminates all that runs; a new executor joins another pool after the time of a move. */
+    synchronized void beginMove(String newPool) {
+        record.line("move of %s to %s begins", machine, newPool);
+        pool = newPool;
+        leave("moving", MOVE_MILLIS);
+    }
+
+    private void leave(String reason, long millis) {
+        state = reason;
+        if (life != null) {
+            end(life);
+        }
+        TIMERS.schedule(this::beginAgain, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void end(Life ended) {
         life = null;
-        state = "upkeep";
         server.close();
+        record.line("executor %s ends, runs=%d", ended.id, ended.running.size());
         record.executorGone(ended.id);
         ended.running.values().stream()
                 .filter(r -> work.lasts(r.task()) && r.percent() >= 100)
                 .forEach(r -> work.endedByUpkeep(r.task()));
         notifyAll();
         store.remove("servers", ended.id);
-        TIMERS.schedule(this::beginAgain, UPKEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void beginAgain() {
--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -46,14 +46,20 @@
 
     /** Adds executors of 64 cores and 128 GB, four a rack. */
     void addExecutors(int count) throws IOException {
-        for (int i = 0; i < count; i++) {
+        addMachines(POOL, count);
+    }
+
+    /** Adds machines to a pool; those of the standby pool are off. */
+    void addMachines(String pool, int count) throws IOException {
+        int before = executors.size();
+        for (int i = before; i < before + count; i++) {
             ExecutorStandIn executor =
                     new ExecutorStandIn(
                             store,
                             record,
                             this,
                             String.format("m-%02d", i + 1),
-                            POOL,
+                            pool,
                             ZONES[i % ZONES.length],
                             "r1-" + (i / 4 + 1),
                             64_000,
@@ -80,14 +86,9 @@
                 .put("max_attempts", 4)
                 .put("stretch_factor", 1.6)
                 .put("public", false);
-        manifest.putArray("services")
-                .addObject()
-                .put("name", POOL)
-                .put("health_path", "/health")
-                .put("max_connections", 64)
-                .put("protocol", "h1")
-                .put("enforces_capacity", true)
-                .put("standby", false);
+        ArrayNode services = manifest.putArray("services");
+        services.add(service(POOL, false));
+        services.add(service(ExecutorStandIn.STANDBY, true));
         ObjectNode tenant = manifest.putArray("tenants").addObject().put("name", "glenside");
         ArrayNode list = tenant.putArray("api_keys");
         keys.forEach(list::add);
@@ -97,6 +98,16 @@
         return store.put("op", "config", manifest.toString());
     }
 
+    private static ObjectNode service(String name, boolean standby) {
+        return Json.object()
+                .put("name", name)
+                .put("health_path", "/health")
+                .put("max_connections", 64)
+                .put("protocol", "h1")
+                .put("enforces_capacity", true)
+                .put("standby", standby);
+    }
+
     Client.Answer submit(Daemons.Entry entry, String key, String id, JobShape shape, String body) {
         jobs.put(id, shape);
         return call(entry, "POST", key, id, body);
--- a/review/stand-ins-2/PlatformStandIn.java
+++ b/review/stand-ins-2/PlatformStandIn.java
@@ -11,7 +11,7 @@
 import java.util.function.Consumer;
 
 /**
- * The platform's list of machines and its orders. There is one pool, so a move to another is refused.
+ * The platform's list of machines and its orders for moves and upkeeps.
  *
  * <p>While it is slow an order takes a time, and is carried out at the end of it.
  */
@@ -24,6 +24,7 @@
     private final Map<String, ExecutorStandIn> machines = new java.util.TreeMap<>();
     private final Map<Long, Wave> waves = new HashMap<>();
     private final List<String> brokenCaps = new ArrayList<>();
+    private final List<Order> orders = new ArrayList<>();
     private final Random random = new Random(7);
     private Consumer<String> onUpkeepOrder = holder -> {};
     private int leastOrderMillis = USUAL_MILLIS;
@@ -35,7 +36,7 @@
     PlatformStandIn(Record record) throws IOException {
         this.record = record;
         server.on("/-/machines", r -> list());
-        server.on("/-/machine-move", r -> refusal("busy"));
+        server.on("/-/machine-move", this::move);
         server.on("/-/machine-upkeep", this::upkeep);
         server.open();
     }
@@ -91,12 +92,60 @@
         return new HttpStandIn.Answer(409, Json.object().put("reason", reason));
     }
 
+    /** An order for a machine as it has arrived. */
+    record Order(String machine, String holder, long fence, long at) {}
+
+    /** Returns the orders for moves and upkeeps, oldest first. */
+    synchronized List<Order> orders() {
+        return List.copyOf(orders);
+    }
+
+    private synchronized void note(HttpStandIn.Request request, String name) {
+        long fence = Long.parseLong(request.header("Chervillift-Fencing-Token"));
+        String holder = request.header("Chervillift-Duty-Holder");
+        orders.add(new Order(name, holder, fence, Clock.now()));
+    }
+
+    private HttpStandIn.Answer move(HttpStandIn.Request request) {
+        JsonNode body = Json.parse(request.body());
+        String name = body.path("machine").asText();
+        String pool = body.path("pool").asText();
+        note(request, name);
+        HttpStandIn.pause(orderMillis());
+        HttpStandIn.Answer answer = carryOutMove(name, pool);
+        record.line(
+                "order: move of %s to %s by %s fence %s -> %d %s",
+                name,
+                pool,
+                request.header("Chervillift-Duty-Holder"),
+                request.header("Chervillift-Fencing-Token"),
+                answer.status(),
+                answer.body());
+        return answer;
+    }
+
+    private synchronized HttpStandIn.Answer carryOutMove(String name, String pool) {
+        ExecutorStandIn machine = machines.get(name);
+        if (machine == null) {
+            return new HttpStandIn.Answer(400, Json.object());
+        }
+        if (machine.pool().equals(pool)) {
+            return new HttpStandIn.Answer(200, Json.object());
+        }
+        if (!machine.isUp()) {
+            return refusal("busy");
+        }
+        machine.beginMove(pool);
+        return new HttpStandIn.Answer(200, Json.object());
+    }
+
     private HttpStandIn.Answer upkeep(HttpStandIn.Request request) {
         JsonNode body = Json.parse(request.body());
         String name = body.path("machine").asText();
         String holder = request.header("Chervillift-Duty-Holder");
         String fence = request.header("Chervillift-Fencing-Token");
         int millis = orderMillis();
+        note(request, name);
         record.line("order: upkeep of %s by %s fence %s, takes %d ms", name, holder, fence, millis);
         onUpkeepOrder.accept(holder);
         HttpStandIn.pause(millis);
