--- a/review/stand-ins-2/Daemons.java
+++ b/review/stand-ins-2/Daemons.java
@@ -14,6 +14,7 @@
 
     private final Path folder;
     private final List<Entry> entries = new ArrayList<>();
+    private boolean closed;
 
     /** An entry machine: its process and its ports. */
     final class Entry {
@@ -35,6 +36,14 @@
         }
 
         void start() throws IOException {
+            synchronized (Daemons.this) {
+                if (!closed) {
+                    startProcess();
+                }
+            }
+        }
+
+        private void startProcess() throws IOException {
             Path settings = folder.resolve(name + ".ini");
             Files.writeString(settings, settings());
             List<String> command = command();
@@ -126,7 +135,9 @@
         return false;
     }
 
-    void killAll() {
+    /** Ends all processes for good. */
+    synchronized void killAll() {
+        closed = true;
         for (Entry e : entries) {
             if (e.process != null) {
                 e.process.destroyForcibly();
