Add review case 10: a repeating job is failed after an outage of the store

The occurrences of a job of 18 steps that became due in an outage of 4.5 s are started together. Their steps and those of the done occurrences do not fit in the row of the job's progress, and the job is shown as failed (rule LOST) although no run has ended as failed.

--- a/review/stand-ins-2/CrashUnderManyCase.java
+++ b/review/stand-ins-2/CrashUnderManyCase.java
@@ -46,7 +46,7 @@
             HttpStandIn.pause(CRASHED_MILLIS);
             victim.begin();
         }
-        return watch(fleet, entry);
+        return watch(fleet, entry, JOB, WATCH_MILLIS);
     }
 
     private static ExecutorStandIn mostRunning(Fleet fleet) {
@@ -56,17 +56,17 @@
     }
 
     /** Asks for the state until the job has ended; the rule is broken if it is shown as failed. */
-    private static int watch(Fleet fleet, Daemons.Entry entry) {
-        long until = Clock.now() + WATCH_MILLIS;
+    static int watch(Fleet fleet, Daemons.Entry entry, String job, long watchMillis) {
+        long until = Clock.now() + watchMillis;
         while (Clock.now() < until) {
-            Client.Answer answer = fleet.read(entry, JOB);
+            Client.Answer answer = fleet.read(entry, job);
             if (answer.status() == 200) {
                 String state = Json.parse(answer.body()).path("state").asText();
                 if (state.equals("completed")) {
                     return 0;
                 }
                 if (state.equals("failed")) {
-                    int failedEnds = fleet.record.ends(JOB, "failed");
+                    int failedEnds = fleet.record.ends(job, "failed");
                     fleet.record.line("shown as failed; ends 'failed' of the job: %d", failedEnds);
                     return failedEnds == 0 ? 1 : 2;
                 }
--- a/review/stand-ins-2/Main.java
+++ b/review/stand-ins-2/Main.java
@@ -18,6 +18,7 @@
                         case "handover-in-wave" -> HandoverInWaveCase.run(folder, record, trouble);
                         case "start-under-upkeep" -> StartUnderUpkeepCase.run(folder, record, trouble);
                         case "two-handovers" -> TwoHandoversCase.run(folder, record, trouble);
+                        case "backlog" -> BacklogCase.run(folder, record, trouble);
                         default -> 2;
                     };
             record.line("exit %d", code);
--- a/review/stand-ins-2/StoreStandIn.java
+++ b/review/stand-ins-2/StoreStandIn.java
@@ -19,6 +19,7 @@
     private final TreeMap<RowId, Row> rows = new TreeMap<>();
     private final List<Row> history = new ArrayList<>();
     private long version;
+    private volatile boolean down;
 
     /** The address of a row. */
     record RowId(String table, String part, String key) implements Comparable<RowId> {
@@ -46,10 +47,20 @@
     }
 
     void serve(HttpStandIn server) {
-        server.on("/-/rows-tx", this::transact);
-        server.on("/-/rows-get", this::read);
-        server.on("/-/rows-feed", this::feed);
-        server.on("/-/rows-parts", r -> parts());
+        server.on("/-/rows-tx", r -> down ? unavailable() : transact(r));
+        server.on("/-/rows-get", r -> down ? unavailable() : read(r));
+        server.on("/-/rows-feed", r -> down ? unavailable() : feed(r));
+        server.on("/-/rows-parts", r -> down ? unavailable() : parts());
+    }
+
+    /** Lets all calls be answered with 503 from now on, or be carried out again. */
+    synchronized void setDown(boolean value) {
+        down = value;
+        notifyAll();
+    }
+
+    private static HttpStandIn.Answer unavailable() {
+        return new HttpStandIn.Answer(503, Json.object());
     }
 
     /** Writes a row of the operator or of an executor. */
@@ -180,7 +191,7 @@
         String wait = request.query("wait_ms");
         long until = Clock.now() + (wait.isEmpty() ? 0 : Long.parseLong(wait));
         synchronized (this) {
-            while (true) {
+            while (!down) {
                 ArrayNode changed = changesAfter(table, after);
                 long left = until - Clock.now();
                 if (!changed.isEmpty() || left <= 0) {
@@ -194,6 +205,7 @@
                     throw new IllegalStateException(e);
                 }
             }
+            return unavailable();
         }
     }
 
