Time the first SIGTERM of review case 7 by the orders

The signal came at a fixed time after the job, in two runs of a series in the very moment of the orders, so that their sender did not count as in touch and the runs held. It now comes 150 ms after the first order has arrived.

--- a/review/stand-ins-2/TwoHandoversCase.java
+++ b/review/stand-ins-2/TwoHandoversCase.java
@@ -9,7 +9,8 @@
 
     private static final int POOL_MACHINES = 4;
     private static final int STANDBY_MACHINES = 10;
-    private static final long TERM_DELAY_MILLIS = 300;
+    private static final long MAX_ORDER_WAIT_MILLIS = 2_000;
+    private static final long TERM_DELAY_MILLIS = 150;
     private static final Fleet.JobShape SHAPE = new Fleet.JobShape(64_000, 1_024, 400);
     private static final String SURGE =
             "{\"spec\":\"pack\",\"steps\":[{\"count\":6,\"cpu\":64000,\"mem_mb\":1024,"
@@ -51,7 +52,12 @@
         HttpStandIn.pause(4_000);
         Thread.ofVirtual().start(this::submitSmallJobs);
         HttpStandIn.pause(3_000);
+        int before = fleet.platform.orders().size();
         submit("f000000000000001", SURGE);
+        long until = Clock.now() + MAX_ORDER_WAIT_MILLIS;
+        while (fleet.platform.orders().size() == before && Clock.now() < until) {
+            HttpStandIn.pause(10);
+        }
         HttpStandIn.pause(TERM_DELAY_MILLIS);
         if (trouble) {
             restartHolder();
