--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-exec "$(dirname "$0")/../run-case-2.sh" backlog 10
+# With TROUBLE=0 it does the same without the disruption.
+exec "$(dirname "$0")/../run-case-2.sh" backlog 10 "${TROUBLE:-1}"
--- a/review/stand-ins-2/BacklogCase.java
+++ b/review/stand-ins-2/BacklogCase.java
@@ -9,8 +9,8 @@
     private static final int STEPS = 18;
     private static final int REPEATS = 80;
     private static final long INTERVAL_MILLIS = 250;
-    private static final Fleet.JobShape SHAPE = new Fleet.JobShape(500, 64, 600);
-    private static final String STEP = "{\"count\":1,\"cpu\":500,\"mem_mb\":64,\"estimated_ms\":600}";
+    private static final Fleet.JobShape SHAPE = new Fleet.JobShape(100, 64, 600);
+    private static final String STEP = "{\"count\":1,\"cpu\":100,\"mem_mb\":64,\"estimated_ms\":600}";
     private static final long OUTAGE_AFTER_MILLIS = 7_000;
     private static final long OUTAGE_MILLIS = 4_500;
     private static final long WATCH_MILLIS = 60_000;
@@ -18,9 +18,9 @@
     private BacklogCase() {}
 
     static int run(Path folder, Record record, boolean trouble) throws Exception {
-        Fleet fleet = new Fleet(folder, record);
+        Fleet fleet = new Fleet(folder, record, Fleet.Site.BOOTH);
         fleet.putManifest(7, List.of(Fleet.KEY));
-        fleet.addExecutors(9);
+        fleet.addExecutors(8);
         for (int i = 1; i <= 3; i++) {
             fleet.daemons.add("edge-" + i, fleet.storeServer.port(), fleet.platform.port()).start();
         }
--- a/review/stand-ins-2/CrashUnderManyCase.java
+++ b/review/stand-ins-2/CrashUnderManyCase.java
@@ -20,7 +20,7 @@
     static int run(Path folder, Record record, boolean trouble) throws Exception {
         Fleet fleet = new Fleet(folder, record);
         fleet.putManifest(7, List.of(Fleet.KEY));
-        fleet.addExecutors(4);
+        fleet.addExecutors(8);
         for (int i = 1; i <= 3; i++) {
             fleet.daemons.add("edge-" + i, fleet.storeServer.port(), fleet.platform.port()).start();
         }
--- a/review/stand-ins-2/Daemons.java
+++ b/review/stand-ins-2/Daemons.java
@@ -14,6 +14,7 @@
 
     private final Path folder;
     private final List<Entry> entries = new ArrayList<>();
+    private final Fleet.Site site;
     private boolean closed;
 
     /** An entry machine: its process and its ports. */
@@ -93,8 +94,8 @@
                     "[advice]",
                     "address =",
                     "[workers]",
-                    "max-lease-ms = 6000",
-                    "stop-timeout-ms = 400",
+                    "max-lease-ms = " + site.maxHoldMillis(),
+                    "stop-timeout-ms = " + site.stopTimeoutMillis(),
                     "[jobs]",
                     "cancel-within-ms = 3000",
                     "keep-finished-s = 120",
@@ -104,7 +105,8 @@
         }
     }
 
-    Daemons(Path folder) {
+    Daemons(Path folder, Fleet.Site site) {
+        this.site = site;
         this.folder = folder;
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     }
--- a/review/stand-ins-2/ExecutorStandIn.java
+++ b/review/stand-ins-2/ExecutorStandIn.java
@@ -20,7 +20,6 @@
 
     private static final int MAX_ENDS = 500;
     private static final long HEARTBEAT_MILLIS = 1_500;
-    private static final long MAX_HOLD_MILLIS = 6_000;
     private static final int SILENT_HEARTBEATS = 3;
     private static final long UPKEEP_MILLIS = 2_000;
     private static final long MOVE_MILLIS = 1_500;
@@ -58,6 +57,7 @@
     private final String rack;
     private final long cpu;
     private final long memory;
+    private final long maxHoldMillis;
     private Life life;
     private int lives;
     private volatile String state = "down";
@@ -100,8 +100,7 @@
             String pool,
             String zone,
             String rack,
-            long cpu,
-            long memory)
+            Fleet.Site site)
             throws IOException {
         this.store = store;
         this.record = record;
@@ -110,8 +109,9 @@
         this.pool = pool;
         this.zone = zone;
         this.rack = rack;
-        this.cpu = cpu;
-        this.memory = memory;
+        this.cpu = site.cpu();
+        this.memory = site.memory();
+        this.maxHoldMillis = site.maxHoldMillis();
         server.on("/-/run-start", r -> onLife(r, this::start));
         server.on("/-/run-stop", r -> onLife(r, this::stop));
         server.on("/-/hold", this::hold);
@@ -271,7 +271,7 @@
 
     private void extendLease(Life l, JsonNode body) {
         long wanted = body.path("expires_ms").asLong(0);
-        l.leaseEnd = Math.max(l.leaseEnd, Math.min(wanted, l.clock() + MAX_HOLD_MILLIS));
+        l.leaseEnd = Math.max(l.leaseEnd, Math.min(wanted, l.clock() + maxHoldMillis));
     }
 
     private HttpStandIn.Answer start(Life l, JsonNode body) {
--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -19,6 +19,7 @@
     private static final String[] ZONES = {"scot-a", "scot-b", "scot-c"};
 
     final Record record;
+    private final Site site;
     final StoreStandIn store = new StoreStandIn();
     final HttpStandIn storeServer = new HttpStandIn();
     final PlatformStandIn platform;
@@ -36,15 +37,26 @@
         }
     }
 
+    /** What a deployment of the users has in its settings, and the size of its executors. */
+    record Site(long cpu, long memory, long maxHoldMillis, long stopTimeoutMillis) {
+        static final Site CLYDEFORM = new Site(64_000, 131_072, 6_000, 400);
+        static final Site BOOTH = new Site(16_000, 32_768, 10_000, 900);
+    }
+
     Fleet(Path folder, Record record) throws IOException {
+        this(folder, record, Site.CLYDEFORM);
+    }
+
+    Fleet(Path folder, Record record, Site site) throws IOException {
+        this.site = site;
         this.record = record;
         this.platform = new PlatformStandIn(record);
-        this.daemons = new Daemons(folder);
+        this.daemons = new Daemons(folder, site);
         store.serve(storeServer);
         storeServer.open();
     }
 
-    /** Adds executors of 64 cores and 128 GB, four a rack. */
+    /** Adds executors of the size of the site, four a rack. */
     void addExecutors(int count) throws IOException {
         addMachines(POOL, count);
     }
@@ -62,8 +74,7 @@
                             pool,
                             ZONES[i % ZONES.length],
                             "r1-" + (i / 4 + 1),
-                            64_000,
-                            131_072);
+                            site);
             executors.add(executor);
             platform.add(executor);
             executor.begin();
--- a/review/stand-ins-2/HandoverInWaveCase.java
+++ b/review/stand-ins-2/HandoverInWaveCase.java
@@ -2,6 +2,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** The holder is restarted by SIGTERM during a wave while the platform answers slowly. */
@@ -16,14 +17,17 @@
                     + "\"estimated_ms\":500}]}";
     private static final long JOB_GAP_MILLIS = 100;
     private static final long WATCH_MILLIS = 60_000;
+    private static final long SLOW_FOR_MILLIS = 5_000;
     private static final int SLOW_LEAST_MILLIS = 700;
     private static final int SLOW_MOST_MILLIS = 950;
     private static final long TERM_DELAY_MILLIS = 20;
+    private static final int MAX_TERMS = 2;
     private static final long TERM_GAP_MILLIS = 3_000;
 
     private final Fleet fleet;
     private final Record record;
     private final AtomicLong nextTermAt = new AtomicLong();
+    private final AtomicInteger terms = new AtomicInteger();
 
     private HandoverInWaveCase(Fleet fleet, Record record) {
         this.fleet = fleet;
@@ -46,7 +50,7 @@
         }
         HttpStandIn.pause(3_000);
         if (trouble) {
-            fleet.platform.setSlowOrders(SLOW_LEAST_MILLIS, SLOW_MOST_MILLIS);
+            fleet.platform.setSlowOrders(SLOW_LEAST_MILLIS, SLOW_MOST_MILLIS, SLOW_FOR_MILLIS);
             fleet.platform.setOnUpkeepOrder(this::restartSoon);
         }
         TreeSet<String> names = new TreeSet<>();
@@ -75,9 +79,10 @@
     private void restartSoon(String holder) {
         long now = Clock.now();
         long next = nextTermAt.get();
-        if (now < next || !nextTermAt.compareAndSet(next, now + TERM_GAP_MILLIS)) {
+        if (now < next || terms.get() == MAX_TERMS || !nextTermAt.compareAndSet(next, now + TERM_GAP_MILLIS)) {
             return;
         }
+        terms.incrementAndGet();
         String name = holder.substring(0, holder.indexOf('/'));
         for (Daemons.Entry entry : fleet.daemons.entries()) {
             if (entry.name.equals(name)) {
--- a/review/stand-ins-2/Main.java
+++ b/review/stand-ins-2/Main.java
@@ -9,7 +9,7 @@
         int code = 2;
         try {
             Record record = new Record(Path.of(args[1]));
-            boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+            boolean trouble = !args[3].equals("0");
             record.line("case %s, trouble=%s", args[0], trouble);
             Path folder = Path.of(args[2]);
             code =
--- a/review/stand-ins-2/PlatformStandIn.java
+++ b/review/stand-ins-2/PlatformStandIn.java
@@ -49,10 +49,23 @@
         machines.put(machine.machine(), machine);
     }
 
-    /** Lets each order take a random time between two bounds. */
-    synchronized void setSlowOrders(int least, int most) {
+    /** Lets each order take a random time between two bounds, for a time. */
+    synchronized void setSlowOrders(int least, int most, long forMillis) {
         leastOrderMillis = least;
         mostOrderMillis = most;
+        record.line("orders take %d ms to %d ms", least, most);
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            HttpStandIn.pause(forMillis);
+                            endSlowOrders();
+                        });
+    }
+
+    private synchronized void endSlowOrders() {
+        leastOrderMillis = USUAL_MILLIS;
+        mostOrderMillis = USUAL_MILLIS;
+        record.line("orders take %d ms again", USUAL_MILLIS);
     }
 
     synchronized void addWave(long number, Set<String> names, int cap) {
--- a/review/stand-ins-2/StartUnderUpkeepCase.java
+++ b/review/stand-ins-2/StartUnderUpkeepCase.java
@@ -19,6 +19,7 @@
                     + "\"estimated_ms\":900,\"data_rack\":\"r1-1\",\"long_running\":true,"
                     + "\"may_miss\":1,\"max_per_server\":1,\"image\":\"fit\"}]}";
     private static final long WATCH_MILLIS = 35_000;
+    private static final long SLOW_FOR_MILLIS = 5_000;
     private static final int SLOW_LEAST_MILLIS = 800;
     private static final int SLOW_MOST_MILLIS = 950;
     private static final long TERM_DELAY_MILLIS = 20;
@@ -50,7 +51,7 @@
         }
         HttpStandIn.pause(3_000);
         if (trouble) {
-            fleet.platform.setSlowOrders(SLOW_LEAST_MILLIS, SLOW_MOST_MILLIS);
+            fleet.platform.setSlowOrders(SLOW_LEAST_MILLIS, SLOW_MOST_MILLIS, SLOW_FOR_MILLIS);
         }
         fleet.platform.setOnUpkeepOrder(this::onOrder);
         TreeSet<String> names = new TreeSet<>();
