--- a/review/stand-ins-2/TwoHandoversCase.java
+++ b/review/stand-ins-2/TwoHandoversCase.java
@@ -42,7 +42,7 @@
         fleet.putManifest(7, List.of(Fleet.KEY));
         fleet.addMachines(Fleet.POOL, POOL_MACHINES);
         fleet.addMachines(ExecutorStandIn.STANDBY, STANDBY_MACHINES);
-        for (int i = 1; i <= 4; i++) {
+        for (int i = 1; i <= 6; i++) {
             fleet.daemons.add("edge-" + i, fleet.storeServer.port(), fleet.platform.port()).start();
         }
         if (!fleet.daemons.awaitReady(30_000)) {
