Store the progress of a large job in several rows, and fail no job for its size

Cause: all progress of a job had to fit in one row of 65,536 bytes. Its length is set by what callers choose and by troubles, while our limits count tasks and occurrences. A row that became too long ended its job, so as not to hold up the others.

Change: from a quarter of a row on, the progress of a job is stored in parts, one for each 16 tasks and one for the done tasks of a step. Which part holds a fact depends on the task only, so parts may be stored in any order and by any number of transactions; the first row is replaced after all parts are stored, and until then nothing is started or acknowledged by what only the parts say. Rows of other jobs go first, and count as stored with their own transaction. Ends are acknowledged when all that they changed is stored. What is kept of a task's failed runs and crashes is bounded. The code that ended jobs is gone.

--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/JobFailure.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/JobFailure.java
@@ -20,7 +20,9 @@
         WORKER_CRASHED,
         /** It belongs to a gang of more tasks than can be started together. */
         GANG_TOO_LARGE,
-        /** The progress of the job does not fit in a row of the store. */
+        /**
+         * Its progress did not fit in a row of the store; only earlier releases ended such jobs.
+         */
         PROGRESS_TOO_LARGE
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/BegunPools.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/BegunPools.java
@@ -53,7 +53,7 @@
         markStored(pools);
         begunByPredecessor.addAll(pools);
         predecessorBegan = true;
-        unknown = pools.isEmpty();
+        unknown |= pools.isEmpty();
     }
 
     /** Returns whether an earlier holder may have started tasks in one of some pools. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -28,6 +28,8 @@
     private int nextOccurrence;
     private int begunTaskCount;
     private boolean hasRun;
+    private ProgressLayout layout = ProgressLayout.ONE_ROW;
+    private long partsTerm;
     private String firstFailedWorker = "";
     private long lastRanAt;
 
@@ -157,6 +159,33 @@
         begunTaskCount += difference;
     }
 
+    /** Returns how the progress of this job is stored. */
+    ProgressLayout layout() {
+        return layout;
+    }
+
+    /** Returns the term in which the progress was first stored in parts. */
+    long partsTerm() {
+        return partsTerm;
+    }
+
+    /** Stores the progress in parts from now on. */
+    void moveToParts(long term) {
+        layout = ProgressLayout.MOVING_TO_PARTS;
+        partsTerm = term;
+    }
+
+    /** Records that all progress is stored in parts. */
+    void storedInParts() {
+        layout = ProgressLayout.PARTS;
+    }
+
+    /** Restores that an earlier holder stored the progress in parts. */
+    void restoreParts(long term) {
+        layout = ProgressLayout.PARTS;
+        partsTerm = term;
+    }
+
     /** Returns whether a worker has reported a run of a task of this job. */
     boolean hasRun() {
         return hasRun;
@@ -250,19 +279,21 @@
 
     /**
      * Drops the steps of done occurrences once these are many, so that a job that repeats often
-     * takes memory, and space in its row, by what is not done.
+     * takes memory, and space in its rows, by what is not done; returns whether any were dropped.
      */
-    void condenseDoneOccurrences() {
+    boolean condenseDoneOccurrences() {
         List<Integer> done =
                 occurrences.entrySet().stream()
                         .filter(e -> isDone(e.getValue()))
                         .map(Map.Entry::getKey)
                         .toList();
-        if (condensed.size() == 0 && done.size() <= JobSizeLimits.MAX_LISTED_OCCURRENCES) {
-            return;
+        boolean listed = condensed.size() == 0 && layout == ProgressLayout.ONE_ROW;
+        if (done.isEmpty() || listed && done.size() <= JobSizeLimits.MAX_LISTED_OCCURRENCES) {
+            return false;
         }
         done.forEach(condensed::add);
         occurrences.entrySet().removeIf(e -> isDone(e.getValue()) && keepsNoTask(e.getValue()));
+        return true;
     }
 
     private static boolean keepsNoTask(List<StepEntry> occurrence) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobProgress.java
@@ -1,5 +1,6 @@
 package org.chervillift.core.tasks;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.chervillift.api.Checks;
@@ -10,39 +11,72 @@
 /**
  * The stored progress of a job, from which a new holder continues.
  *
+ * <p>The progress of a large job is stored in parts, each in a row of its own, and its first row
+ * holds the rest ({@link JobProgressHead}).
+ *
  * @param term the term of the holder that wrote the progress
  * @param state the job's state
  * @param steps the steps whose tasks may have been started; empty once the state is final
  * @param failure why the job has failed; empty also in rows of earlier releases
  * @param doneOccurrences the occurrences all of whose steps are done, if they are many; else their
  *     steps are listed
+ * @param partsTerm the term in which the progress was first stored in parts, if it is; parts that
+ *     an earlier holder left do not count
  */
 public record JobProgress(
         long term,
         JobState state,
         List<StepProgress> steps,
         Optional<JobFailure> failure,
-        List<IndexRange> doneOccurrences) {
+        List<IndexRange> doneOccurrences,
+        Optional<Long> partsTerm) {
 
     public JobProgress {
         Checks.notNull("state", state);
-        steps = List.copyOf(steps);
+        partsTerm = partsTerm == null ? Optional.empty() : partsTerm;
+        steps = steps == null && partsTerm.isPresent() ? List.of() : List.copyOf(steps);
         failure = failure == null ? Optional.empty() : failure;
         doneOccurrences = doneOccurrences == null ? List.of() : List.copyOf(doneOccurrences);
     }
 
+    /** Creates the progress of a job that is stored in one row. */
+    public JobProgress(
+            long term,
+            JobState state,
+            List<StepProgress> steps,
+            Optional<JobFailure> failure,
+            List<IndexRange> doneOccurrences) {
+        this(term, state, steps, failure, doneOccurrences, Optional.empty());
+    }
+
     /** Creates the progress of a job that has not failed. */
     public JobProgress(long term, JobState state, List<StepProgress> steps) {
         this(term, state, steps, Optional.empty(), List.of());
     }
 
+    /** Returns whether a part belongs to this progress. */
+    public boolean includes(ProgressPart part) {
+        return !state.isFinal()
+                && partsTerm.isPresent()
+                && part.term() >= partsTerm.get()
+                && doneOccurrences.stream().noneMatch(r -> r.contains(part.tasks().occurrence()));
+    }
+
+    /** Returns this progress with the steps that are stored in parts. */
+    public JobProgress withParts(List<ProgressPart> parts) {
+        List<StepProgress> all = new ArrayList<>(steps);
+        parts.stream().filter(this::includes).map(ProgressPart::tasks).forEach(all::add);
+        return new JobProgress(term, state, all, failure, doneOccurrences, partsTerm);
+    }
+
     /** Returns what callers are told. */
     public JobStatus status() {
         return new JobStatus(state, failure);
     }
 
     /**
-     * One occurrence of a step whose tasks may have been started.
+     * One occurrence of a step whose tasks may have been started; or a part of it, if the progress
+     * is stored in parts.
      *
      * @param occurrence the occurrence, counted from 0
      * @param step the step's number, counted from 0
@@ -83,6 +117,11 @@
             Checks.notNegative("first", first);
             Checks.inRange("last", last, first, Integer.MAX_VALUE);
         }
+
+        /** Returns whether an index is in this range. */
+        public boolean contains(int index) {
+            return first <= index && index <= last;
+        }
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
@@ -15,10 +15,7 @@
  */
 public final class JobSizeLimits {
 
-    /**
-     * Tasks of a job that have begun and are not done. The progress of that many tasks that have
-     * failed once, some 60 bytes each, fits in one row of the store.
-     */
+    /** Tasks of a job that have begun and are not done. */
     static final int MAX_BEGUN_TASKS = 1_000;
 
     /** Occurrences of a job that are due and of which nothing has begun. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressRestorer.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressRestorer.java
@@ -23,6 +23,8 @@
             job.markHasRun();
         }
         progress.steps().forEach(s -> restoreStep(job, s));
+        progress.steps().forEach(s -> restoreFailures(job, s));
+        progress.partsTerm().ifPresent(job::restoreParts);
         if (progress.state().isFinal()) {
             lifecycle.restoreEnd(job, progress);
         } else if (!progress.steps().isEmpty() || !progress.doneOccurrences().isEmpty()) {
@@ -38,7 +40,14 @@
         }
         stored.done().forEach(step.tasks()::markDone);
         stored.doneRanges().forEach(step.tasks()::markDone);
-        stored.failures().forEach(f -> restoreFailures(step.tasks().get(f.task()), f));
+    }
+
+    /** Restores the failures of the tasks of which it is not known that they are done. */
+    private void restoreFailures(JobEntry job, StepProgress stored) {
+        StepTasks tasks = job.step(stored.occurrence(), stored.step()).tasks();
+        stored.failures().stream()
+                .filter(f -> !tasks.isDone(f.task()))
+                .forEach(f -> restoreFailures(tasks.get(f.task()), f));
     }
 
     private void restoreFailures(TaskEntry task, TaskFailures failures) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -18,7 +18,7 @@
  */
 final class StartGate {
 
-    private final JobLifecycle lifecycle;
+    private final ProgressChanges changes;
     private final RunRegistry runs;
     private final Function<Order, Optional<Run>> findRun;
     private final Consumer<SchedulerEvent> events;
@@ -33,11 +33,11 @@
      * @param events receives each start that is dropped
      */
     StartGate(
-            JobLifecycle lifecycle,
+            ProgressChanges changes,
             RunRegistry runs,
             Function<Order, Optional<Run>> findRun,
             Consumer<SchedulerEvent> events) {
-        this.lifecycle = lifecycle;
+        this.changes = changes;
         this.runs = runs;
         this.findRun = findRun;
         this.events = events;
@@ -71,14 +71,11 @@
                 // The job was cancelled, the worker is gone, or the start was dropped.
                 continue;
             }
-            StepEntry step = run.get().task().step();
-            if (step.begunPools().isStored(run.get().worker().pool()) && isStartStored(run.get())) {
+            if (mayBeSent(run.get())) {
                 run.get().markStartSent(now);
                 ready.add(start);
             } else {
-                step.begunPools().add(run.get().worker().pool());
-                lifecycle.changedJobs().add(step.job());
-                run.get().holdStart();
+                hold(run.get());
                 held.add(start);
             }
         }
@@ -88,6 +85,26 @@
         return ready;
     }
 
+    /** Returns whether all is stored that a new holder must know of a start. */
+    private static boolean mayBeSent(Run run) {
+        StepEntry step = run.task().step();
+        return step.job().layout() != ProgressLayout.MOVING_TO_PARTS
+                && step.begunPools().isStored(run.worker().pool())
+                && isStartStored(run);
+    }
+
+    private void hold(Run run) {
+        StepEntry step = run.task().step();
+        step.begunPools().add(run.worker().pool());
+        if (!step.begunPools().isStored(run.worker().pool())) {
+            changes.stepChanged(step);
+        }
+        if (!run.task().crashes().isStartStored(run.number())) {
+            changes.taskChanged(run.task());
+        }
+        run.holdStart();
+    }
+
     private Optional<Run> startingRun(Order.Start start) {
         return findRun.apply(start).filter(r -> r.phase() == Run.Phase.STARTING);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
@@ -4,7 +4,7 @@
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
+import java.util.NavigableMap;
 import java.util.NoSuchElementException;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -21,7 +21,7 @@
     private final StepEntry step;
     private final int count;
     private final IndexRanges done = new IndexRanges();
-    private final Map<Integer, TaskEntry> kept = new TreeMap<>();
+    private final NavigableMap<Integer, TaskEntry> kept = new TreeMap<>();
 
     /** The task that was found last and is not kept; a step that waits is asked for it often. */
     private Optional<TaskEntry> lastFound = Optional.empty();
@@ -79,6 +79,11 @@
         return kept.values();
     }
 
+    /** Returns the kept tasks of a range of indexes, of which the last is excluded. */
+    Collection<TaskEntry> kept(int from, int to) {
+        return kept.subMap(from, to).values();
+    }
+
     /** Drops the tasks without open runs, once the job is in a final state. */
     void dropUnneeded() {
         int before = kept.size();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SortedSet;
-import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.chervillift.api.tasks.TaskId;
@@ -19,7 +17,7 @@
     private final StepEntry step;
     private final int index;
     private final List<Run> runs = new ArrayList<>(1);
-    private final SortedSet<Integer> failedRuns = new TreeSet<>();
+    private final FailedRuns failedRuns = new FailedRuns();
     private final CrashHistory crashes;
     private final Set<String> failedWorkers = new HashSet<>();
     private int lastRunNumber;
@@ -63,8 +61,8 @@
         return runs.isEmpty() && !isDone();
     }
 
-    /** Returns the numbers of the runs that failed. */
-    SortedSet<Integer> failedRuns() {
+    /** Returns the runs that failed. */
+    FailedRuns failedRuns() {
         return failedRuns;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnstoredProgress.java
@@ -1,102 +1,106 @@
 package org.chervillift.core.tasks;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.chervillift.core.tasks.JobProgress.StepProgress;
+import org.chervillift.core.tasks.JobProgress.TaskFailures;
 
 /**
- * A snapshot of the job progress that is not stored yet, and of the applied ends of runs that may
- * be acknowledged to workers once it is stored.
+ * A snapshot of the rows of progress that are to be stored next, and of the applied ends of runs.
  */
 public final class UnstoredProgress {
 
-    private final Map<JobEntry, JobProgress> progressByJob;
-    private final Map<String, LastAppliedEnd> endsByWorker;
+    private final List<Entry> entries;
+    private final AppliedEnds ends;
+    private final long changeCount;
+    private final boolean moreChanged;
 
-    /** The last applied end of a run that a worker reported in a lifetime. */
-    private record LastAppliedEnd(long bornAtMillis, long number) {}
+    /** A row, and what it holds the progress of. */
+    private record Entry(ProgressChanges.Target target, ProgressRow row) {}
 
     private UnstoredProgress(
-            Map<JobEntry, JobProgress> progressByJob, Map<String, LastAppliedEnd> endsByWorker) {
-        this.progressByJob = progressByJob;
-        this.endsByWorker = endsByWorker;
+            List<Entry> entries, AppliedEnds ends, long changeCount, boolean moreChanged) {
+        this.entries = List.copyOf(entries);
+        this.ends = ends;
+        this.changeCount = changeCount;
+        this.moreChanged = moreChanged;
     }
 
-    static UnstoredProgress snapshot(
-            Collection<JobEntry> changed, Collection<WorkerRecord> workers, long term) {
-        Map<JobEntry, JobProgress> progressByJob = new LinkedHashMap<>();
-        changed.forEach(j -> progressByJob.put(j, ProgressSnapshot.of(j, term)));
-        Map<String, LastAppliedEnd> endsByWorker = new HashMap<>();
-        workers.stream()
-                .filter(w -> w.lastAppliedEnd() > w.acknowledgedEnd())
-                .forEach(
-                        w ->
-                                endsByWorker.put(
-                                        w.id(),
-                                        new LastAppliedEnd(w.bornAtMillis(), w.lastAppliedEnd())));
-        return new UnstoredProgress(progressByJob, endsByWorker);
+    static UnstoredProgress snapshot(ProgressChanges changes, AppliedEnds ends, int mostRows) {
+        List<Entry> entries =
+                changes.next(mostRows).stream().map(t -> new Entry(t, changes.rowOf(t))).toList();
+        return new UnstoredProgress(
+                entries, ends, changes.changeCount(), changes.isMoreThan(entries.size()));
     }
 
-    /** Returns the progress to store, by job identifier. */
+    /** Returns the rows to store, in their order. */
+    public List<ProgressRow> rows() {
+        return entries.stream().map(Entry::row).toList();
+    }
+
+    /** Returns the whole progress of the jobs that are stored in one row, by job identifier. */
     public Map<String, JobProgress> progress() {
         Map<String, JobProgress> progress = new LinkedHashMap<>();
-        progressByJob.forEach((job, p) -> progress.put(job.id(), p));
+        for (Entry entry : entries) {
+            if (entry.row() instanceof ProgressRow.Whole row) {
+                progress.put(row.jobId(), row.progress());
+            }
+        }
         return progress;
     }
 
-    /** Returns the identifiers of the jobs whose final state this snapshot stores. */
-    public List<String> endedJobs() {
-        return progressByJob.entrySet().stream()
-                .filter(e -> e.getValue().state().isFinal())
-                .map(e -> e.getKey().id())
-                .toList();
-    }
-
     /** Returns whether there is nothing to store or to acknowledge. */
     public boolean isEmpty() {
-        return progressByJob.isEmpty() && endsByWorker.isEmpty();
+        return entries.isEmpty() && ends.isEmpty();
     }
 
-    /** Returns the jobs whose progress has not changed since this snapshot. */
-    List<JobEntry> unchangedJobs(long term) {
-        List<JobEntry> unchanged = new ArrayList<>();
-        progressByJob.forEach(
-                (job, stored) -> {
-                    if (stored.equals(ProgressSnapshot.of(job, term))) {
-                        unchanged.add(job);
-                    }
-                });
-        return unchanged;
+    /** Returns whether more rows are to be stored than this snapshot holds. */
+    public boolean hasMoreChanged() {
+        return moreChanged;
     }
 
-    /**
-     * Marks where the steps of this snapshot are stored as begun, and the crashes of their tasks.
-     */
-    void markStepsStored() {
-        progressByJob.forEach(
-                (job, stored) ->
-                        stored.steps()
-                                .forEach(s -> markStored(job.step(s.occurrence(), s.step()), s)));
+    AppliedEnds ends() {
+        return ends;
     }
 
-    private static void markStored(StepEntry step, JobProgress.StepProgress stored) {
-        step.begunPools().markStored(stored.pools());
-        for (JobProgress.TaskFailures failures : stored.failures()) {
-            step.tasks().get(failures.task()).crashes().markStored(failures.crashes());
+    long changeCount() {
+        return changeCount;
+    }
+
+    /** Leaves a row out that cannot be stored, so that the others are. */
+    void leaveUnstored(int row, ProgressChanges changes) {
+        changes.leaveUnstored(entries.get(row).target());
+    }
+
+    /** Records that the first rows of this snapshot are stored. */
+    void markStored(int rows, ProgressChanges changes) {
+        for (Entry entry : entries.subList(0, rows)) {
+            markBegun(entry);
+            changes.markStored(entry.target(), entry.row(), changeCount);
+        }
+    }
+
+    /** Marks where the steps of a row are stored as begun, and the crashes of their tasks. */
+    private static void markBegun(Entry entry) {
+        JobEntry job = entry.target().job();
+        switch (entry.row()) {
+            case ProgressRow.Whole r -> r.progress().steps().forEach(s -> markBegun(job, s));
+            case ProgressRow.Part r -> markBegun(job, r.progress().tasks());
+            case ProgressRow.Head r -> {
+                // Holds no steps.
+            }
         }
     }
 
-    /** Acknowledges the ends of this snapshot, so that workers need not report them again. */
-    void acknowledgeEnds(Map<String, WorkerRecord> workers) {
-        endsByWorker.forEach(
-                (id, lastApplied) -> {
-                    WorkerRecord worker = workers.get(id);
-                    if (worker != null && worker.bornAtMillis() == lastApplied.bornAtMillis()) {
-                        worker.acknowledge(lastApplied.number());
-                    }
-                });
+    private static void markBegun(JobEntry job, StepProgress stored) {
+        if (job.isFinal() || job.isCondensed(stored.occurrence())) {
+            return;
+        }
+        StepEntry step = job.step(stored.occurrence(), stored.step());
+        step.begunPools().markStored(stored.pools());
+        for (TaskFailures failures : stored.failures()) {
+            step.tasks().get(failures.task()).crashes().markStored(failures.crashes());
+        }
     }
 }
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
@@ -0,0 +1,114 @@
+package org.chervillift.core.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.chervillift.api.tasks.JobState;
+import org.chervillift.api.tasks.RunEnd;
+import org.junit.jupiter.api.Test;
+
+/** Tests how the progress of a job is stored in parts. */
+class ProgressInPartsTest {
+
+    private static final int TASKS = 40;
+    private static final int PARTS_OF_TASKS = 3;
+
+    private final SchedulerFixture fixture = new SchedulerFixture();
+
+    /** Crashes the worker of all tasks; their next starts are held until that is stored. */
+    private void crashUnderAllTasks() {
+        fixture.addWorker("w1", 1_000 * TASKS);
+        fixture.accept("a", SchedulerFixture.step(TASKS, 1_000));
+        assertThat(fixture.starts()).hasSize(TASKS);
+        fixture.store();
+        fixture.runningByWorker.clear();
+        fixture.scheduler.workerUnlisted("w1");
+        fixture.scheduler.workerLifetimeEnded("w1", fixture.now);
+        fixture.addWorker("w2", 1_000 * TASKS);
+        assertThat(plan()).isEmpty();
+    }
+
+    private List<Order> plan() {
+        return fixture.scheduler.plan(fixture.now, fixture.now);
+    }
+
+    private void moveToParts() {
+        crashUnderAllTasks();
+        fixture.scheduler.storeInParts("a");
+        fixture.scheduler.markStored(fixture.scheduler.unstoredProgress());
+    }
+
+    @Test
+    void theFirstRowIsReplacedAfterAllPartsAreStored() {
+        crashUnderAllTasks();
+        fixture.scheduler.storeInParts("a");
+        List<ProgressRow> rows = fixture.scheduler.unstoredProgress().rows();
+        assertThat(rows).hasSize(1 + PARTS_OF_TASKS + 1);
+        assertThat(rows.subList(0, rows.size() - 1)).hasOnlyElementsOfType(ProgressRow.Part.class);
+        assertThat(rows.getLast()).isInstanceOf(ProgressRow.Head.class);
+    }
+
+    /** A new holder reads the old row until the new one is stored. */
+    @Test
+    void noTaskStartsWhileAJobMovesToParts() {
+        crashUnderAllTasks();
+        fixture.scheduler.storeInParts("a");
+        UnstoredProgress unstored = fixture.scheduler.unstoredProgress();
+        fixture.scheduler.markStored(unstored, unstored.rows().size() - 1);
+        assertThat(plan()).isEmpty();
+
+        fixture.scheduler.markStored(fixture.scheduler.unstoredProgress());
+        assertThat(plan()).hasSize(TASKS);
+    }
+
+    @Test
+    void onlyChangedPartsAreStoredAgain() {
+        moveToParts();
+        assertThat(fixture.starts()).hasSize(TASKS);
+        fixture.end("w2", fixture.runningByWorker.get("w2").getFirst().task(), RunEnd.FAILED);
+        fixture.report("w2");
+        assertThat(fixture.scheduler.unstoredProgress().rows())
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        ProgressRow.Part.class, p -> assertThat(p.number()).isZero());
+    }
+
+    /** An end that is acknowledged is not reported again, so the new holder would not know it. */
+    @Test
+    void endsAreAcknowledgedOnceAllRowsThatTheyChangedAreStored() {
+        moveToParts();
+        fixture.starts();
+        fixture.endAll("w2", RunEnd.FAILED);
+        UnstoredProgress first = fixture.scheduler.unstoredProgress(2);
+        assertThat(first.hasMoreChanged()).isTrue();
+        fixture.scheduler.markStored(first);
+        assertThat(fixture.scheduler.acknowledgedEnd("w2")).isZero();
+
+        fixture.scheduler.markStored(fixture.scheduler.unstoredProgress(2));
+        assertThat(fixture.scheduler.acknowledgedEnd("w2")).isEqualTo(TASKS);
+    }
+
+    @Test
+    void theRowsOfOtherJobsGoBeforeTheParts() {
+        moveToParts();
+        fixture.starts();
+        fixture.endAll("w2", RunEnd.FAILED);
+        fixture.accept("b", SchedulerFixture.step(1, 1_000));
+        fixture.scheduler.cancel("b", fixture.now);
+        assertThat(fixture.scheduler.unstoredProgress(2).rows())
+                .extracting(ProgressRow::jobId)
+                .containsExactly("b", "a");
+    }
+
+    @Test
+    void aJobThatEndsIsStoredInOneRow() {
+        moveToParts();
+        fixture.starts();
+        fixture.endAll("w2", RunEnd.DONE);
+        List<ProgressRow> rows = fixture.scheduler.unstoredProgress().rows();
+        assertThat(rows).singleElement().isInstanceOf(ProgressRow.Whole.class);
+        assertThat(rows.getFirst().endsJob()).isTrue();
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.COMPLETED);
+    }
+}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/CommitBatch.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/CommitBatch.java
@@ -8,7 +8,8 @@
 /** Decides how many writes go into one transaction, whose number of rows and bytes is limited. */
 final class CommitBatch {
 
-    private static final int MAX_ROWS = 40;
+    /** The most rows of one transaction. */
+    static final int MAX_ROWS = 40;
 
     private CommitBatch() {}
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -3,12 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -58,12 +54,12 @@
     private final TableFollower jobsFollower;
     private final WorkerSessions workerSessions;
     private final StartCondition condition;
-    private final Map<String, JobProgress> storedProgress = new HashMap<>();
-    private final Set<String> unreadableProgress = new HashSet<>();
+    private final StoredProgress storedProgress;
     private final Runnable manifestListener = this::onManifestChange;
     private final Deque<Runnable> deferredActions = new ArrayDeque<>();
     private boolean predecessorWorkersRead;
     private boolean progressRead;
+    private boolean partsRead;
     private int jobRowCount;
     private long workersVersion;
     private long startedAt;
@@ -90,6 +86,7 @@
                         new DecisionLog(context.metrics()),
                         context.nowMillis());
         this.progress = new ProgressWriter(context, board, this::onStored, this::onEndStored);
+        this.storedProgress = new StoredProgress(progress);
         this.finishedJobs = new FinishedJobRemover(context, board, progress);
         this.advice = new AdviceRequester(context, board, this::replanSoon);
         this.vmController = new VmController(context, board, manifests);
@@ -196,7 +193,16 @@
                     predecessorWorkersRead = true;
                     onReadDone();
                 });
-        readProgress(KeyRange.ALL);
+        readTable(
+                StoreLayout.PROGRESS_TABLE,
+                KeyRange.ALL,
+                storedProgress::addRow,
+                () -> progressRead = true);
+        readTable(
+                StoreLayout.PARTS_TABLE,
+                KeyRange.ALL,
+                storedProgress::addPart,
+                () -> partsRead = true);
     }
 
     private void addPredecessorWorkers(Row row) {
@@ -215,7 +221,7 @@
     }
 
     private boolean isPredecessorRead() {
-        return predecessorWorkersRead && progressRead;
+        return predecessorWorkersRead && progressRead && partsRead;
     }
 
     private void runOnceRead(Runnable task) {
@@ -236,42 +242,23 @@
         replanSoon();
     }
 
-    private void readProgress(KeyRange range) {
+    /** Reads a table page by page. */
+    private void readTable(String table, KeyRange range, Consumer<Row> onRow, Runnable onLastRow) {
         readWithRetry(
-                () -> context.fencedStore().scan(StoreLayout.PROGRESS_TABLE, range),
+                () -> context.fencedStore().scan(table, range),
                 page -> {
-                    page.rows().forEach(this::addStoredProgress);
+                    page.rows().forEach(onRow);
                     if (page.hasMore() && !page.rows().isEmpty()) {
                         String last = page.rows().get(page.rows().size() - 1).key().key();
                         onReadingProgress();
-                        readProgress(KeyRange.after(last));
+                        readTable(table, KeyRange.after(last), onRow, onLastRow);
                     } else {
-                        progressRead = true;
+                        onLastRow.run();
                         onReadDone();
                     }
                 });
     }
 
-    /**
-     * Records the progress of a job; a job whose progress cannot be read is left alone, since it is
-     * not known which of its tasks have been done.
-     */
-    private void addStoredProgress(Row row) {
-        String id = row.key().key();
-        progress.recordVersion(row);
-        try {
-            storedProgress.put(id, Json.decode(row.value(), JobProgress.class));
-        } catch (RuntimeException e) {
-            unreadableProgress.add(id);
-            logUnreadable(id, e);
-        }
-    }
-
-    private static void logUnreadable(String key, RuntimeException e) {
-        EventLog.log(
-                TaskEvent.ROW_UNREADABLE, Field.of("key", key), Field.of("why", e.getMessage()));
-    }
-
     private <T> void readWithRetry(Supplier<CompletionStage<T>> call, Consumer<T> then) {
         RetryingRead.start(
                 context.supervision(),
@@ -359,9 +346,9 @@
         }
 
         private void accept(String id, String value, boolean knownToPredecessor) {
-            Optional<JobProgress> stored = Optional.ofNullable(storedProgress.remove(id));
+            Optional<JobProgress> stored = storedProgress.take(id);
             Optional<JobProgress> ended = stored.filter(p -> p.state().isFinal());
-            if (finishedJobs.wasRemoved(id) || unreadableProgress.contains(id)) {
+            if (finishedJobs.wasRemoved(id) || storedProgress.isUnreadable(id)) {
                 return;
             }
             if (ended.isPresent()) {
@@ -390,9 +377,8 @@
             try {
                 board.restore(id, stored);
             } catch (RuntimeException e) {
-                unreadableProgress.add(id);
                 board.discard(id);
-                logUnreadable(id, e);
+                storedProgress.markUnreadable(id, id, e);
             }
         }
 
@@ -400,7 +386,7 @@
             try {
                 return Optional.of(Json.decode(value, AcceptedJob.class));
             } catch (RuntimeException e) {
-                logUnreadable(id, e);
+                StoredProgress.logUnreadable(id, e);
                 return Optional.empty();
             }
         }
@@ -425,13 +411,7 @@
 
     /** Removes the progress of jobs whose rows a predecessor had deleted when it was lost. */
     private void removeProgressWithoutJob() {
-        storedProgress.forEach(
-                (id, p) -> {
-                    if (p.state().isFinal()) {
-                        finishedJobs.onEndStored(id);
-                    }
-                });
-        storedProgress.values().removeIf(p -> p.state().isFinal());
+        storedProgress.removeWithoutJob().forEach(finishedJobs::onEndStored);
     }
 
     /** Schedules a planning run after a change, unless one is scheduled. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -14,6 +14,8 @@
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.core.tasks.JobProgress.IndexRange;
+import org.chervillift.core.tasks.ProgressRow;
 import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.core.tasks.UnstoredProgress;
 import org.chervillift.http.Json;
@@ -25,6 +27,9 @@
  *
  * <p>Each write has two conditions: that no newer holder has taken over, and that the row has the
  * version that this process last saw, so that a delayed write cannot undo a later one.
+ *
+ * <p>The progress of a large job is stored in parts, each in a row of its own. A part that is
+ * needed no more is deleted after the row is stored that makes it so.
  */
 final class ProgressWriter {
 
@@ -36,10 +41,14 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
     private static final String LOOP = "progress";
 
+    /** The share of the longest row beyond which a job is stored in parts, which are shorter. */
+    private static final int MAX_SHARE_OF_ROW = 4;
+
     private final HolderContext context;
     private final TaskScheduler board;
     private final Runnable onStored;
     private final Consumer<String> onEndStored;
+    private final StoredParts parts = new StoredParts();
     private final Map<RowKey, Long> versions = new HashMap<>();
     private boolean scheduled;
     private boolean stopped;
@@ -70,6 +79,17 @@
         versions.put(row.key(), row.version());
     }
 
+    /** Records the version of an existing part of progress. */
+    void recordPart(Row row) {
+        recordVersion(row);
+        parts.add(row.key().key());
+    }
+
+    /** Deletes a part that an earlier holder left and that is not needed. */
+    void deletePart(RowKey key) {
+        parts.markUnneeded(key.key());
+    }
+
     /** Forgets the row of a job that has been deleted. */
     void forget(String jobId) {
         versions.remove(StoreLayout.progressKey(jobId));
@@ -97,63 +117,79 @@
                         });
     }
 
+    /** Writes the next rows, in one transaction. */
     private void writeUnstored() {
         if (stopped) {
             return;
         }
-        UnstoredProgress unstored = board.unstoredProgress();
-        if (unstored.isEmpty()) {
-            finish();
+        UnstoredProgress unstored = board.unstoredProgress(CommitBatch.MAX_ROWS);
+        List<ProgressRow> rows = unstored.rows();
+        List<Write> writes = new ArrayList<>();
+        rows.forEach(r -> writes.add(encode(r)));
+        if (handleTooLarge(unstored, writes)) {
+            writeUnstored();
             return;
         }
-        List<Write> writes = encode(unstored);
-        if (endJobsWithTooLargeRows(writes)) {
-            writeUnstored();
+        int size = CommitBatch.sizeOf(writes);
+        List<Write> batch = new ArrayList<>(writes.subList(0, size));
+        batch.forEach(w -> parts.markNeeded(w.key().key()));
+        parts.unneeded(CommitBatch.MAX_ROWS - size).forEach(k -> batch.add(Write.delete(k)));
+        if (batch.isEmpty()) {
+            finish(unstored);
         } else {
-            writeNextBatch(unstored, writes);
+            commit(unstored, rows.subList(0, size), batch);
         }
     }
 
-    private void finish() {
-        scheduled = false;
-        context.health().forget(LOOP);
-    }
-
-    private static List<Write> encode(UnstoredProgress unstored) {
-        List<Write> writes = new ArrayList<>();
-        unstored.progress()
-                .forEach(
-                        (id, p) ->
-                                writes.add(Write.put(StoreLayout.progressKey(id), Json.encode(p))));
-        return writes;
+    private static Write encode(ProgressRow row) {
+        return switch (row) {
+            case ProgressRow.Whole r ->
+                    Write.put(StoreLayout.progressKey(r.jobId()), Json.encode(r.progress()));
+            case ProgressRow.Head r ->
+                    Write.put(StoreLayout.progressKey(r.jobId()), Json.encode(r.progress()));
+            case ProgressRow.Part r -> Write.put(StoreLayout.partKey(r), Json.encode(r.progress()));
+        };
     }
 
     /**
-     * Ends the jobs whose progress does not fit in a row, since the starts and ends of all other
-     * jobs would wait for it; returns whether there are any.
+     * Stores the progress of large jobs in parts from now on; returns whether other rows are to be
+     * written therefore. A part that fits in no row is left out, since all others would wait for
+     * it.
      */
-    private boolean endJobsWithTooLargeRows(List<Write> writes) {
-        List<String> tooLarge =
-                writes.stream()
-                        .filter(w -> CommitBatch.bytesOf(w) > context.settings().maxRowBytes())
-                        .map(w -> w.key().key())
-                        .toList();
-        tooLarge.forEach(id -> board.endForTooLargeProgress(id, context.nowMillis()));
-        return !tooLarge.isEmpty();
+    private boolean handleTooLarge(UnstoredProgress unstored, List<Write> writes) {
+        int maxBytes = context.settings().maxRowBytes();
+        boolean changed = false;
+        for (int i = 0; i < writes.size(); i++) {
+            long bytes = CommitBatch.bytesOf(writes.get(i));
+            ProgressRow row = unstored.rows().get(i);
+            boolean whole = row instanceof ProgressRow.Whole && !row.endsJob();
+            if (whole && bytes > maxBytes / MAX_SHARE_OF_ROW) {
+                board.storeInParts(row.jobId());
+                log(TaskEvent.PROGRESS_IN_PARTS, row, bytes);
+                changed = true;
+            } else if (bytes > maxBytes) {
+                board.leaveUnstored(unstored, i);
+                log(TaskEvent.PROGRESS_TOO_LARGE, row, bytes);
+                changed = true;
+            }
+        }
+        return changed;
     }
 
-    private void writeNextBatch(UnstoredProgress unstored, List<Write> remaining) {
-        if (stopped) {
-            return;
-        }
-        if (remaining.isEmpty()) {
+    private static void log(TaskEvent event, ProgressRow row, long bytes) {
+        EventLog.log(event, Field.of("job", row.jobId()), Field.of("bytes", bytes));
+    }
+
+    private void finish(UnstoredProgress unstored) {
+        if (!unstored.isEmpty()) {
             board.markStored(unstored);
-            unstored.endedJobs().forEach(onEndStored);
             onStored.run();
-            finish();
-            return;
         }
-        List<Write> writes = remaining.subList(0, CommitBatch.sizeOf(remaining));
+        scheduled = false;
+        context.health().forget(LOOP);
+    }
+
+    private void commit(UnstoredProgress unstored, List<ProgressRow> rows, List<Write> writes) {
         List<Condition> conditions =
                 writes.stream()
                         .map(w -> new Condition(w.key(), versions.getOrDefault(w.key(), 0L)))
@@ -166,12 +202,58 @@
                             if (fault != null) {
                                 onFailure(fault);
                             } else {
-                                onOutcome(unstored, remaining, writes, outcome);
+                                onOutcome(unstored, rows, writes, outcome);
                             }
                         },
                         () -> writeAfter(RETRY_DELAY));
     }
 
+    private void onCommitted(
+            UnstoredProgress unstored, List<ProgressRow> rows, List<Write> writes, long version) {
+        context.recordProgress(LOOP);
+        writes.forEach(w -> recordWrite(w, version));
+        board.markStored(unstored, rows.size());
+        rows.forEach(this::onRowStored);
+        onStored.run();
+        boolean more = unstored.hasMoreChanged() || rows.size() < unstored.rows().size();
+        if (more || parts.hasUnneeded()) {
+            writeUnstored();
+        } else {
+            scheduled = false;
+            context.health().forget(LOOP);
+        }
+    }
+
+    private void recordWrite(Write write, long version) {
+        RowKey key = write.key();
+        boolean isPart = key.table().equals(StoreLayout.PARTS_TABLE);
+        if (write.value().isPresent()) {
+            versions.put(key, version);
+            if (isPart) {
+                parts.add(key.key());
+            }
+        } else {
+            versions.remove(key);
+            parts.remove(key.key());
+        }
+    }
+
+    /** Deletes the parts that a stored row makes needless. */
+    private void onRowStored(ProgressRow row) {
+        if (row.endsJob()) {
+            parts.markUnneeded(row.jobId(), k -> true);
+            onEndStored.accept(row.jobId());
+        } else if (row instanceof ProgressRow.Head head) {
+            List<IndexRange> done = head.progress().doneOccurrences();
+            parts.markUnneeded(row.jobId(), k -> done.stream().anyMatch(r -> r.contains(k)));
+        }
+    }
+
+    private void forgetRow(RowKey key) {
+        versions.remove(key);
+        parts.remove(key.key());
+    }
+
     private void onFailure(Throwable fault) {
         context.recordProgress(LOOP);
         EventLog.log(TaskEvent.PROGRESS_NOT_STORED, Field.of("why", fault.getMessage()));
@@ -179,20 +261,19 @@
     }
 
     private void onOutcome(
-            UnstoredProgress unstored, List<Write> remaining, List<Write> writes, Outcome outcome) {
+            UnstoredProgress unstored,
+            List<ProgressRow> rows,
+            List<Write> writes,
+            Outcome outcome) {
         switch (outcome) {
-            case Outcome.Committed c -> {
-                context.recordProgress(LOOP);
-                writes.forEach(w -> versions.put(w.key(), c.version()));
-                writeNextBatch(unstored, remaining.subList(writes.size(), remaining.size()));
-            }
+            case Outcome.Committed c -> onCommitted(unstored, rows, writes, c.version());
             case Outcome.Conflict conflict -> {
                 Set<RowKey> existing =
                         conflict.current().stream().map(Row::key).collect(Collectors.toSet());
                 writes.stream()
                         .map(Write::key)
                         .filter(k -> !existing.contains(k))
-                        .forEach(versions::remove);
+                        .forEach(this::forgetRow);
                 conflict.current().forEach(this::recordVersion);
                 EventLog.log(
                         TaskEvent.PROGRESS_NOT_STORED,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StoreLayout.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StoreLayout.java
@@ -4,6 +4,9 @@
 import java.util.stream.IntStream;
 import org.chervillift.api.platform.RowKey;
 import org.chervillift.api.platform.RowStore.KeyRange;
+import org.chervillift.core.tasks.JobProgress.StepProgress;
+import org.chervillift.core.tasks.ProgressPart;
+import org.chervillift.core.tasks.ProgressRow;
 
 /** The tables, partitions and row keys in which jobs, their progress and the lease are stored. */
 final class StoreLayout {
@@ -14,6 +17,9 @@
     /** The progress of jobs, by job identifier. */
     static final String PROGRESS_TABLE = "progress";
 
+    /** The parts of the progress of large jobs; earlier releases do not read them. */
+    static final String PARTS_TABLE = "progress-parts";
+
     /** The lease and the term of the holder. */
     static final String HOLDER_TABLE = "holder";
 
@@ -33,6 +39,9 @@
 
     private static final String CANCEL_SUFFIX = "/cancel";
 
+    private static final char SEPARATOR = '/';
+    private static final String DONE_TASKS = "done";
+
     private StoreLayout() {}
 
     /** Returns the partition of a job row and of its cancellation row. */
@@ -52,6 +61,42 @@
         return new RowKey(PROGRESS_TABLE, id);
     }
 
+    /** Returns the key of a part of the progress of a job. */
+    static RowKey partKey(ProgressRow.Part part) {
+        StepProgress tasks = part.progress().tasks();
+        String number =
+                part.number() == ProgressPart.DONE_TASKS
+                        ? DONE_TASKS
+                        : Integer.toString(part.number());
+        return new RowKey(
+                PARTS_TABLE,
+                occurrencePrefix(part.jobId(), tasks.occurrence())
+                        + tasks.step()
+                        + SEPARATOR
+                        + number);
+    }
+
+    /** Returns what the keys of the parts of a job begin with. */
+    static String partsPrefix(String jobId) {
+        return jobId + SEPARATOR;
+    }
+
+    /** Returns what the keys of the parts of an occurrence of a job begin with. */
+    static String occurrencePrefix(String jobId, int occurrence) {
+        return partsPrefix(jobId) + occurrence + SEPARATOR;
+    }
+
+    /** Returns the job identifier from the key of a part. */
+    static String jobIdOfPart(String key) {
+        return key.substring(0, key.indexOf(SEPARATOR));
+    }
+
+    /** Returns the occurrence from the key of a part. */
+    static int occurrenceOfPart(String key) {
+        int from = key.indexOf(SEPARATOR) + 1;
+        return Integer.parseInt(key, from, key.indexOf(SEPARATOR, from), 10);
+    }
+
     static boolean isCancellation(RowKey key) {
         return key.key().endsWith(CANCEL_SUFFIX);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -45,6 +45,14 @@
     /** Storing the progress of jobs failed. */
     PROGRESS_NOT_STORED(
             7033, Level.WARN, "The progress of jobs could not be stored; the write is retried."),
+    /** The progress of a job has become large. */
+    PROGRESS_IN_PARTS(
+            7082, Level.INFO, "The progress of a large job is stored in parts from now on."),
+    /** A row of progress does not fit in a row of the store. */
+    PROGRESS_TOO_LARGE(
+            7083,
+            Level.ERROR,
+            "A part of the progress of a job fits in no row of the store; it is not stored."),
     /** The holder has read all stored jobs. */
     HOLDER_READY(
             7034, Level.INFO, "The holder has read all jobs and the workers of its predecessor."),
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/JobProgressRowTest.java
@@ -1,9 +1,11 @@
 package org.chervillift.daemon.tasks;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
 import java.util.Optional;
+import org.chervillift.api.ChervilliftException;
 import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.core.tasks.JobProgress;
@@ -12,6 +14,8 @@
 import org.chervillift.core.tasks.JobProgress.StepProgress;
 import org.chervillift.core.tasks.JobProgress.TaskCrashes;
 import org.chervillift.core.tasks.JobProgress.TaskFailures;
+import org.chervillift.core.tasks.JobProgressHead;
+import org.chervillift.core.tasks.ProgressPart;
 import org.chervillift.http.Json;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +50,48 @@
         assertThat(Json.decode(Json.encode(progress), JobProgress.class)).isEqualTo(progress);
     }
 
+    /** An earlier release skips the fields that it does not know, but needs the list of steps. */
+    @Test
+    void theFirstRowOfAJobInPartsCannotBeReadByAnEarlierRelease() {
+        JobProgressHead head =
+                new JobProgressHead(
+                        7, JobState.RUNNING, Optional.empty(), List.of(new IndexRange(0, 4)), 6);
+        String row = Json.encode(head);
+
+        assertThat(row).doesNotContain("steps");
+        JobProgress read = Json.decode(row, JobProgress.class);
+        assertThat(read.partsTerm()).contains(6L);
+        assertThat(read.doneOccurrences()).containsExactly(new IndexRange(0, 4));
+        assertThatThrownBy(
+                        () -> Json.decode(row.replace(",\"partsTerm\":6", ""), JobProgress.class))
+                .isInstanceOf(ChervilliftException.class);
+    }
+
+    @Test
+    void partsOfAnEarlierTermAndOfDoneOccurrencesDoNotCount() {
+        JobProgress progress =
+                new JobProgress(
+                        7,
+                        JobState.RUNNING,
+                        List.of(),
+                        Optional.empty(),
+                        List.of(new IndexRange(0, 4)),
+                        Optional.of(6L));
+        StepProgress done = new StepProgress(4, 0, List.of(), List.of(), List.of("p"), List.of());
+        StepProgress open = new StepProgress(5, 0, List.of(), List.of(), List.of("p"), List.of());
+        ProgressPart counts =
+                Json.decode(Json.encode(new ProgressPart(6, open)), ProgressPart.class);
+
+        assertThat(
+                        progress.withParts(
+                                        List.of(
+                                                new ProgressPart(5, open),
+                                                counts,
+                                                new ProgressPart(7, done)))
+                                .steps())
+                .containsExactly(open);
+    }
+
     @Test
     void aRowOfAnEarlierReleaseIsReadWithoutCrashesAndPools() {
         String row =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -188,11 +188,20 @@
     }
 
     static StepSpec step(int count, long milliCores, boolean gang) {
+        return step(count, milliCores, List.of(), gang);
+    }
+
+    /** Returns a step that waits for others. */
+    static StepSpec step(int count, long milliCores, List<Integer> after) {
+        return step(count, milliCores, after, false);
+    }
+
+    private static StepSpec step(int count, long milliCores, List<Integer> after, boolean gang) {
         return new StepSpec(
                 count,
                 new Resources(milliCores, 100, 0),
                 500,
-                List.of(),
+                after,
                 gang,
                 false,
                 "",
