Start all tasks of a service of more than a thousand

Cause: 1,000 tasks of a job may have begun at once, and more begin when some of these are done. Long-running tasks are never done. The limit was to bound the row of progress, which has no bound any more.

Change: long-running tasks do not count. 40,000 open runs bound the fleet.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -149,7 +149,7 @@
         return occurrences.values().stream().flatMap(List::stream);
     }
 
-    /** Returns the number of tasks that have begun and are not done. */
+    /** Returns the number of tasks that end by themselves, have begun and are not done. */
     int begunTaskCount() {
         return begunTaskCount;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
@@ -15,7 +15,7 @@
  */
 public final class JobSizeLimits {
 
-    /** Tasks of a job that have begun and are not done. */
+    /** Tasks of a job that end by themselves, have begun and are not done. */
     static final int MAX_BEGUN_TASKS = 1_000;
 
     /** Occurrences of a job that are due and of which nothing has begun. */
@@ -29,6 +29,21 @@
 
     private JobSizeLimits() {}
 
+    /**
+     * Returns how many tasks of a step may have begun at once. Long-running tasks are not limited:
+     * none of them ends, so the others would never begin.
+     */
+    static int maxBegunTasks(StepEntry step) {
+        return step.spec().longRunning() ? Integer.MAX_VALUE : MAX_BEGUN_TASKS;
+    }
+
+    /** Returns how many tasks of a step may begin now. */
+    static int tasksThatMayBegin(StepEntry step) {
+        return step.spec().longRunning()
+                ? Integer.MAX_VALUE
+                : MAX_BEGUN_TASKS - step.job().begunTaskCount();
+    }
+
     /** Returns why a job can never be completed, if a step of it is too large to be started. */
     public static Optional<JobFailure> failureOf(JobSpec job) {
         List<StepSpec> steps = job.steps();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -137,7 +137,7 @@
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
-        int mayBegin = JobSizeLimits.MAX_BEGUN_TASKS - step.job().begunTaskCount();
+        int mayBegin = JobSizeLimits.tasksThatMayBegin(step);
         for (TaskEntry task : step.tasks().waiting()) {
             if (task.notBefore() > now) {
                 continue;
@@ -229,7 +229,7 @@
     boolean isWithinRunLimits(StepEntry step, int more) {
         boolean mayBegin =
                 step.spec().gang()
-                        || step.job().begunTaskCount() < JobSizeLimits.MAX_BEGUN_TASKS
+                        || JobSizeLimits.tasksThatMayBegin(step) > 0
                         || step.tasks().kept().stream().anyMatch(TaskEntry::isWaiting);
         return isWithinOpenRuns(more) && mayBegin;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
@@ -59,14 +59,21 @@
     /** Keeps a task from now on, unless it is done and has no run. */
     void keep(TaskEntry task) {
         if (!isUnneeded(task) && kept.put(task.index(), task) == null) {
-            step.job().addBegunTasks(1);
+            addBegunTasks(1);
         }
     }
 
     /** Drops a task that is done and has no open run. */
     void dropIfUnneeded(TaskEntry task) {
         if (isUnneeded(task) && kept.remove(task.index()) != null) {
-            step.job().addBegunTasks(-1);
+            addBegunTasks(-1);
+        }
+    }
+
+    /** Counts tasks that begin or are dropped; long-running ones never make room for others. */
+    private void addBegunTasks(int difference) {
+        if (!step.spec().longRunning()) {
+            step.job().addBegunTasks(difference);
         }
     }
 
@@ -88,7 +95,7 @@
     void dropUnneeded() {
         int before = kept.size();
         kept.values().removeIf(this::isUnneeded);
-        step.job().addBegunTasks(kept.size() - before);
+        addBegunTasks(kept.size() - before);
     }
 
     boolean isDone(int index) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/UnknownUsage.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/UnknownUsage.java
@@ -36,7 +36,7 @@
     }
 
     private static Resources of(StepEntry step) {
-        long tasks = Math.min(step.tasks().waitingCount(), JobSizeLimits.MAX_BEGUN_TASKS);
+        long tasks = Math.min(step.tasks().waitingCount(), JobSizeLimits.maxBegunTasks(step));
         return step.spec().request().times(tasks);
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/LargeJobTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/LargeJobTest.java
@@ -63,8 +63,7 @@
         assertThat(fixture.plan()).hasSize(4).hasOnlyElementsOfType(Order.Stop.class);
     }
 
-    @Test
-    void onlyALimitedNumberOfTasksOfAJobRunsAtOnce() {
+    private void addLargeWorker() {
         fixture.scheduler.workerListed(
                 new WorkerEntry(
                         "w1",
@@ -80,6 +79,11 @@
                 fixture.now);
         fixture.report("w1");
         fixture.scheduler.leaseGranted("w1", fixture.now + SchedulerFixture.LEASE_MILLIS);
+    }
+
+    @Test
+    void onlyALimitedNumberOfTasksOfAJobRunsAtOnce() {
+        addLargeWorker();
         fixture.accept("large", SchedulerFixture.step(LARGE, 1));
         fixture.accept("small", SchedulerFixture.step(1, 1_000));
 
@@ -89,6 +93,16 @@
         assertThat(fixture.starts()).hasSize(JobSizeLimits.MAX_BEGUN_TASKS);
     }
 
+    /** Of a service of more than a thousand tasks, all beyond these were never started. */
+    @Test
+    void allTasksOfALargeServiceRunAtOnce() {
+        addLargeWorker();
+        int tasks = JobSizeLimits.MAX_BEGUN_TASKS + 100;
+        fixture.accept("service", SchedulerFixture.step(tasks, 1, List.of(), false, true, 0));
+        fixture.accept("large", SchedulerFixture.step(LARGE, 1));
+        assertThat(fixture.starts()).hasSize(tasks + JobSizeLimits.MAX_BEGUN_TASKS);
+    }
+
     @Test
     void theDoneTasksOfALargeStepAreStoredAndRestoredAsRanges() {
         JobProgress.StepProgress step =
