Want no more whole workers for suspect tasks than may be isolated at once

Cause: each waiting task under which two workers have crashed counted as demand for a worker of its own. After two crashes under hundreds of tasks of a service its pool wanted hundreds of workers and got those of all pools; there its tasks hold them, since a VM with a long-running task does not move.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -128,7 +128,12 @@
     private boolean mayIsolateOneMore(List<WorkerRecord> pool, long now) {
         long usable = pool.stream().filter(w -> w.acceptsTasks(now)).count();
         long taken = pool.stream().filter(w -> isIsolated(w) || isReserved(w)).count();
-        return taken < Math.max(1, usable / WORKERS_PER_ISOLATED_ONE);
+        return taken < mostIsolated(usable);
+    }
+
+    /** Returns how many workers of a pool may be isolated or kept free at once. */
+    static long mostIsolated(long usableWorkers) {
+        return Math.max(1, usableWorkers / WORKERS_PER_ISOLATED_ONE);
     }
 
     private Optional<WorkerRecord> choose(TaskEntry task, List<WorkerRecord> pool, long now) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -47,7 +47,7 @@
                 capacity.merge(worker.pool(), worker.entry().capacity().milliCores(), Long::sum);
             }
         }
-        Map<String, Long> waiting = waitingByPool(live, largestWorkers(workers));
+        Map<String, Long> waiting = waitingByPool(live, wholeWorkers(workers, now));
         Set<String> names = new HashSet<>(running.keySet());
         names.addAll(waiting.keySet());
         Map<String, PoolLoad> loads = new HashMap<>();
@@ -65,16 +65,15 @@
 
     /** Returns the cores that waiting tasks request by pool, within the limits of the customers. */
     private Map<String, Long> waitingByPool(
-            Collection<JobEntry> live, Map<String, Long> largestWorkers) {
+            Collection<JobEntry> live, Map<String, WholeWorkers> wholeWorkers) {
         Map<String, Long> waiting = new HashMap<>();
         Map<String, Long> remainingLimits = new HashMap<>();
         for (JobEntry job : live) {
             String customer = job.job().customer();
             long remaining = remainingLimits.computeIfAbsent(customer, this::remainingLimitOf);
             String pool = job.policy().pool();
-            long wholeWorker = largestWorkers.getOrDefault(pool, 0L);
-            long requested =
-                    Math.min(remaining, waitingMilliCores(job, wholeWorker, limitOf(customer)));
+            WholeWorkers whole = wholeWorkers.computeIfAbsent(pool, p -> new WholeWorkers());
+            long requested = Math.min(remaining, waitingMilliCores(job, whole, limitOf(customer)));
             remainingLimits.put(customer, remaining - requested);
             waiting.merge(pool, requested, SaturatedMath::add);
         }
@@ -91,10 +90,10 @@
         return limit == 0 ? Long.MAX_VALUE : Math.max(0, limit - runs.usageOf(name).milliCores());
     }
 
-    private static long waitingMilliCores(JobEntry job, long wholeWorker, Resources limit) {
+    private static long waitingMilliCores(JobEntry job, WholeWorkers whole, Resources limit) {
         return job.steps()
                 .filter(s -> !s.isDone() && s.isReady() && canEverStart(s, limit))
-                .mapToLong(s -> waitingMilliCores(s, wholeWorker))
+                .mapToLong(s -> waitingMilliCores(s, whole))
                 .reduce(0, SaturatedMath::add);
     }
 
@@ -104,8 +103,11 @@
                 || step.spec().request().times(step.tasks().count()).fitsInLimit(limit);
     }
 
-    /** Returns the cores that waiting tasks need; one that must run alone needs a whole worker. */
-    private static long waitingMilliCores(StepEntry step, long wholeWorker) {
+    /**
+     * Returns the cores that waiting tasks need. One that must run alone needs a whole worker, as
+     * far as so many workers may be isolated at once.
+     */
+    private static long waitingMilliCores(StepEntry step, WholeWorkers whole) {
         long footprint = step.spec().footprint().milliCores();
         long alone =
                 step.tasks().kept().stream()
@@ -113,14 +115,35 @@
                         .count();
         return SaturatedMath.add(
                 SaturatedMath.multiply(step.tasks().waitingCount(), footprint),
-                SaturatedMath.multiply(alone, Math.max(0, wholeWorker - footprint)));
+                SaturatedMath.multiply(whole.take(alone), Math.max(0, whole.largest - footprint)));
     }
 
-    private static Map<String, Long> largestWorkers(Collection<WorkerRecord> workers) {
-        Map<String, Long> largest = new HashMap<>();
+    private static Map<String, WholeWorkers> wholeWorkers(
+            Collection<WorkerRecord> workers, long now) {
+        Map<String, WholeWorkers> byPool = new HashMap<>();
         for (WorkerRecord worker : workers) {
-            largest.merge(worker.pool(), worker.entry().capacity().milliCores(), Math::max);
+            byPool.computeIfAbsent(worker.pool(), p -> new WholeWorkers()).add(worker, now);
+        }
+        return byPool;
+    }
+
+    /** The workers of a pool that may be wanted for tasks that must run alone. */
+    private static final class WholeWorkers {
+
+        private long largest;
+        private long usable;
+        private long wanted;
+
+        void add(WorkerRecord worker, long now) {
+            largest = Math.max(largest, worker.entry().capacity().milliCores());
+            usable += worker.acceptsTasks(now) ? 1 : 0;
+        }
+
+        /** Returns for how many more tasks of some a worker is wanted. */
+        long take(long tasks) {
+            long more = Math.min(tasks, IsolationPlanner.mostIsolated(usable) - wanted);
+            wanted += more;
+            return more;
         }
-        return largest;
     }
 }
