Bound the open occurrences of a repeating job

Found by reading: occurrences of which a step has begun and the next one waits were not counted in any limit, so a job that repeats often took memory of the holder, and rows to read for its successor, without a bound.

Change: at most 500 occurrences are open, fewer if they have more than 20 steps, at least 64. Later ones begin when some of these are done. Jobs with long-running steps are not limited, since none of their occurrences is ever done.

LargeJobTest.onlyALimitedNumberOfOccurrencesIsOpen was red before: 2,000 starts in 1,000 rounds where 500 are expected.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobEntry.java
@@ -228,7 +228,10 @@
         return lastRanAt;
     }
 
-    /** Creates the occurrences that are due, as long as few of them have not begun. */
+    /**
+     * Creates the occurrences that are due, as long as few of them have not begun, and not too many
+     * are open.
+     */
     void createDueOccurrences(long wallMillis) {
         Schedule schedule = job.spec().schedule();
         if (nextOccurrence >= schedule.occurrences()) {
@@ -237,10 +240,12 @@
         while (occurrences.containsKey(nextOccurrence) || condensed.contains(nextOccurrence)) {
             nextOccurrence = condensed.nextMissing(nextOccurrence + 1);
         }
+        int maxOpen = JobSizeLimits.maxOpenOccurrences(job.spec());
         long waiting = occurrences.values().stream().filter(o -> !hasBegun(o)).count();
         while (nextOccurrence < schedule.occurrences()
                 && schedule.dueAtMillis(nextOccurrence) <= wallMillis
-                && waiting < JobSizeLimits.MAX_WAITING_OCCURRENCES) {
+                && waiting < JobSizeLimits.MAX_WAITING_OCCURRENCES
+                && occurrences.size() < maxOpen) {
             occurrence(nextOccurrence);
             nextOccurrence++;
             waiting++;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobSizeLimits.java
@@ -27,8 +27,28 @@
      */
     static final int MAX_LISTED_OCCURRENCES = 32;
 
+    /** Steps of the open occurrences of a job, each of which takes some 1 KB of memory. */
+    private static final int MAX_OPEN_STEPS = 10_000;
+
+    /**
+     * Open occurrences of a job, between which those that are done form ranges that fit in a row.
+     */
+    private static final int MAX_OPEN_OCCURRENCES = 500;
+
     private JobSizeLimits() {}
 
+    /**
+     * Returns how many occurrences of a job may be open at once. Those of a job with a long-running
+     * step are never done, so the others would never begin.
+     */
+    static int maxOpenOccurrences(JobSpec job) {
+        if (job.steps().stream().anyMatch(StepSpec::longRunning)) {
+            return Integer.MAX_VALUE;
+        }
+        int ofSteps = MAX_OPEN_STEPS / Math.max(1, job.steps().size());
+        return Math.clamp(ofSteps, 2 * MAX_WAITING_OCCURRENCES, MAX_OPEN_OCCURRENCES);
+    }
+
     /**
      * Returns how many tasks of a step may have begun at once. Long-running tasks are not limited:
      * none of them ends, so the others would never begin.
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/LargeJobTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/LargeJobTest.java
@@ -140,6 +140,31 @@
         }
     }
 
+    /** Occurrences that had begun and could not go on took memory without a bound. */
+    @Test
+    void onlyALimitedNumberOfOccurrencesIsOpen() {
+        fixture.addWorker("w1", 2_000);
+        JobSpec spec =
+                new JobSpec(
+                        "large",
+                        "payload",
+                        List.of(
+                                SchedulerFixture.step(1, 1_000),
+                                SchedulerFixture.step(1, 5_000, List.of(0), false, false, 0)),
+                        new Schedule(LARGEST, 1, 0));
+        fixture.scheduler.accept(
+                new AcceptedJob(spec, SchedulerFixture.QUEUE_POLICY, SchedulerFixture.CUSTOMER, 0),
+                0,
+                fixture.now);
+        int starts = 0;
+        for (int round = 0; round < 1_000; round++) {
+            starts += fixture.starts().size();
+            fixture.endAll("w1", RunEnd.DONE);
+            fixture.store();
+        }
+        assertThat(starts).isEqualTo(JobSizeLimits.maxOpenOccurrences(spec));
+    }
+
     @Test
     void anOccurrenceThatIsDueBeyondTheEndOfTimeDoesNotStart() {
         fixture.addWorker("w1", 4_000);
