Keep the recent VM orders of earlier holders for the next one

Cause: the row of recently ordered VMs was written with the orders of the present holder only, so the second holder dropped those of the first.

Change: orders of earlier holders stay in the row until they expire. If their age is not known, because the store's clock has changed, they are stored without one.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -36,7 +36,7 @@
     private final long handoverDelayMillis;
     private final long handoverEndsAt;
     private final Map<String, Long> orderedAt = new HashMap<>();
-    private Map<String, Long> predecessorOrdersUntil = Map.of();
+    private Map<String, PredecessorOrder> predecessorOrders = Map.of();
     private boolean loaded;
     private boolean stopped;
 
@@ -55,9 +55,22 @@
      * A stored order for a VM.
      *
      * @param vm the name of the VM
-     * @param storeMillis when it was stored, by the store's clock, in milliseconds
+     * @param storeMillis when it was stored, by the store's clock, in milliseconds; 0 if unknown
      */
-    private record StoredOrder(String vm, long storeMillis) {}
+    private record StoredOrder(String vm, long storeMillis) {
+
+        StoredOrder withoutAge() {
+            return new StoredOrder(vm, 0);
+        }
+    }
+
+    /**
+     * An order that an earlier holder stored.
+     *
+     * @param stored the order
+     * @param until when it expires, by this process's clock, in milliseconds
+     */
+    private record PredecessorOrder(StoredOrder stored, long until) {}
 
     /** Creates the record of a holder that has just acquired the lease. */
     RecentVmOrders(HolderContext context) {
@@ -73,21 +86,24 @@
                 () -> stopped,
                 () -> context.fencedStore().scan(ROW_KEY.table(), KeyRange.ALL),
                 page -> {
-                    predecessorOrdersUntil = new HashMap<>();
+                    predecessorOrders = new HashMap<>();
                     page.rows().forEach(r -> addPredecessorOrders(r, page.storeMillis()));
                     loaded = true;
                 });
     }
 
     private void addPredecessorOrders(Row row, long storeMillis) {
-        boolean isAgeKnown =
+        boolean isClockSame =
                 storeMillis > 0 && row.version() > context.storeClock().get().formerClockVersion();
         for (StoredOrder order : Json.decode(row.value(), StoredOrders.class).turns()) {
-            long endsAt =
-                    isAgeKnown && order.storeMillis() > 0
-                            ? predecessorOrderEndsAt(storeMillis - order.storeMillis())
-                            : handoverEndsAt;
-            predecessorOrdersUntil.put(order.vm(), endsAt);
+            boolean isAgeKnown = isClockSame && order.storeMillis() > 0;
+            PredecessorOrder read =
+                    isAgeKnown
+                            ? new PredecessorOrder(
+                                    order,
+                                    predecessorOrderEndsAt(storeMillis - order.storeMillis()))
+                            : new PredecessorOrder(order.withoutAge(), handoverEndsAt);
+            predecessorOrders.put(order.vm(), read);
         }
     }
 
@@ -113,11 +129,13 @@
 
     /** Returns whether an earlier holder may have ordered a VM too recently. */
     boolean mayBeOrderedByPredecessor(String vm, long now) {
-        return now < predecessorOrdersUntil.getOrDefault(vm, Long.MIN_VALUE);
+        PredecessorOrder order = predecessorOrders.get(vm);
+        return order != null && now < order.until();
     }
 
     /**
-     * Stores that VMs are about to be ordered.
+     * Stores that VMs are about to be ordered, beside the orders of earlier holders that have not
+     * expired: the next holder may come before they have.
      *
      * @return whether the orders may be sent; fails when the call to the store fails
      */
@@ -125,16 +143,20 @@
         orderedAt.values().removeIf(at -> now - at > handoverDelayMillis + EXPIRY_MARGIN_MILLIS);
         vms.forEach(vm -> orderedAt.put(vm, now));
         long storedMillis = storeMillisOf(now);
-        List<StoredOrder> orders =
-                new TreeMap<>(orderedAt)
-                        .entrySet().stream()
-                                .map(e -> new StoredOrder(e.getKey(), storeMillisOf(e.getValue())))
-                                .toList();
         return context.fencedStore()
-                .commit(Write.put(ROW_KEY, Json.encode(new StoredOrders(orders))))
+                .commit(Write.put(ROW_KEY, Json.encode(unexpiredOrders(now))))
                 .thenApply(outcome -> isStoredInTime(outcome, now, storedMillis));
     }
 
+    private StoredOrders unexpiredOrders(long now) {
+        Map<String, StoredOrder> orders = new TreeMap<>();
+        predecessorOrders.values().stream()
+                .filter(o -> now < o.until())
+                .forEach(o -> orders.put(o.stored().vm(), o.stored()));
+        orderedAt.forEach((vm, at) -> orders.put(vm, new StoredOrder(vm, storeMillisOf(at))));
+        return new StoredOrders(List.copyOf(orders.values()));
+    }
+
     /** Returns the latest time of the store's clock at a moment; 0 if unknown. */
     private long storeMillisOf(long at) {
         StoreClock clock = context.storeClock().get();
