Read the parts of progress only where a job has them

A new holder sends its first reads together, as many as its window allows (20 of 80 rows). One table more delays the last of them by a call. Parts are rare, so they are read after the rows that say that there are some; otherwise the table is looked through once the holder is ready, for parts that earlier holders left.

JobInPartsTest holds that left parts are deleted.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -197,12 +197,31 @@
                 StoreLayout.PROGRESS_TABLE,
                 KeyRange.ALL,
                 storedProgress::addRow,
-                () -> progressRead = true);
-        readTable(
-                StoreLayout.PARTS_TABLE,
-                KeyRange.ALL,
-                storedProgress::addPart,
-                () -> partsRead = true);
+                this::onProgressRead);
+    }
+
+    /** Reads the parts of large jobs, if there are such jobs. */
+    private void onProgressRead() {
+        progressRead = true;
+        partsRead = !storedProgress.hasJobsInParts();
+        if (!partsRead) {
+            readTable(
+                    StoreLayout.PARTS_TABLE,
+                    KeyRange.ALL,
+                    storedProgress::addPart,
+                    () -> partsRead = true);
+        }
+    }
+
+    /** Deletes the parts that earlier holders left, if no job needs any. */
+    private void deleteLeftParts() {
+        if (!storedProgress.arePartsRead()) {
+            readTable(
+                    StoreLayout.PARTS_TABLE,
+                    KeyRange.ALL,
+                    r -> storedProgress.deleteLeftPart(r, term()),
+                    () -> {});
+        }
     }
 
     private void addPredecessorWorkers(Row row) {
@@ -416,6 +435,7 @@
 
     /** Schedules a planning run after a change, unless one is scheduled. */
     private void replanSoon() {
+        deleteLeftParts();
         if (!planScheduled && !stopped && ready) {
             planScheduled = true;
             // As long as the last plan took at least, so that answers are read in between.
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StoredProgress.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StoredProgress.java
@@ -27,6 +27,7 @@
     private final Map<String, JobProgress> progressByJob = new HashMap<>();
     private final Map<String, Map<RowKey, ProgressPart>> partsByJob = new HashMap<>();
     private final Set<String> unreadable = new HashSet<>();
+    private boolean partsAdded;
 
     /**
      * Creates a collection without progress.
@@ -48,10 +49,33 @@
         }
     }
 
+    /** Returns whether the progress of a job is stored in parts. */
+    boolean hasJobsInParts() {
+        return progressByJob.values().stream().anyMatch(p -> p.partsTerm().isPresent());
+    }
+
+    /** Returns whether parts have been added. */
+    boolean arePartsRead() {
+        return partsAdded;
+    }
+
+    /** Deletes a part that no job needs, unless this holder has stored it since. */
+    void deleteLeftPart(Row row, long term) {
+        try {
+            if (Json.decode(row.value(), ProgressPart.class).term() < term) {
+                writer.recordPart(row);
+                writer.deletePart(row.key());
+            }
+        } catch (RuntimeException e) {
+            logUnreadable(row.key().key(), e);
+        }
+    }
+
     /** Adds a part of the progress of a job. */
     void addPart(Row row) {
         String id = StoreLayout.jobIdOfPart(row.key().key());
         writer.recordPart(row);
+        partsAdded = true;
         try {
             partsByJob
                     .computeIfAbsent(id, i -> new HashMap<>())
