Count an order of the former holder that may still be carried out

Seen by the platform and callers: a slow platform carries an order out up to 0.95 s after it has arrived, and the holder that sent it is stopped meanwhile.

Cause, one of both: the successor knew which VMs had been ordered, not what, and only delayed its own orders for them. Until the list showed the effect, it took the VM for up and free of orders.

Change: the stored order has its kind, and the pool and worker of the VM before it. Until it expires, or the list shows the VM otherwise, it counts like an order of the holder itself. The orders are read before the first start, and their workers are cordoned until the first list.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -140,6 +140,7 @@
         standstills.start();
         manifests.addChangeListener(manifestListener);
         readPredecessorState();
+        vmController.loadOrders(this::onReadDone);
         jobsFollower.start();
         workerSessions.start();
         vmController.load();
@@ -240,7 +241,10 @@
     }
 
     private boolean isPredecessorRead() {
-        return predecessorWorkersRead && progressRead && partsRead;
+        return predecessorWorkersRead
+                && progressRead
+                && partsRead
+                && vmController.areOrdersLoaded();
     }
 
     private void runOnceRead(Runnable task) {
@@ -431,11 +435,11 @@
     /** Removes the progress of jobs whose rows a predecessor had deleted when it was lost. */
     private void removeProgressWithoutJob() {
         storedProgress.removeWithoutJob().forEach(finishedJobs::onEndStored);
+        deleteLeftParts();
     }
 
     /** Schedules a planning run after a change, unless one is scheduled. */
     private void replanSoon() {
-        deleteLeftParts();
         if (!planScheduled && !stopped && ready) {
             planScheduled = true;
             // As long as the last plan took at least, so that answers are read in between.
@@ -455,6 +459,7 @@
             context.recordProgress(PLAN_LOOP);
             return;
         }
+        vmController.cordonOrderedByPredecessor();
         // A failure of one part keeps neither starts, stored progress nor new workers from it.
         context.supervision().run("advice", advice::askNext);
         boolean planned = context.supervision().run(PLAN_LOOP, this::sendOrders);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.Checks;
@@ -12,11 +12,14 @@
 import org.chervillift.api.platform.RowStore.KeyRange;
 import org.chervillift.api.platform.RowStore.Outcome;
 import org.chervillift.api.platform.Transaction.Write;
+import org.chervillift.api.tasks.ListedFleetVm;
+import org.chervillift.api.tasks.ListedFleetVm.Status;
+import org.chervillift.core.tasks.vms.VmView.PendingOrder;
 import org.chervillift.http.Json;
 
 /**
  * Stores which VMs the holder has ordered recently, so that a successor delays orders for only
- * these.
+ * these, and counts orders that are still under way.
  *
  * <p>The VMs are stored before the orders are sent, on condition that no newer holder has taken
  * over. A holder that lost its lease therefore sends no order that its successor does not know of.
@@ -35,7 +38,7 @@
     private final HolderContext context;
     private final long handoverDelayMillis;
     private final long handoverEndsAt;
-    private final Map<String, Long> orderedAt = new HashMap<>();
+    private final Map<String, OwnOrder> ownOrders = new HashMap<>();
     private Map<String, PredecessorOrder> predecessorOrders = Map.of();
     private boolean loaded;
     private boolean stopped;
@@ -56,21 +59,63 @@
      *
      * @param vm the name of the VM
      * @param storeMillis when it was stored, by the store's clock, in milliseconds; 0 if unknown
+     * @param kind the kind of the order; rows of earlier releases lack it and all that follows
+     * @param pool the pool in which the VM was listed before the order
+     * @param worker the worker of the VM before the order; empty if it had none
      */
-    private record StoredOrder(String vm, long storeMillis) {
+    private record StoredOrder(
+            String vm,
+            long storeMillis,
+            Optional<PendingOrder> kind,
+            Optional<String> pool,
+            Optional<String> worker) {
+
+        private StoredOrder {
+            kind = kind == null ? Optional.empty() : kind;
+            pool = pool == null ? Optional.empty() : pool;
+            worker = worker == null ? Optional.empty() : worker;
+        }
 
         StoredOrder withoutAge() {
-            return new StoredOrder(vm, 0);
+            return new StoredOrder(vm, 0, kind, pool, worker);
+        }
+
+        /** Returns whether a VM is listed as it was before the order. */
+        boolean isNotInEffect(ListedFleetVm listed) {
+            return listed.status() == Status.UP
+                    && pool.equals(Optional.of(listed.pool()))
+                    && worker.equals(Optional.of(listed.worker()));
         }
     }
 
+    /**
+     * An order that is about to be sent.
+     *
+     * @param vm the VM as it is listed
+     * @param kind the kind of the order
+     */
+    record NewOrder(ListedFleetVm vm, PendingOrder kind) {}
+
+    /** An order of this holder and when it was decided, in milliseconds. */
+    private record OwnOrder(NewOrder order, long at) {}
+
     /**
      * An order that an earlier holder stored.
      *
      * @param stored the order
      * @param until when it expires, by this process's clock, in milliseconds
+     * @param seenInEffect whether a list has shown that it was carried out
      */
-    private record PredecessorOrder(StoredOrder stored, long until) {}
+    private record PredecessorOrder(StoredOrder stored, long until, boolean seenInEffect) {
+
+        PredecessorOrder(StoredOrder stored, long until) {
+            this(stored, until, false);
+        }
+
+        PredecessorOrder inEffect() {
+            return new PredecessorOrder(stored, until, true);
+        }
+    }
 
     /** Creates the record of a holder that has just acquired the lease. */
     RecentVmOrders(HolderContext context) {
@@ -79,8 +124,12 @@
         this.handoverEndsAt = context.nowMillis() + handoverDelayMillis;
     }
 
-    /** Reads the orders of earlier holders. */
-    void load() {
+    /**
+     * Reads the orders of earlier holders.
+     *
+     * @param onLoaded called when they are read
+     */
+    void load(Runnable onLoaded) {
         RetryingRead.start(
                 context.supervision(),
                 () -> stopped,
@@ -89,6 +138,7 @@
                     predecessorOrders = new HashMap<>();
                     page.rows().forEach(r -> addPredecessorOrders(r, page.storeMillis()));
                     loaded = true;
+                    onLoaded.run();
                 });
     }
 
@@ -133,15 +183,41 @@
         return order != null && now < order.until();
     }
 
+    /**
+     * Returns the order of an earlier holder for a VM that may still be carried out: the VM is
+     * listed as it was before. Once it is listed otherwise the order is in effect.
+     */
+    PendingOrder underWay(ListedFleetVm vm, long now) {
+        PredecessorOrder order = predecessorOrders.get(vm.name());
+        if (order == null || now >= order.until() || order.seenInEffect()) {
+            return PendingOrder.NONE;
+        }
+        if (!order.stored().isNotInEffect(vm)) {
+            predecessorOrders.put(vm.name(), order.inEffect());
+            return PendingOrder.NONE;
+        }
+        return order.stored().kind().orElse(PendingOrder.NONE);
+    }
+
+    /** Returns the workers of the VMs for which an order of an earlier holder may be under way. */
+    List<String> workersOfOrdersUnderWay(long now) {
+        return predecessorOrders.values().stream()
+                .filter(o -> now < o.until() && !o.seenInEffect())
+                .flatMap(o -> o.stored().worker().stream())
+                .filter(w -> !w.isEmpty())
+                .toList();
+    }
+
     /**
      * Stores that VMs are about to be ordered, beside the orders of earlier holders that have not
      * expired: the next holder may come before they have.
      *
      * @return whether the orders may be sent; fails when the call to the store fails
      */
-    CompletionStage<Boolean> store(Set<String> vms, long now) {
-        orderedAt.values().removeIf(at -> now - at > handoverDelayMillis + EXPIRY_MARGIN_MILLIS);
-        vms.forEach(vm -> orderedAt.put(vm, now));
+    CompletionStage<Boolean> store(List<NewOrder> orders, long now) {
+        long expiryMillis = handoverDelayMillis + EXPIRY_MARGIN_MILLIS;
+        ownOrders.values().removeIf(o -> now - o.at() > expiryMillis);
+        orders.forEach(o -> ownOrders.put(o.vm().name(), new OwnOrder(o, now)));
         long storedMillis = storeMillisOf(now);
         return context.fencedStore()
                 .commit(Write.put(ROW_KEY, Json.encode(unexpiredOrders(now))))
@@ -153,10 +229,20 @@
         predecessorOrders.values().stream()
                 .filter(o -> now < o.until())
                 .forEach(o -> orders.put(o.stored().vm(), o.stored()));
-        orderedAt.forEach((vm, at) -> orders.put(vm, new StoredOrder(vm, storeMillisOf(at))));
+        ownOrders.forEach((vm, own) -> orders.put(vm, stored(own)));
         return new StoredOrders(List.copyOf(orders.values()));
     }
 
+    private StoredOrder stored(OwnOrder own) {
+        ListedFleetVm vm = own.order().vm();
+        return new StoredOrder(
+                vm.name(),
+                storeMillisOf(own.at()),
+                Optional.of(own.order().kind()),
+                Optional.of(vm.pool()),
+                Optional.of(vm.worker()));
+    }
+
     /** Returns the latest time of the store's clock at a moment; 0 if unknown. */
     private long storeMillisOf(long at) {
         StoreClock clock = context.storeClock().get();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -44,6 +44,7 @@
     private final Set<String> everListed = new HashSet<>();
     private final Map<String, Long> missingSince = new HashMap<>();
     private PoolPlanner planner;
+    private boolean cordonedFromList;
     private boolean stopped;
 
     VmController(HolderContext context, TaskScheduler board, ManifestTracker manifests) {
@@ -59,11 +60,36 @@
         this.goneVms = new GoneVmDetector(longestAbsence.toMillis());
     }
 
-    /** Reads what earlier holders stored. */
+    /**
+     * Reads the recent orders of earlier holders.
+     *
+     * @param onLoaded called when they are read
+     */
+    void loadOrders(Runnable onLoaded) {
+        recentOrders.load(onLoaded);
+    }
+
+    /** Reads what else earlier holders stored. */
     void load() {
         waveProgress.load();
         initialPoolSizes.load();
-        recentOrders.load();
+    }
+
+    /** Returns whether the recent orders of earlier holders are read. */
+    boolean areOrdersLoaded() {
+        return recentOrders.isLoaded();
+    }
+
+    /**
+     * Keeps tasks off the workers that an order of an earlier holder may end, until a list shows
+     * which of these orders are in effect.
+     */
+    void cordonOrderedByPredecessor() {
+        if (!cordonedFromList) {
+            recentOrders
+                    .workersOfOrdersUnderWay(context.nowMillis())
+                    .forEach(w -> board.setCordoned(w, true));
+        }
     }
 
     /** Starts the periodic rounds. */
@@ -240,7 +266,7 @@
                 vm.worker().isEmpty()
                         ? WorkerLoad.IDLE
                         : board.loadOf(vm.worker(), context.nowMillis());
-        return new VmView(vm, load, orders.openOrder(vm.name()));
+        return new VmView(vm, load, orders.openOrder(vm));
     }
 
     private Set<String> decideWaves(List<FleetWavePlanner.Progress> open, Round round) {
@@ -262,7 +288,10 @@
                 draining.add(vm);
                 if (mayOrder(views.get(vm), round)) {
                     long number = wave.order().number();
-                    orders.maintain(vm, number, () -> waveProgress.recordMaintenance(number, vm));
+                    orders.maintain(
+                            views.get(vm).vm(),
+                            number,
+                            () -> waveProgress.recordMaintenance(number, vm));
                 }
             }
             for (String vm : decision.drain()) {
@@ -290,9 +319,11 @@
     }
 
     private void cordon(Map<String, VmView> views, Set<String> draining) {
+        cordonedFromList = true;
         for (VmView view : views.values()) {
             String name = view.vm().name();
-            boolean cordon = draining.contains(name) || orders.openOrder(name) != PendingOrder.NONE;
+            boolean cordon =
+                    draining.contains(name) || orders.openOrder(view.vm()) != PendingOrder.NONE;
             if (!view.vm().worker().isEmpty()) {
                 board.setCordoned(view.vm().worker(), cordon);
             }
@@ -323,7 +354,7 @@
             String worker = round.views().get(move.vm()).vm().worker();
             board.setCordoned(worker, true);
             cordoned.add(move.vm());
-            orders.move(move.vm(), move.from(), move.to());
+            orders.move(round.views().get(move.vm()).vm(), move.to());
         }
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
@@ -14,6 +14,7 @@
 import org.chervillift.api.tasks.ListedFleetVm;
 import org.chervillift.api.tasks.ListedFleetVm.Status;
 import org.chervillift.core.tasks.vms.VmView.PendingOrder;
+import org.chervillift.daemon.tasks.RecentVmOrders.NewOrder;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 
@@ -29,18 +30,23 @@
     /**
      * An order that has not been sent yet.
      *
-     * @param vm the VM
+     * @param listed the VM as it is listed
      * @param kind the kind of the order
      * @param description the order in words, for the log
      * @param call sends the order
      * @param onDone called when the platform answers that the order is in force
      */
     private record UnsentOrder(
-            String vm,
+            ListedFleetVm listed,
             PendingOrder kind,
             String description,
             Supplier<CompletionStage<VmAnswer>> call,
-            Runnable onDone) {}
+            Runnable onDone) {
+
+        String vm() {
+            return listed.name();
+        }
+    }
 
     /**
      * An order whose effect no list has shown yet.
@@ -62,9 +68,9 @@
     }
 
     /** Returns the kind of the VM's order that is in progress or not yet listed. */
-    PendingOrder openOrder(String vm) {
-        TrackedOrder order = pendingOrders.get(vm);
-        return order == null ? PendingOrder.NONE : order.kind();
+    PendingOrder openOrder(ListedFleetVm vm) {
+        TrackedOrder order = pendingOrders.get(vm.name());
+        return order == null ? recentOrders.underWay(vm, context.nowMillis()) : order.kind();
     }
 
     /** Removes orders whose effect is shown by a list that was requested after they were sent. */
@@ -83,21 +89,21 @@
                                         && up.contains(e.getKey()));
     }
 
-    void move(String vm, String from, String to) {
+    void move(ListedFleetVm vm, String to) {
         add(
                 vm,
                 PendingOrder.MOVE,
-                "move from " + from + " to " + to,
-                () -> context.vms().move(vm, to, dutyToken()),
+                "move from " + vm.pool() + " to " + to,
+                () -> context.vms().move(vm.name(), to, dutyToken()),
                 () -> {});
     }
 
-    void maintain(String vm, long wave, Runnable onDone) {
+    void maintain(ListedFleetVm vm, long wave, Runnable onDone) {
         add(
                 vm,
                 PendingOrder.MAINTENANCE,
                 "maintenance of wave " + wave,
-                () -> context.vms().maintain(vm, wave, dutyToken()),
+                () -> context.vms().maintain(vm.name(), wave, dutyToken()),
                 onDone);
     }
 
@@ -106,12 +112,12 @@
     }
 
     private void add(
-            String vm,
+            ListedFleetVm vm,
             PendingOrder kind,
             String description,
             Supplier<CompletionStage<VmAnswer>> call,
             Runnable onDone) {
-        pendingOrders.put(vm, new TrackedOrder(kind, context.nowMillis(), false));
+        pendingOrders.put(vm.name(), new TrackedOrder(kind, context.nowMillis(), false));
         unsentOrders.add(new UnsentOrder(vm, kind, description, call, onDone));
     }
 
@@ -122,8 +128,9 @@
         }
         List<UnsentOrder> orders = List.copyOf(unsentOrders);
         unsentOrders.clear();
-        Set<String> vms = orders.stream().map(UnsentOrder::vm).collect(Collectors.toSet());
-        CompletionStage<Boolean> call = recentOrders.store(vms, context.nowMillis());
+        List<NewOrder> recent =
+                orders.stream().map(o -> new NewOrder(o.listed(), o.kind())).toList();
+        CompletionStage<Boolean> call = recentOrders.store(recent, context.nowMillis());
         storingOrders = true;
         context.supervision()
                 .whenAnswered(
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
@@ -35,6 +35,8 @@
     private final List<SeenMove> moves = new ArrayList<>();
     private final List<String> maintained = new ArrayList<>();
     private Set<String> leftOut = Set.of();
+    private Duration orderLatency = LATENCY;
+    private int ordersReceived;
     private boolean movesHeld;
     private long heartbeats;
 
@@ -102,6 +104,16 @@
         this.movesHeld = held;
     }
 
+    /** Sets how long it takes to carry out and answer an order from now on. */
+    public void setOrderLatency(Duration latency) {
+        this.orderLatency = Checks.notNull("latency", latency);
+    }
+
+    /** Returns how many orders have arrived. */
+    public int ordersReceived() {
+        return ordersReceived;
+    }
+
     /** Lets lists leave out these VMs, and no others, from now on. */
     public void leaveOut(Set<String> names) {
         this.leftOut = Set.copyOf(names);
@@ -145,7 +157,8 @@
 
     @Override
     public CompletionStage<VmAnswer> move(String vm, String pool, Duty duty) {
-        return later.complete(LATENCY, () -> moveNow(vm, pool, duty));
+        ordersReceived++;
+        return later.complete(orderLatency, () -> moveNow(vm, pool, duty));
     }
 
     private VmAnswer moveNow(String name, String pool, Duty duty) {
@@ -163,7 +176,8 @@
 
     @Override
     public CompletionStage<VmAnswer> maintain(String vm, long wave, Duty duty) {
-        return later.complete(LATENCY, () -> maintainNow(vm, duty));
+        ordersReceived++;
+        return later.complete(orderLatency, () -> maintainNow(vm, duty));
     }
 
     private VmAnswer maintainNow(String name, Duty duty) {
