Acknowledge no end of a run before the rows that replace its own are stored

An end of a run could then count as stored while only the rows of other jobs were. A holder lost at that moment leaves a successor that starts a done task again (TWICE).

Change: the rows that take over begin with the number of the first change that they take over. Done occurrences are condensed when a job moves to parts, and parts of condensed occurrences are not stored again.

ProgressInPartsTest, two new tests, red before (40 ends and 1 end acknowledged where 0 may be).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -41,7 +41,7 @@
         if (job.isDone()) {
             end(job, JobState.COMPLETED, now);
         } else if (step.isDone() && job.condenseDoneOccurrences()) {
-            changes.jobChanged(job);
+            changes.occurrencesCondensed(job);
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressChanges.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressChanges.java
@@ -1,11 +1,12 @@
 package org.chervillift.core.tasks;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -40,7 +41,12 @@
     }
 
     /** The numbers of the first and of the last change that the stored row lacks. */
-    private record Change(long first, long last) {}
+    private record Change(long first, long last) {
+
+        Change plus(Change other) {
+            return new Change(Math.min(first, other.first), Math.max(last, other.last));
+        }
+    }
 
     /**
      * Creates a tracker without changes.
@@ -81,33 +87,63 @@
         JobEntry job = step.job();
         if (job.layout() == ProgressLayout.ONE_ROW || job.isFinal()) {
             jobChanged(job);
-        } else {
+        } else if (!job.isCondensed(step.occurrence())) {
             add(parts, new Target.OfPart(step, number));
         }
     }
 
     private void add(Map<Target, Change> changes, Target target) {
         changeCount++;
-        changes.merge(
-                target,
-                new Change(changeCount, changeCount),
-                (before, now) -> new Change(before.first(), now.last()));
+        changes.merge(target, new Change(changeCount, changeCount), Change::plus);
+    }
+
+    /** Records that occurrences of a job are condensed: its row says all that their parts said. */
+    void occurrencesCondensed(JobEntry job) {
+        OptionalLong first =
+                removeParts(
+                        t ->
+                                t instanceof Target.OfPart part
+                                        && part.job() == job
+                                        && job.isCondensed(part.step().occurrence()));
+        jobChangedSince(job, first);
     }
 
-    /** Records that a job is in a final state: its parts need not be stored any more. */
+    /** Records that a job is in a final state: its row says all that its parts said. */
     void jobEnded(JobEntry job) {
-        if (job.layout() != ProgressLayout.ONE_ROW) {
-            parts.keySet().removeIf(t -> t.job() == job);
-        }
+        OptionalLong first =
+                job.layout() == ProgressLayout.ONE_ROW
+                        ? OptionalLong.empty()
+                        : removeParts(t -> t.job() == job);
+        jobChangedSince(job, first);
+    }
+
+    /** Forgets the changes of some parts; returns the number of the first of them. */
+    private OptionalLong removeParts(Predicate<Target> which) {
+        OptionalLong first =
+                parts.entrySet().stream()
+                        .filter(e -> which.test(e.getKey()))
+                        .mapToLong(e -> e.getValue().first())
+                        .min();
+        parts.keySet().removeIf(which);
+        return first;
+    }
+
+    /** Records that the row of a job lacks changes which other rows would have held. */
+    private void jobChangedSince(JobEntry job, OptionalLong first) {
         jobChanged(job);
+        Target target = new Target.OfJob(job);
+        Map<Target, Change> changes = jobs.containsKey(target) ? jobs : parts;
+        first.ifPresent(f -> changes.merge(target, new Change(f, f), Change::plus));
     }
 
     /** Stores a job in parts from now on; its row is replaced once all parts are stored. */
     void moveToParts(JobEntry job) {
         job.moveToParts(term);
-        jobs.remove(new Target.OfJob(job));
+        Change before = jobs.remove(new Target.OfJob(job));
+        job.condenseDoneOccurrences();
         job.steps().filter(s -> !s.begunPools().isEmpty()).forEach(this::allPartsChanged);
-        jobChanged(job);
+        jobChangedSince(
+                job, before == null ? OptionalLong.empty() : OptionalLong.of(before.first()));
     }
 
     private void allPartsChanged(StepEntry step) {
@@ -174,9 +210,8 @@
     /** Returns the number of changes up to which all are stored. */
     long storedUpTo() {
         return Stream.of(jobs, parts)
-                .map(m -> m.values().iterator())
-                .filter(Iterator::hasNext)
-                .mapToLong(i -> i.next().first() - 1)
+                .flatMap(m -> m.values().stream())
+                .mapToLong(c -> c.first() - 1)
                 .min()
                 .orElse(changeCount);
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
@@ -88,6 +88,46 @@
         assertThat(fixture.scheduler.acknowledgedEnd("w2")).isEqualTo(TASKS);
     }
 
+    /** The ends came before the job was moved, and only the rows of others were stored since. */
+    @Test
+    void endsAreNotAcknowledgedWhileTheirJobMovesToParts() {
+        fixture.addWorker("w1", 1_000 * TASKS);
+        fixture.accept("a", SchedulerFixture.step(TASKS, 1_000));
+        fixture.starts();
+        fixture.accept("b", SchedulerFixture.step(1, 1_000));
+        fixture.scheduler.cancel("b", fixture.now);
+        fixture.endAll("w1", RunEnd.FAILED);
+        UnstoredProgress others = fixture.scheduler.unstoredProgress(1);
+        assertThat(others.rows()).extracting(ProgressRow::jobId).containsExactly("b");
+        fixture.scheduler.markStored(others);
+        fixture.scheduler.storeInParts("a");
+        fixture.scheduler.markStored(fixture.scheduler.unstoredProgress(1));
+        assertThat(fixture.scheduler.acknowledgedEnd("w1")).isZero();
+
+        fixture.store();
+        assertThat(fixture.scheduler.acknowledgedEnd("w1")).isEqualTo(TASKS);
+    }
+
+    /** The parts say no more that tasks are done, and the row does not say so yet. */
+    @Test
+    void endsAreNotAcknowledgedBeforeTheEndOfTheirJobIsStored() {
+        moveToParts();
+        fixture.starts();
+        fixture.end("w2", fixture.runningByWorker.get("w2").getFirst().task(), RunEnd.DONE);
+        fixture.report("w2");
+        fixture.accept("b", SchedulerFixture.step(1, 1_000));
+        fixture.scheduler.cancel("b", fixture.now);
+        fixture.scheduler.markStored(fixture.scheduler.unstoredProgress(2), 1);
+        fixture.endAll("w2", RunEnd.DONE);
+        assertThat(fixture.scheduler.acknowledgedEnd("w2")).isZero();
+        UnstoredProgress end = fixture.scheduler.unstoredProgress();
+        fixture.scheduler.markStored(end, 0);
+        assertThat(fixture.scheduler.acknowledgedEnd("w2")).isZero();
+
+        fixture.store();
+        assertThat(fixture.scheduler.acknowledgedEnd("w2")).isEqualTo(TASKS);
+    }
+
     @Test
     void theRowsOfOtherJobsGoBeforeTheParts() {
         moveToParts();
