--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakCheck.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakCheck.java
@@ -1,5 +1,6 @@
 package org.chervillift.daemon.tasks;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
  */
 final class SoakCheck {
 
+    private static final Duration ANSWER_TIME = Duration.ofSeconds(2);
     private static final long MIN_CALM_MILLIS = 4_000;
     private static final long MAX_STANDSTILL_MILLIS = 3_000;
     private static final long MAX_SERVICE_GAP_MILLIS = 6_000;
@@ -34,8 +36,15 @@
         this.load = load;
     }
 
-    List<String> violations() {
-        return violations;
+    /** Returns all that has been wrong, after a last look at each job. */
+    List<String> violationsAtEnd() {
+        List<String> all = new ArrayList<>(violations);
+        List<String> wrong = lookAtEnds();
+        world.base.advance(ANSWER_TIME);
+        all.addAll(wrong);
+        all.addAll(world.fleet.repeatedStarts());
+        world.faults.forEach(f -> all.add("a callback threw " + f));
+        return all;
     }
 
     /** Looks at all jobs once. */
@@ -127,7 +136,7 @@
     }
 
     /** Asks for each accepted job, and returns what is wrong. */
-    List<String> lookAtEnds() {
+    private List<String> lookAtEnds() {
         List<String> wrong = new ArrayList<>();
         for (SoakJob job : load.jobs()) {
             if (job.isAccepted()) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
@@ -1,6 +1,7 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
     private final Map<String, SoakVm> vms = new TreeMap<>();
     private final Map<String, SoakWorker> workers = new HashMap<>();
     private final Map<String, SoakJob> jobs = new HashMap<>();
+    private final List<String> repeated = new ArrayList<>();
     private long heartbeats;
 
     /** A VM and the lifetime of its worker. */
@@ -98,6 +100,25 @@
         return job(task).request(task);
     }
 
+    /** Checks that a task neither runs elsewhere nor has ended well to the holder's knowledge. */
+    void taskStarts(TaskId task, String worker) {
+        boolean again =
+                job(task).isNotedDone(task) || liveWorkers().stream().anyMatch(w -> runs(w, task));
+        if (again) {
+            repeated.add(nowMillis() + " task " + task + " starts again on " + worker);
+        }
+    }
+
+    private static boolean runs(SoakWorker worker, TaskId task) {
+        worker.checkLease();
+        return worker.isRunning(task);
+    }
+
+    /** Returns the starts of tasks that ran, or had run, already. */
+    List<String> repeatedStarts() {
+        return repeated;
+    }
+
     void taskCrashed(TaskId task) {
         job(task).crashed(task);
         int run = 0;
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakJob.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakJob.java
@@ -23,6 +23,8 @@
     private final Set<TaskId> done = new HashSet<>();
     private final Map<TaskId, Integer> failures = new HashMap<>();
     private final Map<TaskId, Integer> crashes = new HashMap<>();
+    private final Set<TaskId> notedDone = new HashSet<>();
+    private int failuresOfEachTask;
     private boolean accepted;
     private boolean cancelSent;
 
@@ -40,6 +42,18 @@
         this.hopeless = hopeless;
     }
 
+    /** Lets the first runs of each task fail. */
+    SoakJob failingFirst(int failuresOfEach) {
+        failuresOfEachTask = failuresOfEach;
+        return this;
+    }
+
+    /** Returns whether the next run of a task fails by the task's own fault. */
+    boolean failsNext(TaskId task) {
+        return (hopeless && task.index() % 2 == 0)
+                || failures.getOrDefault(task, 0) < failuresOfEachTask;
+    }
+
     JobSpec spec() {
         return spec;
     }
@@ -60,10 +74,6 @@
         return taskMillis;
     }
 
-    boolean isHopeless() {
-        return hopeless;
-    }
-
     StepSpec step(TaskId task) {
         return spec.steps().get(task.step());
     }
@@ -100,6 +110,17 @@
         }
     }
 
+    /** Records that a worker was told that an end need not be reported again. */
+    void noted(TaskId task, RunEnd end) {
+        if (end == RunEnd.DONE) {
+            notedDone.add(task);
+        }
+    }
+
+    boolean isNotedDone(TaskId task) {
+        return notedDone.contains(task);
+    }
+
     void crashed(TaskId task) {
         crashes.merge(task, 1, Integer::sum);
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
@@ -70,7 +70,7 @@
         boolean service = services < MAX_SERVICES && random.nextInt(20) == 0;
         if (service) {
             services++;
-            StepSpec step = step(2 + random.nextInt(2), 1_000, List.of(), false, true);
+            StepSpec step = step(2 + random.nextInt(2), request(1_000), List.of(), false, true);
             return new SoakJob(
                     new JobSpec(id, "payload", List.of(step), Schedule.ONCE),
                     queue,
@@ -106,16 +106,21 @@
             boolean wide = !gang && !repeats && random.nextDouble() < WIDE_SHARE;
             int tasks = wide ? 20 + random.nextInt(40) : 1 + random.nextInt(4);
             long cores = wide ? 500 : 500 * (1 + random.nextInt(4));
-            steps.add(step(tasks, cores, after, gang, false));
+            steps.add(step(tasks, request(cores), after, gang, false));
         }
         return steps;
     }
 
-    private static StepSpec step(
-            int count, long milliCores, List<Integer> after, boolean gang, boolean service) {
+    private static Resources request(long milliCores) {
+        return new Resources(milliCores, 100, 0);
+    }
+
+    /** Returns a step of which one task may be away if it is a service. */
+    static StepSpec step(
+            int count, Resources request, List<Integer> after, boolean gang, boolean service) {
         return new StepSpec(
                 count,
-                new Resources(milliCores, 100, 0),
+                request,
                 500,
                 after,
                 gang,
@@ -132,7 +137,8 @@
                 false);
     }
 
-    private void submit(SoakJob job) {
+    /** Hands a job in. */
+    void submit(SoakJob job) {
         jobs.put(job.id(), job);
         world.fleet.add(job);
         ask(
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorker.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorker.java
@@ -130,13 +130,20 @@
         }
         checkLease();
         fence = token;
-        ended.removeIf(e -> e.number() <= acknowledged);
+        acknowledge(acknowledged);
         leaseEnd.ifPresent(e -> expiresAt = Math.max(expiresAt, e));
         holds.add(new Hold(clock() + wait.toMillis(), answer));
         answerHolds();
         scheduler.schedule(wait, this::answerHolds);
     }
 
+    private void acknowledge(long number) {
+        ended.stream()
+                .filter(e -> e.number() <= number)
+                .forEach(e -> fleet.job(e.task()).noted(e.task(), e.end()));
+        ended.removeIf(e -> e.number() <= number);
+    }
+
     private void answerHolds() {
         checkLease();
         if (crashed) {
@@ -189,9 +196,10 @@
 
     private void begin(TaskId task, int run) {
         Started started = new Started(run, clock());
+        fleet.taskStarts(task, entry.id());
         running.put(task, started);
         SoakJob job = fleet.job(task);
-        boolean fails = failing || (job.isHopeless() && task.index() % 2 == 0);
+        boolean fails = failing || job.failsNext(task);
         if (fails || !job.isService()) {
             Duration time = fails ? FAILURE_TIME : Duration.ofMillis(job.taskMillis());
             scheduler.schedule(time, () -> finish(task, started, fails));
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -52,12 +51,9 @@
         SoakCheck check = new SoakCheck(world, load);
         world.base.advance(Duration.ofSeconds(2));
         run(world, load, troubles, check);
-        List<String> wrong = check.lookAtEnds();
-        world.base.advance(Duration.ofSeconds(2));
-        List<String> all = new ArrayList<>(check.violations());
-        all.addAll(wrong);
-        world.faults.forEach(f -> all.add("a callback threw " + f));
-        assertThat(all).as("seed %d, troubles %s", seed, troubles.history()).isEmpty();
+        assertThat(check.violationsAtEnd())
+                .as("seed %d, troubles %s", seed, troubles.history())
+                .isEmpty();
     }
 
     private static void run(
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryStore.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +30,9 @@
     public static final Duration LATENCY = Duration.ofMillis(4);
 
     private static final long MAX_ROW_BYTES = 65_536;
-    private static final long MAX_COMMIT_BYTES = 1_000_000;
+    private static final long MAX_CALL_BYTES = 1_000_000;
+    private static final int MAX_COMMIT_ENTRIES = 100;
+    private static final double BASE64_LENGTH = 4.0 / 3;
 
     static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
     static final Duration POLL_TIMEOUT = Duration.ofMillis(3_000);
@@ -36,12 +40,17 @@
     private final Scheduler scheduler;
     private final Later later;
     private final Map<String, Map<RowKey, Row>> parts = new HashMap<>();
-    private final List<Change> history = new ArrayList<>();
+    private final Deque<PastChange> history = new ArrayDeque<>();
+    private long forgottenUpTo;
+    private Optional<Duration> historyKept = Optional.empty();
     private StoreFault fault = StoreFault.NONE;
     private Duration latency = LATENCY;
     private LongUnaryOperator clock = LongUnaryOperator.identity();
     private long version;
 
+    /** A change and the time when it was made, in milliseconds. */
+    private record PastChange(Change change, long at) {}
+
     /** Creates an empty store. */
     public MemoryStore(Scheduler scheduler) {
         this.scheduler = Checks.notNull("scheduler", scheduler);
@@ -67,6 +76,11 @@
         this.clock = Checks.notNull("clock", newClock);
     }
 
+    /** Forgets changes that are older than a time, from now on; else it forgets none. */
+    public void keepHistory(Duration time) {
+        this.historyKept = Optional.of(time);
+    }
+
     /** Puts a row at once, as the operator and the workers do. */
     public void put(RowKey key, String value) {
         apply(COMMON_PART, List.of(), List.of(Write.put(key, value)));
@@ -90,12 +104,26 @@
                         .filter(r -> inRange(r.key().key(), range))
                         .sorted(Comparator.comparing(r -> r.key().key()))
                         .toList();
-        int taken = Math.min(most, MOST_ROWS);
+        int taken = Math.min(Math.min(most, MOST_ROWS), rowsInOneCall(rows));
         boolean hasMore = rows.size() > taken;
         List<Row> first = hasMore ? rows.subList(0, taken) : rows;
         return new Page(first, hasMore, version, clockMillis());
     }
 
+    /** Returns how many rows, from the first on, fit in an answer; at least one. */
+    private static int rowsInOneCall(List<Row> rows) {
+        double bytes = 0;
+        int count = 0;
+        for (Row row : rows) {
+            bytes += row.value().length() * BASE64_LENGTH;
+            if (count > 0 && bytes > MAX_CALL_BYTES) {
+                return count;
+            }
+            count++;
+        }
+        return count;
+    }
+
     private static boolean inRange(String key, KeyRange range) {
         return range.from().map(f -> key.compareTo(f) >= 0).orElse(true)
                 && range.until().map(u -> key.compareTo(u) < 0).orElse(true);
@@ -108,7 +136,7 @@
                 callTime(),
                 () -> {
                     checkUp();
-                    checkSize(writes);
+                    checkSize(conditions, writes);
                     Outcome outcome = apply(part, conditions, writes);
                     if (fault == StoreFault.LOSE_REPLIES) {
                         throw unanswered();
@@ -117,16 +145,19 @@
                 });
     }
 
-    private static void checkSize(List<Write> writes) {
-        long bytes = 0;
+    private static void checkSize(List<Condition> conditions, List<Write> writes) {
+        if (conditions.size() + writes.size() > MAX_COMMIT_ENTRIES) {
+            throw refused("The transaction has too many entries.");
+        }
+        double bytes = 0;
         for (Write w : writes) {
             long value = w.value().map(v -> v.getBytes(StandardCharsets.UTF_8).length).orElse(0);
-            bytes += value;
+            bytes += value * BASE64_LENGTH;
             if (value > MAX_ROW_BYTES) {
                 throw refused("A row is too large.");
             }
         }
-        if (bytes > MAX_COMMIT_BYTES) {
+        if (bytes > MAX_CALL_BYTES) {
             throw refused("The transaction is too large.");
         }
     }
@@ -151,11 +182,22 @@
                     .ifPresentOrElse(
                             v -> rows.put(w.key(), new Row(w.key(), version, v)),
                             () -> rows.remove(w.key()));
-            history.add(new Change(w.key(), version, w.value()));
+            history.add(new PastChange(new Change(w.key(), version, w.value()), nowMillis()));
         }
+        forgetOldHistory();
         return new Outcome.Committed(version, clockMillis());
     }
 
+    private void forgetOldHistory() {
+        if (historyKept.isEmpty()) {
+            return;
+        }
+        long from = nowMillis() - historyKept.get().toMillis();
+        while (history.getFirst().at() < from) {
+            forgottenUpTo = history.removeFirst().change().version();
+        }
+    }
+
     private static long versionOf(Row row) {
         return row == null ? 0 : row.version();
     }
@@ -177,7 +219,7 @@
             future.completeExceptionally(refused());
             return;
         }
-        if (fault == StoreFault.FORGETFUL) {
+        if (fault == StoreFault.FORGETFUL || after < forgottenUpTo) {
             future.complete(new Changes.HistoryLost());
             return;
         }
@@ -191,13 +233,16 @@
 
     /** Searches from the newest change back, as followers are seldom far behind. */
     private List<Change> changesAfter(String table, long after) {
-        int first = history.size();
-        while (first > 0 && history.get(first - 1).version() > after) {
-            first--;
+        List<Change> newest = new ArrayList<>();
+        for (PastChange past : (Iterable<PastChange>) history::descendingIterator) {
+            if (past.change().version() <= after) {
+                break;
+            }
+            if (past.change().key().table().equals(table)) {
+                newest.add(past.change());
+            }
         }
-        return history.subList(first, history.size()).stream()
-                .filter(c -> c.key().table().equals(table))
-                .toList();
+        return newest.reversed();
     }
 
     private Duration callTime() {
