Hold back VM orders, not starts, if the recent orders cannot be read

Change: the row is logged (7013) and any VM counts as ordered by the former holder until the hand-over delay is over.

HandoverSeriesTest.ordersThatCannotBeReadHoldBackOrdersButNoStarts, red before.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -40,6 +40,7 @@
     private final long handoverEndsAt;
     private final Map<String, OwnOrder> ownOrders = new HashMap<>();
     private Map<String, PredecessorOrder> predecessorOrders = Map.of();
+    private boolean unreadable;
     private boolean loaded;
     private boolean stopped;
 
@@ -136,12 +137,22 @@
                 () -> context.fencedStore().scan(ROW_KEY.table(), KeyRange.ALL),
                 page -> {
                     predecessorOrders = new HashMap<>();
-                    page.rows().forEach(r -> addPredecessorOrders(r, page.storeMillis()));
+                    page.rows().forEach(r -> readOrders(r, page.storeMillis()));
                     loaded = true;
                     onLoaded.run();
                 });
     }
 
+    /** Reads a row; if it cannot be read, any VM may have been ordered. */
+    private void readOrders(Row row, long storeMillis) {
+        try {
+            addPredecessorOrders(row, storeMillis);
+        } catch (RuntimeException e) {
+            unreadable = true;
+            StoredProgress.logUnreadable(row.key().key(), e);
+        }
+    }
+
     private void addPredecessorOrders(Row row, long storeMillis) {
         boolean isClockSame =
                 storeMillis > 0 && row.version() > context.storeClock().get().formerClockVersion();
@@ -180,7 +191,7 @@
     /** Returns whether an earlier holder may have ordered a VM too recently. */
     boolean mayBeOrderedByPredecessor(String vm, long now) {
         PredecessorOrder order = predecessorOrders.get(vm);
-        return order != null && now < order.until();
+        return unreadable ? now < handoverEndsAt : order != null && now < order.until();
     }
 
     /**
