Lift the cordon of a former holder's order when the order expires, list or not

OrderUnderWayTest.anOrderThatIsNeverCarriedOutHoldsItsVmBackOnlyUntilItExpires, red before (no task starts on that VM).

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowKey;
@@ -211,12 +213,12 @@
     }
 
     /** Returns the workers of the VMs for which an order of an earlier holder may be under way. */
-    List<String> workersOfOrdersUnderWay(long now) {
+    Set<String> workersOfOrdersUnderWay(long now) {
         return predecessorOrders.values().stream()
                 .filter(o -> now < o.until() && !o.seenInEffect())
                 .flatMap(o -> o.stored().worker().stream())
                 .filter(w -> !w.isEmpty())
-                .toList();
+                .collect(Collectors.toSet());
     }
 
     /**
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -44,6 +44,7 @@
     private final Set<String> everListed = new HashSet<>();
     private final Map<String, Long> missingSince = new HashMap<>();
     private PoolPlanner planner;
+    private Set<String> cordonedBeforeList = Set.of();
     private boolean cordonedFromList;
     private boolean stopped;
 
@@ -82,14 +83,18 @@
 
     /**
      * Keeps tasks off the workers that an order of an earlier holder may end, until a list shows
-     * which of these orders are in effect.
+     * which of these orders are in effect, or they have expired.
      */
     void cordonOrderedByPredecessor() {
-        if (!cordonedFromList) {
-            recentOrders
-                    .workersOfOrdersUnderWay(context.nowMillis())
-                    .forEach(w -> board.setCordoned(w, true));
+        if (cordonedFromList) {
+            return;
         }
+        Set<String> underWay = recentOrders.workersOfOrdersUnderWay(context.nowMillis());
+        cordonedBeforeList.stream()
+                .filter(w -> !underWay.contains(w))
+                .forEach(w -> board.setCordoned(w, false));
+        underWay.forEach(w -> board.setCordoned(w, true));
+        cordonedBeforeList = underWay;
     }
 
     /** Starts the periodic rounds. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/OrderUnderWayTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/OrderUnderWayTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
@@ -44,16 +45,19 @@
 
     /** Hands in a job of which each VM runs one task. */
     private void submitWide(int tasks) {
+        submitWide(JOB, tasks);
+    }
+
+    private void submitWide(String id, int tasks) {
         JobSpec wide =
-                new JobSpec(
-                        JOB, "p", List.of(NodeFixture.step(tasks, 6_000, false)), Schedule.ONCE);
+                new JobSpec(id, "p", List.of(NodeFixture.step(tasks, 6_000, false)), Schedule.ONCE);
         JobRequest request =
                 new JobRequest(
                         JobRequest.Action.SUBMIT,
                         "h.example",
-                        "/q/" + JOB,
+                        "/q/" + id,
                         Optional.of(NodeFixture.KEY),
-                        id -> wide);
+                        i -> wide);
         assertThat(fixture.await(successor.answer(request))).isEqualTo(new JobAnswer.Accepted());
     }
 
@@ -90,6 +94,25 @@
                 .noneMatch(s -> s.endsWith("@w-" + maintained));
     }
 
+    /** The workers of such orders stayed cordoned while no list came. */
+    @Test
+    void anOrderThatIsNeverCarriedOutHoldsItsVmBackOnlyUntilItExpires() {
+        fixture.fleet.setOrderLatency(Duration.ofHours(1));
+        loseHolderAfterItsFirstOrder(1);
+        fixture.fleet.leaveOut(Set.copyOf(VMS));
+        submitWide(VMS.size());
+        fixture.advanceMillis(300);
+        assertThat(fixture.fleet.starts()).hasSize(VMS.size() - 1);
+        fixture.advanceMillis(NodeFixture.HANDOVER_DELAY_MILLIS + 2_000);
+        submitWide("5c0e7a21d94b36f9", VMS.size());
+        fixture.advanceMillis(300);
+        assertThat(VMS)
+                .allSatisfy(
+                        vm ->
+                                assertThat(fixture.fleet.starts())
+                                        .anyMatch(s -> s.contains("@w-" + vm)));
+    }
+
     /** An order that is in effect holds its VM back no longer. */
     @Test
     void aVmThatIsBackRunsTasksAtOnce() {
