Cordon the workers of a former holder's orders also after the first list

Two of five tasks were started on VMs whose maintenance the former holder had ordered 370 ms before, and ended there.

Cause: these workers were cordoned until the first list of VMs, from then on by the rounds that follow a list. A worker that the new holder came to know after its first list was not cordoned until the second one, 300 ms later.

Change: they are cordoned in each planning, as long as the order is under way.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RecentVmOrders.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
@@ -212,13 +211,13 @@
         return order.stored().kind().orElse(PendingOrder.NONE);
     }
 
-    /** Returns the workers of the VMs for which an order of an earlier holder may be under way. */
-    Set<String> workersOfOrdersUnderWay(long now) {
+    /** Returns the workers, by VM, that an order of an earlier holder under way may end. */
+    Map<String, String> workersOfOrdersUnderWay(long now) {
         return predecessorOrders.values().stream()
                 .filter(o -> now < o.until() && !o.seenInEffect())
-                .flatMap(o -> o.stored().worker().stream())
-                .filter(w -> !w.isEmpty())
-                .collect(Collectors.toSet());
+                .map(PredecessorOrder::stored)
+                .filter(o -> !o.worker().orElse("").isEmpty())
+                .collect(Collectors.toMap(StoredOrder::vm, o -> o.worker().get()));
     }
 
     /**
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -44,8 +44,7 @@
     private final Set<String> everListed = new HashSet<>();
     private final Map<String, Long> missingSince = new HashMap<>();
     private PoolPlanner planner;
-    private Set<String> cordonedBeforeList = Set.of();
-    private boolean cordonedFromList;
+    private Map<String, String> cordonedForPredecessor = Map.of();
     private boolean stopped;
 
     VmController(HolderContext context, TaskScheduler board, ManifestTracker manifests) {
@@ -83,18 +82,18 @@
 
     /**
      * Keeps tasks off the workers that an order of an earlier holder may end, until a list shows
-     * which of these orders are in effect, or they have expired.
+     * that it is in effect, or it has expired. A worker may become known after the first list.
      */
     void cordonOrderedByPredecessor() {
-        if (cordonedFromList) {
-            return;
-        }
-        Set<String> underWay = recentOrders.workersOfOrdersUnderWay(context.nowMillis());
-        cordonedBeforeList.stream()
-                .filter(w -> !underWay.contains(w))
-                .forEach(w -> board.setCordoned(w, false));
-        underWay.forEach(w -> board.setCordoned(w, true));
-        cordonedBeforeList = underWay;
+        Map<String, String> underWay = recentOrders.workersOfOrdersUnderWay(context.nowMillis());
+        cordonedForPredecessor.forEach(
+                (vm, worker) -> {
+                    if (!underWay.containsKey(vm) && !cordoned.contains(vm)) {
+                        board.setCordoned(worker, false);
+                    }
+                });
+        underWay.values().forEach(w -> board.setCordoned(w, true));
+        cordonedForPredecessor = underWay;
     }
 
     /** Starts the periodic rounds. */
@@ -324,7 +323,6 @@
     }
 
     private void cordon(Map<String, VmView> views, Set<String> draining) {
-        cordonedFromList = true;
         for (VmView view : views.values()) {
             String name = view.vm().name();
             boolean cordon =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/OrderUnderWayTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/OrderUnderWayTest.java
@@ -12,6 +12,7 @@
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.WaveOrder;
+import org.chervillift.platform.fleet.FleetRowCodec;
 import org.junit.jupiter.api.Test;
 
 /** Tests a change of the holder while a slow platform carries out an order of the former one. */
@@ -26,11 +27,13 @@
     private final NodeFixture fixture = new NodeFixture();
     private final TaskNode holder;
     private final TaskNode successor;
+    private final FaultInjectingStore storeOfSuccessor;
 
     OrderUnderWayTest() {
         VMS.forEach(fixture::addVm);
         holder = fixture.startNodeAndWait("n");
-        successor = fixture.startNodeAndWait("m");
+        storeOfSuccessor = new FaultInjectingStore(fixture.store, fixture.scheduler);
+        successor = fixture.startNodeAndWait("m", storeOfSuccessor);
         fixture.fleet.setOrderLatency(ORDER_TIME);
     }
 
@@ -94,6 +97,21 @@
                 .noneMatch(s -> s.endsWith("@w-" + maintained));
     }
 
+    /** The worker became known after the first list, and was not cordoned until the next one. */
+    @Test
+    void noTaskStartsOnAWorkerThatTheSuccessorKnowsOnlyAfterItsFirstList() {
+        storeOfSuccessor.delayReads(new FleetRowCodec().workerTable(), Duration.ofMillis(120));
+        loseHolderAfterItsFirstOrder(1);
+        submitWide(VMS.size());
+        while (fixture.fleet.maintained().isEmpty()) {
+            fixture.advanceMillis(STEP_MILLIS);
+        }
+        String maintained = fixture.fleet.maintained().getFirst();
+        assertThat(fixture.fleet.starts())
+                .isNotEmpty()
+                .noneMatch(s -> s.endsWith("@w-" + maintained));
+    }
+
     /** The workers of such orders stayed cordoned while no list came. */
     @Test
     void anOrderThatIsNeverCarriedOutHoldsItsVmBackOnlyUntilItExpires() {
