Count the own requests of suspect tasks in the test of a pool's demand

PoolDemandTest.aServiceOfManySuspectTasksWantsNoMoreWorkersThanMayBeIsolated went in red with: 30,097 thousandths of a core where at most 30,000 were allowed.

The bound was wrong, not the code: of 100 tasks three may have a worker of 10,000 each, and 97 ask for their own core-thousandth. The test now asks for exactly that sum, which is stricter than the range before.

--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PoolDemandTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PoolDemandTest.java
@@ -42,7 +42,8 @@
             fixture.addWorker("further" + i, WORKER_MILLI_CORES);
         }
         PoolLoad load = fixture.scheduler.poolLoads(fixture.now).get(SchedulerFixture.POOL);
+        long isolated = (1 + FURTHER_WORKERS) / 2;
         assertThat(load.waitingMilliCores())
-                .isBetween(WORKER_MILLI_CORES, WORKER_MILLI_CORES * (1 + FURTHER_WORKERS) / 2);
+                .isEqualTo(isolated * WORKER_MILLI_CORES + TASKS - isolated);
     }
 }
