Store the last part of the largest step

Found by reading the change once more: the end of the range of a part was reckoned as its first index plus 16, which is beyond the largest int for the last part of a step of as many tasks. Progress could then not be encoded, for any job. The range now names its last index.

ProgressInPartsTest.theLastPartOfTheLargestStepIsStored, red before ("fromKey > toKey").

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ProgressSnapshot.java
@@ -66,7 +66,7 @@
 
     private static List<TaskFailures> failuresIn(StepEntry step, int number) {
         int first = number * ProgressPart.TASKS_PER_PART;
-        return failuresOf(step.tasks().kept(first, first + ProgressPart.TASKS_PER_PART));
+        return failuresOf(step.tasks().kept(first, first + ProgressPart.TASKS_PER_PART - 1));
     }
 
     private static StepProgress step(StepEntry step) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepTasks.java
@@ -86,9 +86,9 @@
         return kept.values();
     }
 
-    /** Returns the kept tasks of a range of indexes, of which the last is excluded. */
-    Collection<TaskEntry> kept(int from, int to) {
-        return kept.subMap(from, to).values();
+    /** Returns the kept tasks of a range of indexes, the last one included. */
+    Collection<TaskEntry> kept(int first, int last) {
+        return kept.subMap(first, true, last, true).values();
     }
 
     /** Drops the tasks without open runs, once the job is in a final state. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
@@ -140,6 +140,30 @@
                 .containsExactly("b", "a");
     }
 
+    /**
+     * The index after the last task of the part overflowed, and no progress was stored any more.
+     */
+    @Test
+    void theLastPartOfTheLargestStepIsStored() {
+        int last = Integer.MAX_VALUE - 1;
+        fixture.accept("a", SchedulerFixture.step(Integer.MAX_VALUE, 1_000));
+        JobProgress.StepProgress done =
+                new JobProgress.StepProgress(
+                        0,
+                        0,
+                        List.of(),
+                        List.of(),
+                        List.of(SchedulerFixture.POOL),
+                        List.of(new JobProgress.IndexRange(0, last - 1)));
+        fixture.scheduler.restore("a", new JobProgress(1, JobState.RUNNING, List.of(done)));
+        fixture.now += SchedulerFixture.LEASE_MILLIS + 1;
+        fixture.addWorker("w1", 1_000);
+        assertThat(fixture.starts()).extracting(s -> s.task().index()).containsExactly(last);
+        fixture.endAll("w1", RunEnd.FAILED);
+        fixture.scheduler.storeInParts("a");
+        assertThat(fixture.scheduler.unstoredProgress().rows()).hasSize(3);
+    }
+
     @Test
     void aJobThatEndsIsStoredInOneRow() {
         moveToParts();
