--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/OrderUnderWayTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/OrderUnderWayTest.java
@@ -64,6 +64,16 @@
         assertThat(fixture.await(successor.answer(request))).isEqualTo(new JobAnswer.Accepted());
     }
 
+    private void assertNoTaskStartsOnTheVmThatGoesDown() {
+        while (fixture.fleet.maintained().isEmpty()) {
+            fixture.advanceMillis(STEP_MILLIS);
+        }
+        String maintained = fixture.fleet.maintained().getFirst();
+        assertThat(fixture.fleet.starts())
+                .isNotEmpty()
+                .noneMatch(s -> s.endsWith("@w-" + maintained));
+    }
+
     /** The order counted for nothing with the successor, which ordered another VM of the wave. */
     @Test
     void noMoreVmsThanTheCapOfAWaveAreDownAfterAChangeOfTheHolder() {
@@ -88,13 +98,7 @@
     void noTaskStartsOnAVmThatAnOrderOfTheFormerHolderTakesDown() {
         loseHolderAfterItsFirstOrder(1);
         submitWide(VMS.size());
-        while (fixture.fleet.maintained().isEmpty()) {
-            fixture.advanceMillis(STEP_MILLIS);
-        }
-        String maintained = fixture.fleet.maintained().getFirst();
-        assertThat(fixture.fleet.starts())
-                .isNotEmpty()
-                .noneMatch(s -> s.endsWith("@w-" + maintained));
+        assertNoTaskStartsOnTheVmThatGoesDown();
     }
 
     /** The worker became known after the first list, and was not cordoned until the next one. */
@@ -103,13 +107,7 @@
         storeOfSuccessor.delayReads(new FleetRowCodec().workerTable(), Duration.ofMillis(120));
         loseHolderAfterItsFirstOrder(1);
         submitWide(VMS.size());
-        while (fixture.fleet.maintained().isEmpty()) {
-            fixture.advanceMillis(STEP_MILLIS);
-        }
-        String maintained = fixture.fleet.maintained().getFirst();
-        assertThat(fixture.fleet.starts())
-                .isNotEmpty()
-                .noneMatch(s -> s.endsWith("@w-" + maintained));
+        assertNoTaskStartsOnTheVmThatGoesDown();
     }
 
     /** The workers of such orders stayed cordoned while no list came. */
