Keep a VM in service in a pool whose tasks wait while a wave drains its last one

Cause: a wave drained the only VM of the pool for its long-running task, which could move nowhere, since other pools in a surge took all VMs. The VM was cordoned for 10 s and the tasks of its pool waited beside it.

Change: after all waves have decided, one VM of such a pool is kept in service (DrainReserve), unless the deadline of its wave is at risk.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -1,8 +1,10 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,6 +17,7 @@
 import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.core.tasks.WorkerLoad;
+import org.chervillift.core.tasks.vms.DrainReserve;
 import org.chervillift.core.tasks.vms.FleetWavePlanner;
 import org.chervillift.core.tasks.vms.GoneVmDetector;
 import org.chervillift.core.tasks.vms.PoolPlanner;
@@ -285,27 +288,57 @@
                         round.gone(),
                         cordoned,
                         context.settings().maintenanceTime().toMillis());
-        for (FleetWavePlanner.Progress wave : open) {
-            FleetWavePlanner.Decision decision = FleetWavePlanner.decide(wave, fleet, round.now());
-            draining.addAll(decision.drain());
-            for (String vm : decision.maintain()) {
-                draining.add(vm);
-                if (mayOrder(views.get(vm), round)) {
-                    long number = wave.order().number();
-                    orders.maintain(
-                            views.get(vm).vm(),
-                            number,
-                            () -> waveProgress.recordMaintenance(number, vm));
-                }
+        Map<FleetWavePlanner.Progress, FleetWavePlanner.Decision> decisions = new LinkedHashMap<>();
+        open.forEach(w -> decisions.put(w, FleetWavePlanner.decide(w, fleet, round.now())));
+        Set<String> kept = vmsToKeep(decisions.values(), round);
+        decisions.forEach((wave, decision) -> draining.addAll(apply(wave, decision, kept, round)));
+        cordon(views, draining);
+        return draining;
+    }
+
+    /** Returns the VMs of waves that accept tasks for now, since tasks of their pool wait. */
+    private static Set<String> vmsToKeep(
+            Collection<FleetWavePlanner.Decision> decisions, Round round) {
+        Set<String> leaving = new HashSet<>();
+        Set<String> urgent = new HashSet<>();
+        for (FleetWavePlanner.Decision decision : decisions) {
+            Set<String> target = decision.deadlineAtRisk() ? urgent : leaving;
+            target.addAll(decision.drain());
+            target.addAll(decision.maintain());
+        }
+        Set<String> deferrable = new HashSet<>(leaving);
+        deferrable.removeAll(urgent);
+        leaving.addAll(urgent);
+        return DrainReserve.vmsToKeep(round.views().values(), round.loads(), leaving, deferrable);
+    }
+
+    /** Carries out what is decided for a wave; returns the VMs that accept no more tasks. */
+    private Set<String> apply(
+            FleetWavePlanner.Progress wave,
+            FleetWavePlanner.Decision decision,
+            Set<String> kept,
+            Round round) {
+        Map<String, VmView> views = round.views();
+        Set<String> draining = new HashSet<>(decision.drain());
+        draining.addAll(decision.maintain());
+        draining.removeAll(kept);
+        long number = wave.order().number();
+        for (String vm : decision.maintain()) {
+            if (!kept.contains(vm) && mayOrder(views.get(vm), round)) {
+                orders.maintain(
+                        views.get(vm).vm(),
+                        number,
+                        () -> waveProgress.recordMaintenance(number, vm));
             }
-            for (String vm : decision.drain()) {
+        }
+        for (String vm : decision.drain()) {
+            if (!kept.contains(vm)) {
                 board.drain(views.get(vm).vm().worker(), decision.deadlineAtRisk(), round.now());
             }
-            if (decision.completed()) {
-                waveProgress.recordCompletion(wave.order().number(), countGone(wave, round));
-            }
         }
-        cordon(views, draining);
+        if (decision.completed()) {
+            waveProgress.recordCompletion(number, countGone(wave, round));
+        }
         return draining;
     }
 
