Forecast the size of a pool's surge from its last one

Cause: PoolPlanner follows the rate of work that arrives. While few callers reach the system, and in the first moments of a surge of few large jobs, that rate says little about the size of the surge.

Change: SurgeForecast keeps the rate of each pool's last surge, also for the next holder (row surges/peaks), and provides for it in the first 2 s of the next one. The weights of PoolPlanner are settings. Without pools.forecast-surges = on nothing changes.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.chervillift.api.Checks;
 import org.chervillift.core.tasks.PoolLoad;
 
 /**
@@ -24,18 +25,9 @@
  */
 public final class PoolPlanner {
 
-    /** Moving a VM away and back costs about as much as keeping it idle for this long. */
-    private static final long IDLE_BEFORE_RETURN_MILLIS = 2_300;
-
     /** The share of a VM's cores that tasks can use in practice. */
     private static final double USABLE_CORE_SHARE = 0.85;
 
-    /** The share of its home size that an idle pool keeps for the start of its next surge. */
-    private static final double MIN_HOME_SIZE_SHARE = 0.34;
-
-    /** A pool that has not needed a VM for this long lends it to a pool that is short. */
-    private static final long IDLE_BEFORE_LENDING_MILLIS = 600;
-
     /** A pool whose tasks wait this long gets one more VM, even if it seems to have free cores. */
     private static final long BLOCKED_AFTER_MILLIS = 1_000;
 
@@ -43,6 +35,8 @@
     private static final double SMOOTHING_MILLIS = 1_000;
 
     private final Map<String, Integer> homeSizes;
+    private final PoolSettings settings;
+    private final SurgeForecast surges;
     private final Map<String, Deque<DemandSample>> demandSamples = new HashMap<>();
     private final Map<String, SmoothedDemand> smoothedDemands = new HashMap<>();
     private final Set<String> poolsWithPastDemand = new HashSet<>();
@@ -61,9 +55,13 @@
      * Creates a planner.
      *
      * @param homeSizes the number of VMs of each pool while there is no surge
+     * @param surges forecasts the surges of the pools
      */
-    public PoolPlanner(Map<String, Integer> homeSizes) {
+    public PoolPlanner(
+            Map<String, Integer> homeSizes, PoolSettings settings, SurgeForecast surges) {
         this.homeSizes = Map.copyOf(homeSizes);
+        this.settings = Checks.notNull("settings", settings);
+        this.surges = Checks.notNull("surges", surges);
     }
 
     /**
@@ -169,7 +167,7 @@
             samples.pollLast();
         }
         samples.add(new DemandSample(count, now));
-        while (now - samples.peekFirst().sampledAt() > IDLE_BEFORE_RETURN_MILLIS) {
+        while (now - samples.peekFirst().sampledAt() > settings.returnAfterMillis()) {
             samples.pollFirst();
         }
     }
@@ -185,7 +183,7 @@
 
     /** Returns the expected demand of a pool by the time that a VM ordered now has joined it. */
     private double forecastMilliCores(String pool, PoolLoad load, long now) {
-        double demand = Math.max(load.demandMilliCores(), load.arrivingMilliCores());
+        double demand = Math.max(load.demandMilliCores(), arrivingMilliCores(pool, load, now));
         SmoothedDemand previous =
                 smoothedDemands.getOrDefault(pool, new SmoothedDemand(demand, now));
         double weight = Math.exp(-(now - previous.updatedAt()) / SMOOTHING_MILLIS);
@@ -195,6 +193,11 @@
         return demand + Math.max(0, demand - smoothed.milliCores());
     }
 
+    private long arrivingMilliCores(String pool, PoolLoad load, long now) {
+        long arriving = load.arrivingMilliCores();
+        return settings.forecastSurges() ? surges.update(pool, arriving, now) : arriving;
+    }
+
     /**
      * The smoothed demand of a pool.
      *
@@ -213,7 +216,7 @@
 
     /** Returns how many VMs a pool keeps while it has no demand. */
     private int minSize(String pool, int size) {
-        return (int) Math.ceil(homeSizes.getOrDefault(pool, size) * MIN_HOME_SIZE_SHARE);
+        return (int) Math.ceil(homeSizes.getOrDefault(pool, size) * settings.minHomeShare());
     }
 
     /**
@@ -283,7 +286,7 @@
         }
 
         private VmView findDonor(String recipient) {
-            long since = now - IDLE_BEFORE_LENDING_MILLIS;
+            long since = now - settings.lendAfterMillis();
             return movableVms.stream()
                     .filter(v -> !v.vm().pool().equals(recipient))
                     .filter(v -> isStandby(v) || canBeLent(v, since))
@@ -331,7 +334,7 @@
 
         /** Moves VMs that a pool can spare to a pool below its minimum size, else to standby. */
         void returnIdleVms() {
-            long since = now - IDLE_BEFORE_RETURN_MILLIS;
+            long since = now - settings.returnAfterMillis();
             for (VmView view : List.copyOf(movableVms)) {
                 String pool = view.vm().pool();
                 if (!isStandby(view)
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
@@ -22,7 +22,12 @@
     private static final long IDLE_BEFORE_LENDING_MILLIS = 600;
 
     private final List<VmView> vms = new ArrayList<>();
-    private final PoolPlanner planner = new PoolPlanner(Map.of("p", 2, "q", 2, "standby", 3));
+    private final PoolPlanner planner = planner(Map.of("p", 2, "q", 2, "standby", 3));
+
+    private static PoolPlanner planner(Map<String, Integer> homeSizes) {
+        return new PoolPlanner(
+                homeSizes, PoolSettings.DEFAULT, new SurgeForecast(Map.of(), b -> {}));
+    }
 
     private void vms(String pool, int count, WorkerLoad load) {
         for (int i = 0; i < count; i++) {
@@ -282,7 +287,7 @@
         vms("p", 3, WorkerLoad.IDLE);
         vms("q", 1, WorkerLoad.IDLE);
         Set<String> none = Set.of();
-        PoolPlanner two = new PoolPlanner(Map.of("p", 2, "q", 2));
+        PoolPlanner two = planner(Map.of("p", 2, "q", 2));
         Map<String, PoolLoad> idle = Map.of("p", new PoolLoad(0, 0, 3 * VM_MILLI_CORES, 0));
         two.decide(
                 vms,
@@ -302,4 +307,27 @@
                 .extracting(Move::from, Move::to)
                 .containsExactly(tuple("p", "q"));
     }
+
+    /** After a loss of power few callers reach the system, so a surge shows in full too late. */
+    @Test
+    void aPoolGetsTheVmsOfItsLastSurgeAsSoonAsASurgeBegins() {
+        vms("p", 1, busy(1));
+        vms("standby", 9, WorkerLoad.IDLE);
+        Map<String, Integer> homeSizes = Map.of("p", 2, "standby", 9);
+        Map<String, PoolLoad> begin =
+                Map.of(
+                        "p",
+                        new PoolLoad(VM_MILLI_CORES, 0, VM_MILLI_CORES, VM_MILLI_CORES * 3 / 2));
+        SurgeForecast surges = new SurgeForecast(Map.of("p", VM_MILLI_CORES * 5), b -> {});
+        PoolSettings settings = new PoolSettings(2_300, 600, 0.34, true);
+        PoolPlanner forecasting = new PoolPlanner(homeSizes, settings, surges);
+        PoolPlanner following =
+                new PoolPlanner(
+                        homeSizes,
+                        PoolSettings.DEFAULT,
+                        new SurgeForecast(Map.of("p", VM_MILLI_CORES * 5), b -> {}));
+        Set<String> standby = Set.of("standby");
+        assertThat(following.decide(vms, begin, standby, Set.of(), v -> true, 0)).hasSize(1);
+        assertThat(forecasting.decide(vms, begin, standby, Set.of(), v -> true, 0)).hasSize(5);
+    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.chervillift.core.tasks.vms.PoolSettings;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.settings.Setting;
 import org.chervillift.runtime.settings.SettingType;
@@ -31,6 +32,7 @@
  * @param cancelWithin how long after the cancellation of a job its tasks may still start
  * @param keepFinished how long the state of a finished job can be read
  * @param shutdownGrace how long after a stop request the process is killed
+ * @param pools how eagerly VMs move between pools
  */
 public record FleetSettings(
         String vm,
@@ -50,7 +52,8 @@
         Duration moveTime,
         Duration cancelWithin,
         Duration keepFinished,
-        Duration shutdownGrace) {
+        Duration shutdownGrace,
+        PoolSettings pools) {
 
     /** The largest factor by which a worker's clock may be slower than this process's. */
     static final double MAX_CLOCK_SLOWDOWN = 1.03;
@@ -83,6 +86,9 @@
     /** A job with the longest payload, and its progress, fit in any row of this size. */
     private static final int MIN_ROW_BYTES = 16_384;
 
+    private static final String ON = "on";
+    private static final String OFF = "off";
+
     private static final SettingType TEXT = new SettingType.Text();
     private static final SettingType ADDRESS = new SettingType.Address();
     private static final SettingType SECONDS =
@@ -176,7 +182,34 @@
                                     "shutdown",
                                     "grace-s",
                                     SECONDS,
-                                    "How long after a stop request the process is killed.")));
+                                    "How long after a stop request the process is killed."),
+                            Setting.optional(
+                                    "pools",
+                                    "return-after-ms",
+                                    MILLIS,
+                                    Long.toString(PoolSettings.DEFAULT.returnAfterMillis()),
+                                    "How long a pool has not needed a VM before it goes to"
+                                            + " standby."),
+                            Setting.optional(
+                                    "pools",
+                                    "lend-after-ms",
+                                    MILLIS,
+                                    Long.toString(PoolSettings.DEFAULT.lendAfterMillis()),
+                                    "How long a pool has not needed a VM before a pool that is"
+                                            + " short gets it."),
+                            Setting.optional(
+                                    "pools",
+                                    "min-home-share",
+                                    new SettingType.Decimal(0, 1),
+                                    Double.toString(PoolSettings.DEFAULT.minHomeShare()),
+                                    "The share of its first size that an idle pool keeps."),
+                            Setting.optional(
+                                    "pools",
+                                    "forecast-surges",
+                                    new SettingType.Choice(List.of(ON, OFF)),
+                                    OFF,
+                                    "Whether a pool gets VMs for a surge as large as its last one"
+                                            + " as soon as a surge begins.")));
 
     /** Returns how long a free lease is left to processes on faster links, in milliseconds. */
     long leaseYieldMillis() {
@@ -226,6 +259,15 @@
                 settings.duration("vms.move-s"),
                 settings.duration("jobs.cancel-within-ms"),
                 settings.duration("jobs.keep-finished-s"),
-                settings.duration("shutdown.grace-s"));
+                settings.duration("shutdown.grace-s"),
+                poolSettings(settings));
+    }
+
+    private static PoolSettings poolSettings(Settings settings) {
+        return new PoolSettings(
+                settings.duration("pools.return-after-ms").toMillis(),
+                settings.duration("pools.lend-after-ms").toMillis(),
+                settings.decimal("pools.min-home-share").doubleValue(),
+                settings.text("pools.forecast-surges").equals(ON));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -127,7 +127,9 @@
     HOLDER_REPLACED(
             7074, Level.ERROR, "The holder does not work; this process gives the lease back."),
     /** A maintenance wave has begun or is completed. */
-    WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed.");
+    WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed."),
+    SURGE_FORECAST(
+            7101, Level.INFO, "A surge begins; VMs are provided for the size of the last one.");
 
     private final EventKind kind;
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -70,7 +70,7 @@
         poolCores =
                 Gauge.builder()
                         .name("chervillift_pool_cores")
-                        .help("Cores of a pool that run tasks, are waited for, and exist.")
+                        .help("Cores of a pool: running, waiting, capacity, and of its last surge.")
                         .labelNames("pool", "use")
                         .register(registry);
         pendingJobs =
@@ -125,6 +125,11 @@
         poolCores.labelValues(pool, "capacity").set(load.capacityMilliCores() / MILLI_UNITS);
     }
 
+    /** Sets the rates of the last surges by pool, in thousandths of a core. */
+    void setSurgePeaks(Map<String, Long> peaks) {
+        peaks.forEach((p, peak) -> poolCores.labelValues(p, "last_surge").set(peak / MILLI_UNITS));
+    }
+
     /** Sets the pending jobs of the queues, and removes the series of all other queues. */
     void setPendingJobs(Map<String, Integer> queues) {
         pendingJobs.clear();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -22,6 +22,7 @@
 import org.chervillift.core.tasks.vms.GoneVmDetector;
 import org.chervillift.core.tasks.vms.PoolPlanner;
 import org.chervillift.core.tasks.vms.PoolPlanner.Move;
+import org.chervillift.core.tasks.vms.SurgeForecast;
 import org.chervillift.core.tasks.vms.VmView;
 import org.chervillift.core.tasks.vms.VmView.PendingOrder;
 import org.chervillift.runtime.events.EventLog;
@@ -39,6 +40,7 @@
     private final ManifestTracker manifests;
     private final WaveProgressStore waveProgress;
     private final InitialPoolSizes initialPoolSizes;
+    private final SurgePeakStore surgePeaks;
     private final RecentVmOrders recentOrders;
     private final VmOrderSender orders;
     private final GoneVmDetector goneVms;
@@ -47,6 +49,7 @@
     private final Set<String> everListed = new HashSet<>();
     private final Map<String, Long> missingSince = new HashMap<>();
     private PoolPlanner planner;
+    private SurgeForecast surges;
     private Map<String, String> cordonedForPredecessor = Map.of();
     private boolean stopped;
 
@@ -56,6 +59,7 @@
         this.manifests = Checks.notNull("manifests", manifests);
         this.waveProgress = new WaveProgressStore(context);
         this.initialPoolSizes = new InitialPoolSizes(context);
+        this.surgePeaks = new SurgePeakStore(context);
         this.recentOrders = new RecentVmOrders(context);
         this.orders = new VmOrderSender(context, recentOrders);
         Duration longestAbsence =
@@ -76,6 +80,7 @@
     void load() {
         waveProgress.load();
         initialPoolSizes.load();
+        surgePeaks.load();
     }
 
     /** Returns whether the recent orders of earlier holders are read. */
@@ -108,6 +113,7 @@
         stopped = true;
         waveProgress.stop();
         initialPoolSizes.stop();
+        surgePeaks.stop();
         recentOrders.stop();
     }
 
@@ -372,11 +378,12 @@
     }
 
     private void decideMoves(Round round, Set<String> draining) {
-        if (!initialPoolSizes.isKnown()) {
+        if (!initialPoolSizes.isKnown() || !surgePeaks.isLoaded()) {
             return;
         }
         if (planner == null) {
-            planner = new PoolPlanner(initialPoolSizes.sizes());
+            surges = new SurgeForecast(surgePeaks.stored(), VmController::logForecast);
+            planner = new PoolPlanner(initialPoolSizes.sizes(), context.settings().pools(), surges);
         }
         List<Move> moves =
                 planner.decide(
@@ -386,6 +393,7 @@
                         draining,
                         v -> mayOrder(v, round),
                         round.now());
+        recordSurges(round.now());
         for (Move move : moves) {
             String worker = round.views().get(move.vm()).vm().worker();
             board.setCordoned(worker, true);
@@ -394,6 +402,20 @@
         }
     }
 
+    private void recordSurges(long now) {
+        Map<String, Long> peaks = surges.peaks();
+        context.metrics().setSurgePeaks(peaks);
+        surgePeaks.store(peaks, now);
+    }
+
+    private static void logForecast(SurgeForecast.BegunSurge surge) {
+        EventLog.log(
+                TaskEvent.SURGE_FORECAST,
+                Field.of("pool", surge.pool()),
+                Field.of("arriving", surge.arrivingMilliCores()),
+                Field.of("forecast", surge.forecastMilliCores()));
+    }
+
     private Set<String> standbyPools() {
         Manifest manifest = manifests.manifest().orElseThrow();
         return manifest.pools().keySet().stream()
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -24,6 +24,7 @@
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.WaveOrder;
 import org.chervillift.api.tasks.WorkerEntry;
+import org.chervillift.core.tasks.vms.PoolSettings;
 import org.chervillift.platform.fleet.FleetRowCodec;
 import org.chervillift.platform.fleet.FleetRowWriter;
 import org.chervillift.runtime.settings.HostPort;
@@ -161,6 +162,10 @@
     }
 
     static FleetSettings settings(String vm, double linkMbps) {
+        return settings(vm, linkMbps, PoolSettings.DEFAULT);
+    }
+
+    static FleetSettings settings(String vm, double linkMbps, PoolSettings pools) {
         return new FleetSettings(
                 vm,
                 "dc",
@@ -179,7 +184,8 @@
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(120),
-                Duration.ofSeconds(6));
+                Duration.ofSeconds(6),
+                pools);
     }
 
     /** Returns a job of one step with the given number of tasks. */
