Forecast a surge from the mean of the last one, and only when more jobs arrive

Cause: the highest rate of a surge lies far above what its pool then uses, and a single large job counted as the beginning of a surge. VMs went to pools that had no use for them.

Change: the mean rate of the last surge is the forecast, and a surge begins when more jobs arrive than before by more than chance explains.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ArrivalRates.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ArrivalRates.java
@@ -71,6 +71,15 @@
         return Math.round(meanWork * countSince(arrivals, now - window) / window);
     }
 
+    /** Returns whether more jobs have arrived lately than before, by more than chance explains. */
+    boolean isRising(String pool, long now) {
+        List<Arrival> arrivals = recentArrivals(pool, now);
+        long window = currentRateWindowMillis(arrivals, now);
+        long newer = countSince(arrivals, now - window);
+        long earlier = countSince(arrivals, now - 2 * window) - newer;
+        return window < MAX_WINDOW_MILLIS && newer > earlier;
+    }
+
     /** Returns the length of the window over which the rate seems to have been constant. */
     private static long currentRateWindowMillis(List<Arrival> arrivals, long now) {
         long window = MAX_WINDOW_MILLIS;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -58,7 +58,8 @@
                             running.getOrDefault(pool, 0L),
                             waiting.getOrDefault(pool, 0L),
                             capacity.getOrDefault(pool, 0L),
-                            arrivalRates.arrivingMilliCores(pool, now)));
+                            arrivalRates.arrivingMilliCores(pool, now),
+                            arrivalRates.isRising(pool, now)));
         }
         return loads;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
@@ -195,7 +195,9 @@
 
     private long arrivingMilliCores(String pool, PoolLoad load, long now) {
         long arriving = load.arrivingMilliCores();
-        return settings.forecastSurges() ? surges.update(pool, arriving, now) : arriving;
+        return settings.forecastSurges()
+                ? surges.update(pool, arriving, load.rising(), now)
+                : arriving;
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/SurgeForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/SurgeForecast.java
@@ -10,13 +10,16 @@
  *
  * <p>Answers a queue that was nearly idle and suddenly receives many times as many jobs. A VM takes
  * seconds to join a pool, and the first jobs do not show how large the surge is; least of all while
- * few callers reach the system, as after a loss of power. When a surge begins, the rate of the
+ * few callers reach the system, as after a loss of power. When a surge begins, the mean rate of the
  * pool's last surge is taken as its demand until the rate of this one is known. A wrong forecast
  * thus costs VMs for a short time only.
  */
 public final class SurgeForecast {
 
-    /** A surge has begun once work arrives at a quarter of the rate of the last one. */
+    /**
+     * A surge has begun once more jobs arrive than before, with work at a quarter of the rate of
+     * the last one; a single large job is none.
+     */
     private static final double BEGIN_SHARE = 0.25;
 
     /** A surge has ended once work arrives at less than an eighth of its rate. */
@@ -40,80 +43,87 @@
     /**
      * Creates a forecast.
      *
-     * @param peaks the rate of the last surge of each pool, in thousandths of a core, as far as
-     *     known from an earlier holder
+     * @param rates the mean rate of the last surge of each pool, in thousandths of a core, as far
+     *     as known from an earlier holder
      * @param onBegin called when a surge begins that is forecast to exceed its present rate
      */
-    public SurgeForecast(Map<String, Long> peaks, Consumer<BegunSurge> onBegin) {
+    public SurgeForecast(Map<String, Long> rates, Consumer<BegunSurge> onBegin) {
         this.onBegin = onBegin;
-        peaks.forEach((pool, peak) -> surgesByPool.put(pool, new PoolSurges(peak)));
+        rates.forEach((pool, rate) -> surgesByPool.put(pool, new PoolSurges(rate)));
     }
 
     /**
      * Records the rate of a pool and returns the rate to provide for.
      *
      * @param arrivingMilliCores the work that arrives per unit of time, in thousandths of a core
+     * @param rising whether more jobs arrive than before, by more than chance explains
      * @return the forecast while a surge begins, otherwise the given rate
      */
-    public long update(String pool, long arrivingMilliCores, long now) {
+    public long update(String pool, long arrivingMilliCores, boolean rising, long now) {
         PoolSurges surges = surgesByPool.computeIfAbsent(pool, p -> new PoolSurges(0));
         boolean surgedBefore = surges.surging;
-        long forecast = surges.update(arrivingMilliCores, now);
+        long forecast = surges.update(arrivingMilliCores, rising, now);
         if (!surgedBefore && forecast > arrivingMilliCores) {
             onBegin.accept(new BegunSurge(pool, arrivingMilliCores, forecast));
         }
         return forecast;
     }
 
-    /** Returns the rate of the last surge of each pool, in thousandths of a core. */
-    public Map<String, Long> peaks() {
-        Map<String, Long> peaks = new TreeMap<>();
-        surgesByPool.forEach((pool, surges) -> peaks.put(pool, surges.peak()));
-        peaks.values().removeIf(p -> p == 0);
-        return peaks;
+    /** Returns the mean rate of the last surge of each pool, in thousandths of a core. */
+    public Map<String, Long> rates() {
+        Map<String, Long> rates = new TreeMap<>();
+        surgesByPool.forEach((pool, surges) -> rates.put(pool, surges.rate()));
+        rates.values().removeIf(r -> r == 0);
+        return rates;
     }
 
     /** The surges of one pool; all rates are in thousandths of a core. */
     private static final class PoolSurges {
 
-        private final SustainedRate sustainedRate = new SustainedRate();
-        private long peak;
-        private long currentPeak;
+        private long lastRate;
+        private double work;
         private long begunAt;
+        private long updatedAt;
         private boolean surging;
 
-        PoolSurges(long peak) {
-            this.peak = peak;
+        PoolSurges(long lastRate) {
+            this.lastRate = lastRate;
         }
 
-        long update(long rate, long now) {
-            long sustained = sustainedRate.update(rate, now);
-            if (!surging && rate > 0 && rate >= peak * BEGIN_SHARE) {
+        long update(long rate, boolean rising, long now) {
+            if (!surging && rate > 0 && rate >= lastRate * BEGIN_SHARE && (rising || isFirst())) {
                 surging = true;
                 begunAt = now;
-                currentPeak = 0;
+                updatedAt = now;
+                work = 0;
             }
             if (!surging) {
                 return rate;
             }
-            currentPeak = Math.max(currentPeak, sustained);
-            long forecast = now - begunAt < FORECAST_MILLIS ? Math.max(rate, peak) : rate;
+            work += (double) rate * (now - updatedAt);
+            updatedAt = now;
+            long forecast = now - begunAt < FORECAST_MILLIS ? Math.max(rate, lastRate) : rate;
             endIfOver(rate);
             return forecast;
         }
 
+        private boolean isFirst() {
+            return lastRate == 0;
+        }
+
         /** Keeps the rate of a surge that has ended; one that was over at once shows none. */
         private void endIfOver(long rate) {
-            long size = currentPeak > 0 ? currentPeak : peak;
-            if (rate < size * END_SHARE || rate == 0) {
+            long mean = rate();
+            if (rate < mean * END_SHARE || rate == 0) {
                 surging = false;
-                peak = size;
+                lastRate = mean;
             }
         }
 
-        /** Returns the rate of the last surge, or of this one once it is larger. */
-        long peak() {
-            return surging ? Math.max(peak, currentPeak) : peak;
+        /** Returns the mean rate of this surge once it is known, until then of the last one. */
+        long rate() {
+            long millis = updatedAt - begunAt;
+            return surging && millis >= FORECAST_MILLIS ? Math.round(work / millis) : lastRate;
         }
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/PoolPlannerTest.java
@@ -317,7 +317,8 @@
         Map<String, PoolLoad> begin =
                 Map.of(
                         "p",
-                        new PoolLoad(VM_MILLI_CORES, 0, VM_MILLI_CORES, VM_MILLI_CORES * 3 / 2));
+                        new PoolLoad(
+                                VM_MILLI_CORES, 0, VM_MILLI_CORES, VM_MILLI_CORES * 3 / 2, true));
         SurgeForecast surges = new SurgeForecast(Map.of("p", VM_MILLI_CORES * 5), b -> {});
         PoolSettings settings = new PoolSettings(2_300, 600, 0.34, true);
         PoolPlanner forecasting = new PoolPlanner(homeSizes, settings, surges);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/SurgeForecastTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/SurgeForecastTest.java
@@ -15,13 +15,14 @@
     private static final long LOW = 1_000;
 
     private SurgeForecast forecast = new SurgeForecast(Map.of(), b -> {});
+    private boolean rising = true;
     private long now;
 
     /** Feeds a rate for some time; returns the last forecast. */
     private long feed(long rate, int millis) {
         long last = 0;
         for (int t = 0; t < millis; t += ROUND_MILLIS) {
-            last = forecast.update("p", rate, now);
+            last = forecast.update("p", rate, rising, now);
             now += ROUND_MILLIS;
         }
         return last;
@@ -31,14 +32,14 @@
     void theSecondSurgeIsProvidedForInFullWhenItBegins() {
         feed(PEAK, 8_000);
         feed(LOW, 20_000);
-        assertThat(feed(PEAK / 3, ROUND_MILLIS)).isEqualTo(PEAK);
+        assertThat(feed(PEAK / 3, ROUND_MILLIS)).isBetween(PEAK * 9 / 10, PEAK);
     }
 
     @Test
     void theNextHolderForecastsFromTheStoredPeak() {
         feed(PEAK, 8_000);
-        forecast = new SurgeForecast(forecast.peaks(), b -> {});
-        assertThat(feed(PEAK / 3, ROUND_MILLIS)).isEqualTo(PEAK);
+        forecast = new SurgeForecast(forecast.rates(), b -> {});
+        assertThat(feed(PEAK / 3, ROUND_MILLIS)).isBetween(PEAK * 9 / 10, PEAK);
     }
 
     @Test
@@ -47,7 +48,7 @@
         feed(LOW, 20_000);
         assertThat(feed(PEAK / 3, 3_000)).isEqualTo(PEAK / 3);
         feed(0, ROUND_MILLIS);
-        assertThat(forecast.peaks()).containsExactly(Map.entry("p", PEAK / 3));
+        assertThat(forecast.rates().get("p")).isBetween(PEAK * 3 / 10, PEAK / 3);
     }
 
     @Test
@@ -58,11 +59,28 @@
     }
 
     @Test
-    void aFewJobsAtOnceAreNoPeak() {
+    void aSingleLargeJobIsNoSurge() {
+        feed(PEAK, 8_000);
+        feed(LOW, 20_000);
+        rising = false;
+        assertThat(feed(PEAK / 2, ROUND_MILLIS)).isEqualTo(PEAK / 2);
+    }
+
+    @Test
+    void aShortPeakWithinASurgeIsNotProvidedForAgain() {
+        feed(PEAK, 4_000);
+        feed(PEAK * 4, 2 * ROUND_MILLIS);
+        feed(PEAK, 4_000);
+        feed(LOW, 20_000);
+        assertThat(feed(PEAK / 2, ROUND_MILLIS)).isLessThan(PEAK * 6 / 5);
+    }
+
+    @Test
+    void aFewJobsAtOnceAreNoSurge() {
         feed(PEAK, 8_000);
         feed(LOW, 20_000);
         feed(PEAK * 4, 2 * ROUND_MILLIS);
         feed(LOW, 20_000);
-        assertThat(forecast.peaks()).containsExactly(Map.entry("p", PEAK));
+        assertThat(feed(PEAK / 2, ROUND_MILLIS)).isLessThan(PEAK * 6 / 5);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -403,7 +403,7 @@
     }
 
     private void recordSurges(long now) {
-        Map<String, Long> peaks = surges.peaks();
+        Map<String, Long> peaks = surges.rates();
         context.metrics().setSurgePeaks(peaks);
         surgePeaks.store(peaks, now);
     }
