Evacuate a data centre at the operator's request

The row evacuate/DATACENTRE was not read, and deletions of the operator's rows were ignored.

Change: each process follows the row, its deletion, and its absence after the table is read again. Workers of an evacuated data centre take no tasks; held starts are dropped; starts whose outcome is unknown are stopped; long-running tasks move as far as may_miss and free places allow, a gang as a whole or not at all. Work that waits says DATA_CENTRE_EVACUATED and does not count as standing still. Evacuated VMs are no capacity, no donors, are replaced, go to standby when idle, and are maintained first. With [evacuation] within-ms, nothing starts while the copy of the operator's rows may be older than half of it.

--- a/chervillift-api/src/main/java/org/chervillift/api/platform/FleetRows.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/platform/FleetRows.java
@@ -86,5 +86,16 @@
                 Checks.notNull("order", order);
             }
         }
+
+        /**
+         * A request to evacuate a data centre, which holds until its row is deleted.
+         *
+         * @param dataCentre the name of the data centre
+         */
+        record Evacuation(String dataCentre) implements OperatorRow {
+            public Evacuation {
+                Checks.notBlank("dataCentre", dataCentre);
+            }
+        }
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -23,6 +23,15 @@
         this.arrivalRates = arrivalRates;
     }
 
+    /** Returns the number of jobs by queue of which no task has started. */
+    static Map<String, Integer> pendingByQueue(Collection<JobEntry> live) {
+        Map<String, Integer> pending = new HashMap<>();
+        live.stream()
+                .filter(j -> !j.hasRun())
+                .forEach(j -> pending.merge(j.policy().queue(), 1, Integer::sum));
+        return pending;
+    }
+
     static WorkerLoad loadOf(WorkerRecord worker, long now) {
         int longRunning = 0;
         long cores = 0;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -44,7 +44,9 @@
         /** A run was lost with its worker. */
         LOST,
         /** A worker's lease has expired. */
-        LEASE_OVER
+        LEASE_OVER,
+        /** A run is stopped, so that its task moves out of an evacuated data centre. */
+        EVACUATED
     }
 
     public SchedulerEvent {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -236,7 +236,7 @@
         Resources size = sizeOfPlace(step);
         return round.poolOf(step.job()).stream()
                 .filter(w -> size.fitsIn(round.moment().roomOn(w)))
-                .filter(w -> !w.entry().draining())
+                .filter(w -> !w.entry().draining() && !w.isEvacuated())
                 .filter(w -> Placement.hasLabel(step.spec(), w))
                 .filter(w -> Placement.isBelowMaximum(step, w))
                 .filter(w -> !step.advice().isRefused(w.id()))
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -119,8 +119,8 @@
     }
 
     /**
-     * Drops a start if its worker drains, does not answer, or has shrunk since the start was
-     * planned. The task then waits again; a gang waits as a whole.
+     * Drops a start if its worker drains, does not answer, is evacuated, or has shrunk since the
+     * start was planned. The task then waits again; a gang waits as a whole.
      */
     private void dropIfWorkerCannotTakeIt(Order.Start start, long now) {
         startingRun(start)
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -59,6 +59,8 @@
     private final StartGate startGate;
     private final WorkerLeases leases;
     private final StandstillDetector standstills;
+    private final Evacuation evacuation = new Evacuation(workers.values());
+    private final EvacuationPlanner evacuationPlanner;
     private Manifest manifest;
 
     /**
@@ -86,6 +88,7 @@
                 new ReportHandler(jobs, runs, numbers, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
+        this.evacuationPlanner = new EvacuationPlanner(evacuation, stopPlanner, events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
         this.stalledRunDetector = new StalledRunDetector(events);
         this.unansweredStarts = new UnansweredStartDetector(events);
@@ -211,11 +214,7 @@
      * <p>A job counts until a worker has reported a run, as an order may be refused or lost.
      */
     public Map<String, Integer> pendingByQueue() {
-        Map<String, Integer> pending = new HashMap<>();
-        liveJobs.stream()
-                .filter(j -> !j.hasRun())
-                .forEach(j -> pending.merge(j.policy().queue(), 1, Integer::sum));
-        return pending;
+        return LoadCalculator.pendingByQueue(liveJobs);
     }
 
     /** Adds a worker on which an earlier holder may have started tasks. */
@@ -237,7 +236,7 @@
     public void workerListed(WorkerEntry entry, long now) {
         WorkerRecord worker = workers.get(entry.id());
         if (worker == null) {
-            workers.put(entry.id(), new WorkerRecord(entry));
+            workers.put(entry.id(), new WorkerRecord(entry, evacuation));
             return;
         }
         boolean restarted =
@@ -376,6 +375,8 @@
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
+        // After the starts, so that tasks that wait already have the room that they can get.
+        orders.addAll(evacuationPlanner.planStops(workers.values(), now));
         return orders;
     }
 
@@ -446,6 +447,11 @@
                 .ifPresent(w -> WorkerDrainer.stopRuns(w, workers.values(), urgent, now));
     }
 
+    /** Returns which data centres are evacuated, to be replaced as the operator asks. */
+    public Evacuation evacuation() {
+        return evacuation;
+    }
+
     /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
     public Map<String, String> workersInUse() {
         Map<String, String> inUse = new HashMap<>(predecessor.poolsByWorker());
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitReason.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitReason.java
@@ -7,7 +7,9 @@
 public enum WaitReason {
     /** No order is sent at all, since the lease is not certain to be held. */
     LEASE_UNCERTAIN,
-    /** No task is started at all, since the copies of the jobs or workers are too old. */
+    /**
+     * No task is started at all, since the copies of jobs, workers or operator's rows are too old.
+     */
     STARTS_SUSPENDED,
     /** The start is decided, and held until progress is stored. */
     START_HELD,
@@ -33,6 +35,8 @@
     WORKERS_LEAVING,
     /** The workers get no tasks for a time, after failures or a refused start. */
     WORKERS_BACKING_OFF,
+    /** The operator has the data centres of the workers evacuated. */
+    DATA_CENTRE_EVACUATED,
     /** The workers' leases are too short for a start. */
     WORKER_LEASES_SHORT,
     /** The workers lack the label that the step requires. */
@@ -61,6 +65,7 @@
             case UNREACHABLE -> WORKERS_UNREACHABLE;
             case CORDONED, DRAINING -> WORKERS_LEAVING;
             case BACKING_OFF -> WORKERS_BACKING_OFF;
+            case EVACUATED -> DATA_CENTRE_EVACUATED;
             case SHORT_LEASE -> WORKER_LEASES_SHORT;
             case LABEL_MISSING -> LABEL_MISSING;
             case NO_ADVICE -> NO_ADVICE;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerObstacle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerObstacle.java
@@ -16,6 +16,8 @@
     DRAINING,
     /** The worker gets no tasks for a time, since runs failed there or it refused one. */
     BACKING_OFF,
+    /** The operator has the worker's data centre evacuated. */
+    EVACUATED,
     /** The worker's lease is too short for a start. */
     SHORT_LEASE,
     /** The worker lacks the label that the step requires. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -19,6 +19,7 @@
     private static final long MAX_FAILURE_GAP_MILLIS = 2 * MAX_BACK_OFF_MILLIS;
 
     private final Set<Run> runs = new LinkedHashSet<>();
+    private final Evacuation evacuation;
     private WorkerEntry entry;
     private boolean listed = true;
     private boolean reported;
@@ -40,8 +41,14 @@
     private long presumedFaultyUntil = Long.MIN_VALUE;
     private long nextBackOffMillis = INITIAL_BACK_OFF_MILLIS;
 
-    WorkerRecord(WorkerEntry entry) {
+    /**
+     * Creates the record of a listed worker.
+     *
+     * @param evacuation tells in which data centres no task may be started
+     */
+    WorkerRecord(WorkerEntry entry, Evacuation evacuation) {
         this.entry = entry;
+        this.evacuation = evacuation;
         this.bornAtMillis = entry.bornAtMillis();
     }
 
@@ -109,6 +116,11 @@
         return cordoned || entry.draining();
     }
 
+    /** Returns whether the worker's data centre is evacuated. */
+    boolean isEvacuated() {
+        return evacuation.covers(entry.dataCentre());
+    }
+
     /** Returns whether maintenance of the worker's VM is ordered and has not begun. */
     boolean isMaintenanceDue() {
         return maintenanceDue;
@@ -258,9 +270,10 @@
         if (entry.draining()) {
             return WorkerObstacle.DRAINING;
         }
-        return now >= backOffUntil && !isPresumedFaulty(now)
-                ? WorkerObstacle.NONE
-                : WorkerObstacle.BACKING_OFF;
+        if (now < backOffUntil || isPresumedFaulty(now)) {
+            return WorkerObstacle.BACKING_OFF;
+        }
+        return isEvacuated() ? WorkerObstacle.EVACUATED : WorkerObstacle.NONE;
     }
 
     void recordSuccess() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
@@ -213,8 +213,12 @@
 
     /**
      * Returns whether the VM's pool can spare it now; for a standby VM, whether no pool is short.
+     * An evacuated VM serves no pool, and can always be spared.
      */
     private static boolean canBeSpared(VmView view, Fleet fleet) {
+        if (view.evacuated()) {
+            return true;
+        }
         if (fleet.standby().contains(view.vm().pool())) {
             return !fleet.isAnyPoolShort();
         }
@@ -228,6 +232,7 @@
 
     private static Comparator<VmView> maintenanceOrder(Collection<String> draining) {
         return Comparator.comparing((VmView v) -> !v.load().isIdle())
+                .thenComparing(v -> !v.evacuated())
                 .thenComparing(v -> !draining.contains(v.vm().name()))
                 .thenComparing(v -> v.load().longRunningRuns())
                 .thenComparing(v -> v.load().usedMilliCores())
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/PoolPlanner.java
@@ -18,9 +18,9 @@
  * Decides which VMs move to another pool.
  *
  * <p>Queues may surge in turn, each exceeding the capacity of its pool. A short pool gets VMs from
- * the standby pools first, then from pools that have more than they need. VMs that are down or
- * unreachable do not count as capacity. A VM that its pool has not needed recently moves to a
- * standby pool, where it costs nothing.
+ * the standby pools first, then from pools that have more than they need. VMs that are down,
+ * unreachable or evacuated do not count as capacity. A VM that its pool has not needed recently
+ * moves to a standby pool, where it costs nothing.
  */
 public final class PoolPlanner {
 
@@ -84,7 +84,7 @@
             long now) {
         Map<String, List<VmView>> pools =
                 vms.stream().collect(Collectors.groupingBy(v -> v.vm().pool()));
-        Map<String, Integer> wanted = wantedSizes(loads, pools, now);
+        Map<String, Integer> wanted = wantedSizes(loads, withoutEvacuated(pools), now);
         pools.forEach(
                 (pool, members) ->
                         wanted.merge(pool, sizeWithReplacements(members, draining), Math::max));
@@ -96,6 +96,14 @@
         return round.moves;
     }
 
+    private static Map<String, List<VmView>> withoutEvacuated(Map<String, List<VmView>> pools) {
+        Map<String, List<VmView>> others = new HashMap<>();
+        pools.forEach(
+                (pool, members) ->
+                        others.put(pool, members.stream().filter(v -> !v.evacuated()).toList()));
+        return others;
+    }
+
     /** Returns how many VMs each pool could use now, for all pools with a load. */
     private Map<String, Integer> wantedSizes(
             Map<String, PoolLoad> loads, Map<String, List<VmView>> pools, long now) {
@@ -125,16 +133,20 @@
     }
 
     /**
-     * Returns the size of a pool in which each VM that is drained of long-running tasks has a
-     * replacement; 0 if there is no such VM. Tasks of a step may have to run on different VMs, so a
-     * replacement is a VM without long-running tasks.
+     * Returns the size of a pool in which each VM that is drained of long-running tasks, or is
+     * evacuated with some, has a replacement; 0 if there is no such VM. Tasks of a step may have to
+     * run on different VMs, so a replacement is a VM without long-running tasks.
      */
     private static int sizeWithReplacements(List<VmView> pool, Set<String> draining) {
         List<VmView> withLongRunning =
                 pool.stream().filter(v -> v.load().longRunningRuns() > 0).toList();
+        long evacuated = withLongRunning.stream().filter(VmView::evacuated).count();
         long drained =
-                withLongRunning.stream().filter(v -> draining.contains(v.vm().name())).count();
-        return drained == 0 ? 0 : Math.toIntExact(withLongRunning.size() + drained);
+                withLongRunning.stream()
+                        .filter(v -> !v.evacuated() && draining.contains(v.vm().name()))
+                        .count();
+        // An evacuated VM does not count towards the size of its pool, so it counts once here.
+        return drained + evacuated == 0 ? 0 : Math.toIntExact(withLongRunning.size() + drained);
     }
 
     /**
@@ -216,24 +228,6 @@
         return (int) Math.ceil(homeSizes.getOrDefault(pool, size) * MIN_HOME_SIZE_SHARE);
     }
 
-    /**
-     * Identifies the VMs of one pool that can run the same tasks.
-     *
-     * @param pool the pool
-     * @param label the first label, which names the machine type
-     * @param hasGpus whether the VMs have GPUs
-     */
-    private record VmKind(String pool, String label, boolean hasGpus) {
-
-        static VmKind of(VmView view) {
-            List<String> labels = view.vm().labels();
-            return new VmKind(
-                    view.vm().pool(),
-                    labels.isEmpty() ? "" : labels.getFirst(),
-                    view.vm().capacity().gpus() > 0);
-        }
-    }
-
     /**
      * The state of one round of decisions; the sizes of the pools include the moves decided so far.
      */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -200,26 +200,34 @@
         scheduler.leaseGranted(id, now + LEASE_MILLIS);
     }
 
+    /** Adds a worker of another data centre and another rack that has reported, with a lease. */
+    void addWorker(String id, long milliCores, String dataCentre) {
+        scheduler.workerListed(entry(id, milliCores, dataCentre, "rack-" + dataCentre, false), now);
+        report(id);
+        scheduler.leaseGranted(id, now + LEASE_MILLIS);
+    }
+
     static WorkerEntry entry(String id, long milliCores) {
-        return entry(id, milliCores, false);
+        return entry(id, milliCores, "dc", "rack-1", false);
     }
 
     static WorkerEntry drainingEntry(String id, long milliCores) {
-        return entry(id, milliCores, true);
+        return entry(id, milliCores, "dc", "rack-1", true);
     }
 
-    private static WorkerEntry entry(String id, long milliCores, boolean draining) {
+    private static WorkerEntry entry(
+            String id, long milliCores, String dataCentre, String rack, boolean draining) {
         return new WorkerEntry(
                 id,
                 1,
                 "vm-" + id,
                 POOL,
                 "127.0.0.1:1",
-                "dc",
+                dataCentre,
                 draining,
                 0,
                 new Resources(milliCores, 10_000, 0),
-                List.of("a", "rack-1"));
+                List.of("a", rack));
     }
 
     /** Applies a report of the worker's current runs. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
@@ -18,6 +18,9 @@
     @Override
     public void accept(SchedulerEvent decision) {
         metrics.countDecision(decision.kind());
+        if (decision.kind() == SchedulerEvent.Kind.EVACUATED) {
+            metrics.evacuation().countMove();
+        }
         EventLog.log(
                 eventOf(decision.kind()),
                 Field.of("decision", decision.kind()),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -31,6 +31,8 @@
  * @param cancelWithin how long after the cancellation of a job its tasks may still start
  * @param keepFinished how long the state of a finished job can be read
  * @param shutdownGrace how long after a stop request the process is killed
+ * @param evacuateWithin how long after a request to evacuate a data centre tasks may still start
+ *     there; zero if the deployment has no evacuations
  */
 public record FleetSettings(
         String vm,
@@ -50,7 +52,8 @@
         Duration moveTime,
         Duration cancelWithin,
         Duration keepFinished,
-        Duration shutdownGrace) {
+        Duration shutdownGrace,
+        Duration evacuateWithin) {
 
     /** The largest factor by which a worker's clock may be slower than this process's. */
     static final double MAX_CLOCK_SLOWDOWN = 1.03;
@@ -83,6 +86,17 @@
     /** A job with the longest payload, and its progress, fit in any row of this size. */
     private static final int MIN_ROW_BYTES = 16_384;
 
+    /**
+     * The share of the time for an evacuation in which it must be known; the rest is for orders.
+     */
+    private static final double KNOWN_SHARE_OF_EVACUATION = 0.5;
+
+    /** A copy that is followed without faults is younger, even if the store is slow. */
+    private static final long MIN_OPERATOR_AGE_LIMIT_MILLIS = 500;
+
+    /** One poll may fail and be repeated before the copy is too old. */
+    private static final long POLLS_PER_OPERATOR_AGE_LIMIT = 3;
+
     private static final SettingType TEXT = new SettingType.Text();
     private static final SettingType ADDRESS = new SettingType.Address();
     private static final SettingType SECONDS =
@@ -176,7 +190,14 @@
                                     "shutdown",
                                     "grace-s",
                                     SECONDS,
-                                    "How long after a stop request the process is killed.")));
+                                    "How long after a stop request the process is killed."),
+                            Setting.optional(
+                                    "evacuation",
+                                    "within-ms",
+                                    new SettingType.MillisOrNone(Duration.ofHours(1)),
+                                    "0",
+                                    "How long after a request to evacuate a data centre tasks may"
+                                            + " still start there; 0 if there are none.")));
 
     /** Returns how long a free lease is left to processes on faster links, in milliseconds. */
     long leaseYieldMillis() {
@@ -189,6 +210,30 @@
         return Math.max(MIN_COPY_AGE_LIMIT_MILLIS, cancelWithin.toMillis() - START_ORDER_MILLIS);
     }
 
+    /**
+     * Returns the maximum age of the copy of the operator's rows for starts, in milliseconds.
+     *
+     * <p>An order to start may be carried out late, and one that was not answered is stopped by
+     * another order: the rest of the time, at least 1 s, is left for both. A shorter time than 1.5
+     * s for evacuations cannot be kept while the store does not answer.
+     */
+    long maxOperatorAgeMillis() {
+        long within = evacuateWithin.toMillis();
+        if (within == 0) {
+            return Long.MAX_VALUE;
+        }
+        long known = Math.round(within * KNOWN_SHARE_OF_EVACUATION);
+        return Math.max(
+                MIN_OPERATOR_AGE_LIMIT_MILLIS, Math.min(known, within - START_ORDER_MILLIS));
+    }
+
+    /** Returns how long the store may wait for a change of the operator's rows. */
+    Duration operatorPollWait() {
+        Duration usual = TableFollower.DEFAULT_POLL_WAIT;
+        long most = maxOperatorAgeMillis() / POLLS_PER_OPERATOR_AGE_LIMIT;
+        return Duration.ofMillis(Math.min(usual.toMillis(), most));
+    }
+
     /** Returns the duration of a worker's lease, in milliseconds. */
     long workerLeaseMillis() {
         return Math.min(
@@ -226,6 +271,7 @@
                 settings.duration("vms.move-s"),
                 settings.duration("jobs.cancel-within-ms"),
                 settings.duration("jobs.keep-finished-s"),
-                settings.duration("shutdown.grace-s"));
+                settings.duration("shutdown.grace-s"),
+                settings.duration("evacuation.within-ms"));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderContext.java
@@ -29,6 +29,7 @@
  * @param settings the settings
  * @param process the unique name of this process
  * @param maySendOrders returns whether the lease is certain to be held long enough for an order
+ * @param operatorCompleteUntil returns up to when all changes of the operator's rows are known
  * @param leaseAge returns the time since the lease was last renewed, in milliseconds
  * @param term the number of the holder's term, which is also its fencing token
  * @param metrics the metrics of this process
@@ -46,6 +47,7 @@
         FleetSettings settings,
         String process,
         BooleanSupplier maySendOrders,
+        LongSupplier operatorCompleteUntil,
         LongSupplier leaseAge,
         long term,
         TaskMetrics metrics,
@@ -62,6 +64,7 @@
         Checks.notNull("settings", settings);
         Checks.notNull("process", process);
         Checks.notNull("maySendOrders", maySendOrders);
+        Checks.notNull("operatorCompleteUntil", operatorCompleteUntil);
         Checks.notNull("metrics", metrics);
         Checks.notNull("health", health);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -65,7 +65,6 @@
     private long startedAt;
     private long lastPlanMillis;
     private boolean planScheduled;
-    private boolean startsEnabled = true;
     private boolean ready;
     private boolean stopped;
 
@@ -85,6 +84,7 @@
                         manifest,
                         new DecisionLog(context.metrics()),
                         context.nowMillis());
+        board.evacuation().replace(manifests.evacuatedDataCentres());
         this.progress = new ProgressWriter(context, board, this::onStored, this::onEndStored);
         this.storedProgress = new StoredProgress(progress);
         this.finishedJobs = new FinishedJobRemover(context, board, progress);
@@ -178,6 +178,7 @@
 
     private void onManifestChange() {
         manifests.manifest().ifPresent(board::configure);
+        board.evacuation().replace(manifests.evacuatedDataCentres());
         replanSoon();
     }
 
@@ -477,21 +478,11 @@
     }
 
     /**
-     * Plans orders; starts no task while cancellations of jobs, or notices of workers that drain or
-     * shrink, may not have reached this process.
+     * Plans orders; starts no task while cancellations of jobs, notices of workers that drain or
+     * shrink, or evacuations may not have reached this process.
      */
     private List<Order> planOrders(long now, long wallMillis) {
-        HolderAges ages = condition.ages();
-        boolean copiesAreCurrent = condition.areCopiesCurrent(ages);
-        if (copiesAreCurrent != startsEnabled) {
-            startsEnabled = copiesAreCurrent;
-            EventLog.log(
-                    copiesAreCurrent ? TaskEvent.STARTS_RESUMED : TaskEvent.STARTS_SUSPENDED,
-                    Field.of("term", term()),
-                    Field.of("jobsAgeMillis", ages.jobs()),
-                    Field.of("workersAgeMillis", ages.workers()));
-        }
-        return copiesAreCurrent
+        return condition.checkCopies()
                 ? board.plan(now, wallMillis)
                 : board.planWithoutStarts(now, wallMillis);
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ManifestTracker.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ManifestTracker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.FleetRows;
 import org.chervillift.api.platform.FleetRows.OperatorRow;
@@ -15,12 +16,16 @@
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 
-/** Keeps the newest manifest and the wave orders of the operator; never goes back a version. */
+/**
+ * Keeps the newest manifest, the wave orders and the evacuations of the operator; never goes back a
+ * version of the manifest.
+ */
 final class ManifestTracker implements TableFollower.Listener {
 
     private final FleetRows rows;
     private final List<Runnable> addChangeListener = new ArrayList<>();
     private final Map<Long, WaveOrder> waveOrders = new LinkedHashMap<>();
+    private final EvacuationRows evacuations = new EvacuationRows();
     private Optional<Manifest> manifest = Optional.empty();
 
     ManifestTracker(FleetRows rows) {
@@ -35,6 +40,11 @@
         return waveOrders;
     }
 
+    /** Returns the data centres in which no task may be started. */
+    Set<String> evacuatedDataCentres() {
+        return evacuations.dataCentres();
+    }
+
     void addChangeListener(Runnable action) {
         addChangeListener.add(action);
     }
@@ -45,19 +55,28 @@
 
     @Override
     public void loaded(List<Row> read) {
+        evacuations.clear();
         read.forEach(r -> apply(r.key().key(), r.value()));
-        List.copyOf(addChangeListener).forEach(Runnable::run);
+        publish();
     }
 
     @Override
     public void changed(List<Change> changes) {
-        changes.forEach(c -> c.value().ifPresent(v -> apply(c.key().key(), v)));
+        for (Change change : changes) {
+            String key = change.key().key();
+            change.value().ifPresentOrElse(v -> apply(key, v), () -> evacuations.remove(key));
+        }
+        publish();
+    }
+
+    private void publish() {
+        evacuations.publish();
         List.copyOf(addChangeListener).forEach(Runnable::run);
     }
 
     private void apply(String key, String value) {
         try {
-            rows.operatorRow(key, value).ifPresent(this::apply);
+            rows.operatorRow(key, value).ifPresent(r -> apply(key, r));
         } catch (RuntimeException e) {
             EventLog.log(
                     TaskEvent.ROW_UNREADABLE,
@@ -66,10 +85,11 @@
         }
     }
 
-    private void apply(OperatorRow row) {
+    private void apply(String key, OperatorRow row) {
         switch (row) {
             case OperatorRow.Configuration c -> adopt(c.manifest());
             case OperatorRow.Wave w -> waveOrders.put(w.order().number(), w.order());
+            case OperatorRow.Evacuation e -> evacuations.put(key, e.dataCentre());
         }
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StandstillPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StandstillPublisher.java
@@ -29,6 +29,7 @@
     private final HolderContext context;
     private final TaskScheduler board;
     private final Holder holder;
+    private final EvacuationReporter evacuations;
     private final long startedAt;
     private OptionalLong lastCheckAt = OptionalLong.empty();
     private OptionalLong standingSince = OptionalLong.empty();
@@ -51,6 +52,7 @@
         this.context = Checks.notNull("context", context);
         this.board = Checks.notNull("board", board);
         this.holder = Checks.notNull("holder", holder);
+        this.evacuations = new EvacuationReporter(context.metrics().evacuation());
         this.startedAt = context.nowMillis();
     }
 
@@ -62,6 +64,7 @@
     void stop() {
         stopped = true;
         context.metrics().waits().clearHolderMetrics();
+        context.metrics().evacuation().clearHolderMetrics();
     }
 
     private void check() {
@@ -79,11 +82,15 @@
     }
 
     private void checkBoard(long now) {
+        Optional<WaitReason> suspension = holder.suspension();
         StandstillReport report =
-                board.standstills().check(holder.suspension(), now, System.currentTimeMillis());
+                board.standstills().check(suspension, now, System.currentTimeMillis());
         context.metrics().waits().setReport(report);
         report.standing().forEach(s -> log(s, report.starts()));
         recordStanding(!report.standing().isEmpty(), now);
+        if (suspension.isEmpty()) {
+            evacuations.check(board.evacuation());
+        }
     }
 
     private void recordStanding(boolean standing, long now) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StartCondition.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/StartCondition.java
@@ -7,6 +7,8 @@
 import org.chervillift.api.Checks;
 import org.chervillift.core.tasks.Ages;
 import org.chervillift.core.tasks.WaitReason;
+import org.chervillift.runtime.events.EventLog;
+import org.chervillift.runtime.events.Field;
 
 /** Tells whether the holder may start tasks now, by its lease and by the ages of its copies. */
 final class StartCondition implements StandstillPublisher.Holder {
@@ -16,6 +18,7 @@
     private final LongSupplier workersCompleteUntil;
     private final BooleanSupplier ready;
     private OptionalLong lastStoredAt = OptionalLong.empty();
+    private boolean startsEnabled = true;
 
     /**
      * Creates a condition.
@@ -51,16 +54,35 @@
         return new HolderAges(
                 now - jobsCompleteUntil.getAsLong(),
                 now - workersCompleteUntil.getAsLong(),
+                now - context.operatorCompleteUntil().getAsLong(),
                 context.leaseAgeMillis(),
                 Ages.since(lastStoredAt, now));
     }
 
+    /** Returns whether the copies allow starts, and logs it when that has changed. */
+    boolean checkCopies() {
+        HolderAges ages = ages();
+        boolean current = areCopiesCurrent(ages);
+        if (current != startsEnabled) {
+            startsEnabled = current;
+            EventLog.log(
+                    current ? TaskEvent.STARTS_RESUMED : TaskEvent.STARTS_SUSPENDED,
+                    Field.of("term", context.term()),
+                    Field.of("jobsAgeMillis", ages.jobs()),
+                    Field.of("workersAgeMillis", ages.workers()),
+                    Field.of("operatorAgeMillis", ages.operator()));
+        }
+        return current;
+    }
+
     /**
-     * Returns whether cancellations of jobs, and notices of workers that drain or shrink, are
-     * known.
+     * Returns whether cancellations of jobs, notices of workers that drain or shrink, and
+     * evacuations of data centres are known.
      */
-    boolean areCopiesCurrent(HolderAges ages) {
-        return Math.max(ages.jobs(), ages.workers()) <= context.settings().maxCopyAgeMillis();
+    private boolean areCopiesCurrent(HolderAges ages) {
+        FleetSettings settings = context.settings();
+        return Math.max(ages.jobs(), ages.workers()) <= settings.maxCopyAgeMillis()
+                && ages.operator() <= settings.maxOperatorAgeMillis();
     }
 
     @Override
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -63,16 +63,16 @@
             "The fleet lease may have expired; the job board is not used for answers."),
     /** The lease was renewed late, but in time. */
     LEASE_CONFIRMED(7036, Level.INFO, "The lease was renewed before another process took it."),
-    /** Cancellations of jobs, or notices of workers, may not be known to this process. */
+    /** Cancellations, notices of workers or evacuations may not be known to this process. */
     STARTS_SUSPENDED(
             7037,
             Level.WARN,
-            "Changes of the jobs or workers are not received; no task is started."),
-    /** Changes of the jobs and workers are received again. */
+            "Changes of jobs, workers or operator's rows are not received; no task is started."),
+    /** Changes of the jobs, the workers and the operator's rows are received again. */
     STARTS_RESUMED(
             7038,
             Level.INFO,
-            "Changes of the jobs and workers are received again; tasks are started."),
+            "Changes of jobs, workers and operator's rows are received again; tasks are started."),
     /** The store's clock has started anew or was set. */
     STORE_CLOCK_CHANGED(
             7080,
@@ -126,6 +126,19 @@
     /** This process gives the lease back, since its holder does not work. */
     HOLDER_REPLACED(
             7074, Level.ERROR, "The holder does not work; this process gives the lease back."),
+    /** The operator's request to evacuate a data centre was read. */
+    EVACUATION_BEGUN(
+            7090,
+            Level.INFO,
+            "A data centre is evacuated at the operator's request; no task is started there."),
+    /** The operator's request to evacuate a data centre is gone. */
+    EVACUATION_ENDED(
+            7091, Level.INFO, "A data centre is not evacuated any more; it is used again."),
+    /** An evacuation does nothing, or leaves a pool without a worker. */
+    EVACUATION_FINDING(
+            7092,
+            Level.WARN,
+            "An evacuated data centre has no worker, or a pool has no worker elsewhere."),
     /** A maintenance wave has begun or is completed. */
     WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed.");
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -30,6 +30,7 @@
     private final Gauge pendingJobs;
     private final WaitMetrics waits = new WaitMetrics(registry);
     private final LeaseMetrics lease = new LeaseMetrics(registry);
+    private final EvacuationMetrics evacuation = new EvacuationMetrics(registry);
 
     TaskMetrics() {
         answers =
@@ -107,6 +108,7 @@
         pendingJobs.clear();
         poolCores.clear();
         waits.clearHolderMetrics();
+        evacuation.clearHolderMetrics();
     }
 
     /** Returns the metrics that tell who holds the lease. */
@@ -114,6 +116,11 @@
         return lease;
     }
 
+    /** Returns the metrics of the evacuation of data centres. */
+    EvacuationMetrics evacuation() {
+        return evacuation;
+    }
+
     /** Returns the metrics that tell why work waits. */
     WaitMetrics waits() {
         return waits;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -80,7 +80,7 @@
                         store,
                         ports.rows().operatorTable(),
                         List.of(RowStore.COMMON_PART),
-                        TableFollower.DEFAULT_POLL_WAIT,
+                        settings.operatorPollWait(),
                         supervision,
                         store::clock,
                         manifests);
@@ -116,6 +116,7 @@
                         settings,
                         process,
                         this::maySendOrders,
+                        operatorFollower::completeUntil,
                         () ->
                                 scheduler.now().toEpochMilli()
                                         - leaseManager.election().lastRenewedAt(),
@@ -148,6 +149,8 @@
                         }
                     }
                 };
+        manifests.addChangeListener(
+                () -> metrics.evacuation().setDataCentres(manifests.evacuatedDataCentres().size()));
         manifests.addChangeListener(startOnFirstManifest);
         operatorFollower.start();
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -1,6 +1,7 @@
 package org.chervillift.daemon.tasks;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +19,7 @@
 import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.core.tasks.WorkerLoad;
 import org.chervillift.core.tasks.vms.DrainReserve;
+import org.chervillift.core.tasks.vms.EvacuatedVms;
 import org.chervillift.core.tasks.vms.FleetWavePlanner;
 import org.chervillift.core.tasks.vms.GoneVmDetector;
 import org.chervillift.core.tasks.vms.PoolPlanner;
@@ -273,7 +275,8 @@
                 vm.worker().isEmpty()
                         ? WorkerLoad.IDLE
                         : board.loadOf(vm.worker(), context.nowMillis());
-        return new VmView(vm, load, orders.openOrder(vm));
+        boolean evacuated = manifests.evacuatedDataCentres().contains(vm.dataCentre());
+        return new VmView(vm, load, orders.openOrder(vm), evacuated);
     }
 
     private Set<String> decideWaves(List<FleetWavePlanner.Progress> open, Round round) {
@@ -379,13 +382,19 @@
             planner = new PoolPlanner(initialPoolSizes.sizes());
         }
         List<Move> moves =
-                planner.decide(
+                new ArrayList<>(
+                        planner.decide(
+                                round.views().values(),
+                                round.loads(),
+                                round.standby(),
+                                draining,
+                                v -> mayOrder(v, round),
+                                round.now()));
+        moves.addAll(
+                EvacuatedVms.decide(
                         round.views().values(),
-                        round.loads(),
                         round.standby(),
-                        draining,
-                        v -> mayOrder(v, round),
-                        round.now());
+                        v -> !draining.contains(v.vm().name()) && mayOrder(v, round)));
         for (Move move : moves) {
             String worker = round.views().get(move.vm()).vm().worker();
             board.setCordoned(worker, true);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaitMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WaitMetrics.java
@@ -93,6 +93,7 @@
     void setAges(HolderAges ages) {
         copyAge.labelValues("jobs").set(ages.jobs() / MILLI_UNITS);
         copyAge.labelValues("workers").set(ages.workers() / MILLI_UNITS);
+        copyAge.labelValues("operator").set(ages.operator() / MILLI_UNITS);
         setAge("lease", OptionalLong.of(ages.lease()));
         setAge("stored_progress", ages.stored());
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -91,12 +91,26 @@
         put(FleetRowWriter.waveOrderWrite(order));
     }
 
+    /** Writes the operator's request to evacuate a data centre. */
+    void evacuate(String dataCentre) {
+        put(FleetRowWriter.evacuationWrite(dataCentre));
+    }
+
+    /** Withdraws the operator's request to evacuate a data centre. */
+    void endEvacuation(String dataCentre) {
+        store.delete(FleetRowWriter.evacuationWrite(dataCentre).key());
+    }
+
     /** Adds a VM to the pool; its worker is named after it with the prefix {@code w-}. */
     void addVm(String name) {
         addWorker("w-" + name, name, POOL, 10_000);
     }
 
     void addWorker(String id, String vm, String pool, long milliCores) {
+        addWorker(id, vm, pool, milliCores, "dc");
+    }
+
+    void addWorker(String id, String vm, String pool, long milliCores, String dataCentre) {
         fleet.add(
                 new WorkerEntry(
                         id,
@@ -104,7 +118,7 @@
                         vm,
                         pool,
                         "127.0.0.1:1",
-                        "dc",
+                        dataCentre,
                         false,
                         0,
                         new Resources(milliCores, 100_000, 0),
@@ -161,6 +175,10 @@
     }
 
     static FleetSettings settings(String vm, double linkMbps) {
+        return settings(vm, linkMbps, Duration.ZERO);
+    }
+
+    static FleetSettings settings(String vm, double linkMbps, Duration evacuateWithin) {
         return new FleetSettings(
                 vm,
                 "dc",
@@ -179,7 +197,8 @@
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(120),
-                Duration.ofSeconds(6));
+                Duration.ofSeconds(6),
+                evacuateWithin);
     }
 
     /** Returns a job of one step with the given number of tasks. */
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/SettingType.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/SettingType.java
@@ -21,6 +21,10 @@
                             + m.least().toMillis()
                             + " to "
                             + m.most().toMillis();
+            case MillisOrNone m ->
+                    "a whole number of milliseconds from 0 to "
+                            + m.most().toMillis()
+                            + ", or nothing for 0";
             case Seconds d ->
                     "a number of seconds from "
                             + d.least().toSeconds()
@@ -45,6 +49,9 @@
             case Millis m ->
                     Duration.ofMillis(
                             parseNumber(value, m.least().toMillis(), m.most().toMillis()));
+            case MillisOrNone m ->
+                    Duration.ofMillis(
+                            value.isBlank() ? 0 : parseNumber(value, 0, m.most().toMillis()));
             case Seconds d -> parseSeconds(value, d);
             case Address a -> HostPort.parse(value);
             case AddressList a ->
@@ -143,6 +150,18 @@
         }
     }
 
+    /**
+     * A duration, written in milliseconds; nothing stands for zero, as a template writes it that
+     * names a value which the deployment does not have.
+     *
+     * @param most the longest duration allowed
+     */
+    record MillisOrNone(Duration most) implements SettingType {
+        public MillisOrNone {
+            Checks.that(!most.isNegative(), "most must not be negative");
+        }
+    }
+
     /**
      * A duration, written in seconds with at most three decimals.
      *
