Evacuate data centres in the soak for standstills

Cause: that no task starts in an evacuated data centre has to hold beside outages of the store, changes of the holder and late orders.

Change: the VMs of the soak are in two data centres; the new kind EVACUATION evacuates one for up to 15 s, and the check counts starts later than 5 s after the row was stored.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakCheck.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakCheck.java
@@ -16,8 +16,9 @@
  * Checks from outside that work goes on: it uses only what workers run and callers are told.
  *
  * <p>In a calm spell no job may have nothing running for 3 s while its pool has room for it twice
- * over and its customer has under half of its limit. At the end each accepted job is completed, or
- * has rightly failed or been cancelled.
+ * over and its customer has under half of its limit. No task may start in a data centre that has
+ * been evacuated for longer than the bound. At the end each accepted job is completed, or has
+ * rightly failed or been cancelled.
  */
 final class SoakCheck {
 
@@ -43,6 +44,7 @@
         world.base.advance(ANSWER_TIME);
         all.addAll(wrong);
         all.addAll(world.fleet.repeatedStarts());
+        all.addAll(world.fleet.startsAfterEvacuation());
         world.faults.forEach(f -> all.add("a callback threw " + f));
         return all;
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
@@ -23,6 +23,11 @@
 final class SoakFleet {
 
     static final String STANDBY_POOL = "spare";
+    static final List<String> DATA_CENTRES = List.of("dc-a", "dc-b");
+
+    /** How long after the row of an evacuation was stored tasks may still start. */
+    static final Duration EVACUATE_WITHIN = Duration.ofSeconds(5);
+
     private static final Duration MOVE_TIME = Duration.ofMillis(1_500);
     private static final Duration MAINTENANCE_TIME = Duration.ofSeconds(2);
     private static final Duration HEARTBEAT = Duration.ofSeconds(2);
@@ -35,6 +40,8 @@
     private final Map<String, SoakWorker> workers = new HashMap<>();
     private final Map<String, SoakJob> jobs = new HashMap<>();
     private final List<String> repeated = new ArrayList<>();
+    private final Map<String, Long> evacuatedSince = new HashMap<>();
+    private final List<String> startsAfterEvacuation = new ArrayList<>();
     private long heartbeats;
 
     /** A VM and the lifetime of its worker. */
@@ -53,6 +60,10 @@
             this.capacity = capacity;
         }
 
+        String dataCentre() {
+            return DATA_CENTRES.get(Math.floorMod(name.hashCode(), DATA_CENTRES.size()));
+        }
+
         List<String> labels() {
             return List.of("a", "rack-" + name.hashCode() % 3);
         }
@@ -100,8 +111,36 @@
         return job(task).request(task);
     }
 
+    /** Stores the request to evacuate a data centre. */
+    void evacuate(String dataCentre) {
+        var write = FleetRowWriter.evacuationWrite(dataCentre);
+        store.put(write.key(), write.value().orElseThrow());
+        evacuatedSince.putIfAbsent(dataCentre, nowMillis());
+    }
+
+    /** Withdraws the request to evacuate a data centre. */
+    void endEvacuation(String dataCentre) {
+        store.delete(FleetRowWriter.evacuationWrite(dataCentre).key());
+        evacuatedSince.remove(dataCentre);
+    }
+
+    /** Returns the starts in a data centre that was evacuated for longer than the bound. */
+    List<String> startsAfterEvacuation() {
+        return startsAfterEvacuation;
+    }
+
+    private void checkEvacuation(TaskId task, String worker) {
+        String dataCentre = workers.get(worker).entry().dataCentre();
+        long since = evacuatedSince.getOrDefault(dataCentre, Long.MAX_VALUE);
+        if (nowMillis() - EVACUATE_WITHIN.toMillis() > since) {
+            startsAfterEvacuation.add(
+                    nowMillis() + " task " + task + " starts in " + dataCentre + " on " + worker);
+        }
+    }
+
     /** Checks that a task neither runs elsewhere nor has ended well to the holder's knowledge. */
     void taskStarts(TaskId task, String worker) {
+        checkEvacuation(task, worker);
         boolean again =
                 job(task).isNotedDone(task) || liveWorkers().stream().anyMatch(w -> runs(w, task));
         if (again) {
@@ -163,7 +202,7 @@
                         vm.name,
                         vm.pool,
                         "127.0.0.1:1",
-                        "dc",
+                        vm.dataCentre(),
                         false,
                         0,
                         vm.capacity,
@@ -202,7 +241,7 @@
                                         v.name,
                                         v.pool,
                                         v.status,
-                                        "dc",
+                                        v.dataCentre(),
                                         v.labels(),
                                         v.capacity,
                                         v.worker.map(w -> w.entry().id()).orElse("")))
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakTroubles.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakTroubles.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.chervillift.api.tasks.ListedFleetVm.Status;
@@ -19,6 +21,10 @@
     private static final double TROUBLES_PER_SECOND = 1.5;
     private static final int MIN_MILLIS = 300;
     private static final int MAX_MILLIS = 5_000;
+
+    /** Some evacuations are longer than the bound after which no task may start. */
+    private static final int MAX_EVACUATION_MILLIS = 15_000;
+
     private static final int MAX_NODES = 6;
     private static final int MILLIS_PER_SECOND = 1_000;
     private static final long RECONFIGURE_MILLIS = 2_000;
@@ -28,6 +34,7 @@
     private final Random random;
     private final List<Kind> kinds;
     private final List<String> history = new ArrayList<>();
+    private final Map<String, Integer> evacuations = new HashMap<>();
     private int active;
     private long lastAt;
     private long nextConfigurationAt;
@@ -60,7 +67,8 @@
         STORE_CLOCK_SLOW,
         CALLS_THROW,
         CALLS_HANG,
-        NULL_ANSWERS
+        NULL_ANSWERS,
+        EVACUATION
     }
 
     SoakTroubles(SoakWorld world, Set<Kind> kinds) {
@@ -88,7 +96,8 @@
         long left = endsAt - world.now();
         if (random.nextDouble() < due && left > MIN_MILLIS) {
             Kind kind = kinds.get(random.nextInt(kinds.size()));
-            int longest = (int) Math.min(left, MAX_MILLIS);
+            int most = kind == Kind.EVACUATION ? MAX_EVACUATION_MILLIS : MAX_MILLIS;
+            int longest = (int) Math.min(left, most);
             begin(kind, MIN_MILLIS + random.nextInt(longest - MIN_MILLIS + 1));
         }
     }
@@ -120,6 +129,7 @@
             case CALLS_THROW -> link(SoakLink.Fault.CALLS_THROW);
             case CALLS_HANG -> link(SoakLink.Fault.CALLS_HANG);
             case NULL_ANSWERS -> link(SoakLink.Fault.NULL_ANSWERS);
+            case EVACUATION -> evacuation();
             case WORKER_SILENT -> mode(SoakMode.SILENT);
             case WORKER_SLOW -> mode(SoakMode.SLOW);
             case WORKER_RESETTING -> mode(SoakMode.RESETTING);
@@ -321,6 +331,19 @@
         return () -> {};
     }
 
+    /** Evacuates a data centre; the last of several for the same one ends it. */
+    private Runnable evacuation() {
+        int chosen = random.nextInt(SoakFleet.DATA_CENTRES.size());
+        String dataCentre = SoakFleet.DATA_CENTRES.get(chosen);
+        evacuations.merge(dataCentre, 1, Integer::sum);
+        world.fleet.evacuate(dataCentre);
+        return () -> {
+            if (evacuations.merge(dataCentre, -1, Integer::sum) == 0) {
+                world.fleet.endEvacuation(dataCentre);
+            }
+        };
+    }
+
     private void reconfigure() {
         lastAt = world.now();
         String queue = "q" + random.nextInt(SoakWorld.HOME_POOLS.size());
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
@@ -47,6 +47,7 @@
     final Set<String> removedQueues = new TreeSet<>();
     final SoakStoreClock storeClock = new SoakStoreClock();
     double limitFactor = 1;
+    private final Duration evacuateWithin;
     private long manifestVersion;
     private int startedNodes;
 
@@ -54,6 +55,16 @@
     record Node(String vm, SoakProcess process, SoakLink link, TaskNode node) {}
 
     SoakWorld(long seed) {
+        this(seed, Duration.ZERO);
+    }
+
+    /**
+     * Creates a world.
+     *
+     * @param evacuateWithin the setting of all processes; zero if there are no evacuations
+     */
+    SoakWorld(long seed, Duration evacuateWithin) {
+        this.evacuateWithin = evacuateWithin;
         random = new Random(seed);
         fleet = new SoakFleet(base, store, random);
         base.advance(START);
@@ -122,7 +133,7 @@
         startedNodes++;
         TaskNode node =
                 new TaskNode(
-                        NodeFixture.settings(vm, LINK_MBPS),
+                        NodeFixture.settings(vm, LINK_MBPS, evacuateWithin),
                         process,
                         ports,
                         vm + "/" + startedNodes);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
@@ -45,7 +45,9 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void workGoesOnAfterAnyTrouble(long seed) {
-        SoakWorld world = new SoakWorld(seed);
+        boolean evacuates = kinds().contains(Kind.EVACUATION);
+        SoakWorld world =
+                new SoakWorld(seed, evacuates ? SoakFleet.EVACUATE_WITHIN : Duration.ZERO);
         SoakLoad load = new SoakLoad(world);
         SoakTroubles troubles = new SoakTroubles(world, kinds());
         SoakCheck check = new SoakCheck(world, load);
