--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/EvacuatedVms.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/EvacuatedVms.java
@@ -20,6 +20,9 @@
  */
 public final class EvacuatedVms {
 
+    /** The recent orders of a holder are in one row of the store; these take a twentieth of it. */
+    private static final int MAX_MOVES_PER_ROUND = 20;
+
     private EvacuatedVms() {}
 
     /**
@@ -41,7 +44,8 @@
         for (VmView view : vms) {
             String pool = view.vm().pool();
             boolean canLeave =
-                    view.evacuated()
+                    moves.size() < MAX_MOVES_PER_ROUND
+                            && view.evacuated()
                             && view.isUpWithoutOrder()
                             && view.load().isIdle()
                             && !standby.contains(pool)
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/EvacuatedVmsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/EvacuatedVmsTest.java
@@ -64,6 +64,15 @@
         assertThat(EvacuatedVms.decide(vms, Set.of(), v -> true)).isEmpty();
     }
 
+    /** The orders of a round are stored in one row, which hundreds of them would outgrow. */
+    @Test
+    void aLargeDataCentreIsParkedInSeveralRounds() {
+        for (int i = 0; i < 400; i++) {
+            vm("vm" + i, "p", "a", WorkerLoad.IDLE, true);
+        }
+        assertThat(toStandby()).hasSize(20);
+    }
+
     /** No pool gets a VM of a kind back, so tasks that need the kind would wait for ever. */
     @Test
     void theLastVmOfItsKindStaysInItsPool() {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EvacuationNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EvacuationNodeTest.java
@@ -156,9 +156,7 @@
         submit(successor);
         fixture.advanceMillis(LONGER_THAN_A_LEASE_MILLIS);
         assertThat(metricsOf(successor)).contains("chervillift_holder_term 2.0");
-        assertThat(workersSince(before).stream().filter("a1"::equals).count())
-                .as("starts of the former holder, before it was cut off")
-                .isZero();
+        assertThat(workersSince(before)).doesNotContain("a1");
         faultyStore.setTableLost("");
         fixture.advanceMillis(3_000);
         assertThat(workersSince(before)).contains("w1").doesNotContain("a1");
