Move tasks of services without a limit one at a time

Cause: a step may state no may_miss. All of its tasks in an evacuated data centre would be stopped at once, and the service be absent for some 0.5 s.

Change: without a limit one task moves at a time. The soak has a test of its own with evacuations, since the kind is not among those of every seed.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/EvacuationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/EvacuationPlanner.java
@@ -101,13 +101,20 @@
         }
         runs.sort(Comparator.comparing(r -> StepEntry.isFullyRunning(r.task())));
         for (Run run : runs) {
-            if (!step.canStopOneMore(run) || !places.take(1)) {
+            if (!mayStop(run) || !places.take(1)) {
                 return;
             }
             stop(run, now);
         }
     }
 
+    /** Returns whether a run may be stopped; one at a time if the step states no limit. */
+    private static boolean mayStop(Run run) {
+        StepEntry step = run.task().step();
+        boolean statesLimit = step.spec().mayMiss() > 0;
+        return step.canStopOneMore(run) && (statesLimit || step.countNotRunning() == 0);
+    }
+
     /** Moves a gang as a whole, if all of it may be down and has places elsewhere. */
     private void moveGang(StepEntry gang, FreePlaces places, long now) {
         List<Run> all = gang.runs().toList();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -128,6 +128,21 @@
                 .hasSize(3);
     }
 
+    /** A step may state no limit, and all of it would be down at once. */
+    @Test
+    void tasksOfAServiceWithoutALimitMoveOneAfterTheOther() {
+        fixture.addWorker("a1", 3_000, AWAY);
+        fixture.accept("s", service(3, 0, false));
+        fixture.starts();
+        reportAll("a1");
+        fixture.addWorker("w1", 9_000);
+        evacuate(AWAY);
+        assertThat(fixture.plan()).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
+        assertThat(fixture.plan()).isEmpty();
+        reportAll("a1");
+        assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w1");
+    }
+
     /** Both services saw the same free place, and one of them lost its task for nothing. */
     @Test
     void twoServicesDoNotMoveForOnePlace() {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EvacuationNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EvacuationNodeTest.java
@@ -139,6 +139,23 @@
         assertThat(metricsOf(successor)).contains("chervillift_holder_term 2.0");
     }
 
+    /** The store rejects the holder, and the row is stored meanwhile: it goes on for its lease. */
+    @Test
+    void nobodyStartsTasksAfterTheBoundIfTheRowIsStoredWhileTheStoreRejectsTheHolder() {
+        MemoryLink link = new MemoryLink(fixture.store, fixture.scheduler, BYTES_PER_SECOND);
+        fixture.startNode(NodeFixture.settings("h", LINK_MBPS, WITHIN), link, "h/1");
+        fixture.advanceMillis(500);
+        TaskNode other = startNodeAndWait("n", WITHIN);
+        assertThat(startsWhileJobsCome(other, 1_000)).contains("a1");
+        link.setCut(true);
+        fixture.evacuate(AWAY);
+        startsWhileJobsCome(other, WITHIN.toMillis());
+        link.setCut(false);
+        assertThat(startsWhileJobsCome(other, WITHIN.toMillis())).isEmpty();
+        fixture.endEvacuation(AWAY);
+        assertThat(startsWhileJobsCome(other, 1_000)).isNotEmpty().containsOnly("a1");
+    }
+
     /** A process may become the holder while it is cut off from the operator's rows. */
     @Test
     void aNewHolderWhoseCopyOfTheOperatorsRowsIsOldStartsNothing() {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
@@ -45,11 +45,32 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void workGoesOnAfterAnyTrouble(long seed) {
-        boolean evacuates = kinds().contains(Kind.EVACUATION);
+        checkWorkGoesOn(seed, kinds());
+    }
+
+    /** Troubles by which a process may not know of an evacuation, or an order comes late. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noTaskStartsInADataCentreThatIsEvacuatedAndWorkGoesOnAfterIt(long seed) {
+        Set<Kind> kinds =
+                EnumSet.of(
+                        Kind.STORE_SLOW,
+                        Kind.STORE_DOWN,
+                        Kind.STORE_SILENT,
+                        Kind.HISTORY_LOST,
+                        Kind.LATE_ORDERS,
+                        Kind.NODE_KILLED,
+                        Kind.NODE_PAUSED,
+                        Kind.EVACUATION);
+        checkWorkGoesOn(seed, kinds);
+    }
+
+    private static void checkWorkGoesOn(long seed, Set<Kind> kinds) {
+        boolean evacuates = kinds.contains(Kind.EVACUATION);
         SoakWorld world =
                 new SoakWorld(seed, evacuates ? SoakFleet.EVACUATE_WITHIN : Duration.ZERO);
         SoakLoad load = new SoakLoad(world);
-        SoakTroubles troubles = new SoakTroubles(world, kinds());
+        SoakTroubles troubles = new SoakTroubles(world, kinds);
         SoakCheck check = new SoakCheck(world, load);
         world.base.advance(Duration.ofSeconds(2));
         run(world, load, troubles, check);
