Count places for a move in the pool where the task would start

Cause: after its queue has moved to another pool, a task starts there. The places of the former pool were counted, so a service was stopped although no worker could take it.

Change: places are counted in the pool of the job's queue.

Tested: EvacuationTest.aServiceWhoseQueueHasMovedToAnEmptyPoolStays, red before the change and green after it.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/EvacuationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/EvacuationPlanner.java
@@ -84,7 +84,8 @@
         Map<WorkerRecord, Resources> room = new HashMap<>();
         runs.forEach(
                 (step, candidates) -> {
-                    List<WorkerRecord> pool = pools.get(candidates.getFirst().worker().pool());
+                    String name = step.job().policy().pool();
+                    List<WorkerRecord> pool = pools.getOrDefault(name, List.of());
                     FreePlaces places = new FreePlaces(step, pool, room, now);
                     if (step.spec().gang()) {
                         moveGang(step, places, now);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.OrderAnswer;
+import org.chervillift.api.tasks.QueuePolicy;
+import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.StepSpec;
@@ -143,6 +146,26 @@
         assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w1");
     }
 
+    /** The tasks start in the new pool of their queue, where there may be no worker. */
+    @Test
+    void aServiceWhoseQueueHasMovedToAnEmptyPoolStays() {
+        fixture.addWorker("a1", 1_000, AWAY);
+        fixture.accept("s", service(1, 1, false));
+        fixture.starts();
+        reportAll("a1");
+        fixture.addWorker("w1", 9_000);
+        QueuePolicy moved = new QueuePolicy(SchedulerFixture.QUEUE, "other", 0, 2, 1.6, 600, false);
+        fixture.scheduler.configure(
+                Manifest.of(
+                        2,
+                        List.of(new QueueRoute("h.example", "/q/", true, moved)),
+                        List.of(),
+                        List.of(),
+                        1_000));
+        evacuate(AWAY);
+        assertThat(fixture.plan()).isEmpty();
+    }
+
     /** Both services saw the same free place, and one of them lost its task for nothing. */
     @Test
     void twoServicesDoNotMoveForOnePlace() {
