--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -32,6 +32,8 @@
  * @param cancelWithin how long after the cancellation of a job its tasks may still start
  * @param keepFinished how long the state of a finished job can be read
  * @param shutdownGrace how long after a stop request the process is killed
+ * @param evacuateWithin how long after a request to evacuate a data centre tasks may still start
+ *     there; zero if the deployment has no evacuations
  * @param pools how eagerly VMs move between pools
  */
 public record FleetSettings(
@@ -53,6 +55,7 @@
         Duration cancelWithin,
         Duration keepFinished,
         Duration shutdownGrace,
+        Duration evacuateWithin,
         PoolSettings pools) {
 
     /** The largest factor by which a worker's clock may be slower than this process's. */
@@ -89,6 +92,17 @@
     private static final String ON = "on";
     private static final String OFF = "off";
 
+    /**
+     * The share of the time for an evacuation in which it must be known; the rest is for orders.
+     */
+    private static final double KNOWN_SHARE_OF_EVACUATION = 0.5;
+
+    /** A copy that is followed without faults is younger, even if the store is slow. */
+    private static final long MIN_OPERATOR_AGE_LIMIT_MILLIS = 500;
+
+    /** One poll may fail and be repeated before the copy is too old. */
+    private static final long POLLS_PER_OPERATOR_AGE_LIMIT = 3;
+
     private static final SettingType TEXT = new SettingType.Text();
     private static final SettingType ADDRESS = new SettingType.Address();
     private static final SettingType SECONDS =
@@ -209,7 +223,14 @@
                                     new SettingType.Choice(List.of(ON, OFF)),
                                     OFF,
                                     "Whether a pool gets VMs for a surge as large as its last one"
-                                            + " as soon as a surge begins.")));
+                                            + " as soon as a surge begins."),
+                            Setting.optional(
+                                    "evacuation",
+                                    "within-ms",
+                                    new SettingType.MillisOrNone(Duration.ofHours(1)),
+                                    "0",
+                                    "How long after a request to evacuate a data centre tasks may"
+                                            + " still start there; 0 if there are none.")));
 
     /** Returns how long a free lease is left to processes on faster links, in milliseconds. */
     long leaseYieldMillis() {
@@ -222,6 +243,30 @@
         return Math.max(MIN_COPY_AGE_LIMIT_MILLIS, cancelWithin.toMillis() - START_ORDER_MILLIS);
     }
 
+    /**
+     * Returns the maximum age of the copy of the operator's rows for starts, in milliseconds.
+     *
+     * <p>An order to start may be carried out late, and one that was not answered is stopped by
+     * another order: the rest of the time, at least 1 s, is left for both. A shorter time than 1.5
+     * s for evacuations cannot be kept while the store does not answer.
+     */
+    long maxOperatorAgeMillis() {
+        long within = evacuateWithin.toMillis();
+        if (within == 0) {
+            return Long.MAX_VALUE;
+        }
+        long known = Math.round(within * KNOWN_SHARE_OF_EVACUATION);
+        return Math.max(
+                MIN_OPERATOR_AGE_LIMIT_MILLIS, Math.min(known, within - START_ORDER_MILLIS));
+    }
+
+    /** Returns how long the store may wait for a change of the operator's rows. */
+    Duration operatorPollWait() {
+        Duration usual = TableFollower.DEFAULT_POLL_WAIT;
+        long most = maxOperatorAgeMillis() / POLLS_PER_OPERATOR_AGE_LIMIT;
+        return Duration.ofMillis(Math.min(usual.toMillis(), most));
+    }
+
     /** Returns the duration of a worker's lease, in milliseconds. */
     long workerLeaseMillis() {
         return Math.min(
@@ -260,6 +305,7 @@
                 settings.duration("jobs.cancel-within-ms"),
                 settings.duration("jobs.keep-finished-s"),
                 settings.duration("shutdown.grace-s"),
+                settings.duration("evacuation.within-ms"),
                 poolSettings(settings));
     }
 
