Measure one plan of the task scheduler in full pools

Cause: a decision round for 1,200 VMs and 10,000 waiting tasks has to take under 50 ms of one core, and nothing measured it. Change: bin/bench plan prints the median processor time of a plan for 1,200 full workers and 10,000 waiting tasks of 20 customers, in 34 pools and in one. It ends with exit code 1 above 50 ms.

--- a/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/BenchMain.java
@@ -14,6 +14,7 @@
 import org.chervillift.bench.internal.Benchmark;
 import org.chervillift.bench.internal.ConditionBrokenException;
 import org.chervillift.bench.internal.PathBenchmark;
+import org.chervillift.bench.internal.PlanBenchmark;
 import org.chervillift.bench.internal.RoutingBenchmark;
 import org.chervillift.bench.internal.SoakBenchmark;
 import org.chervillift.bench.internal.SurgeBenchmark;
@@ -37,7 +38,8 @@
                     new ConfigBenchmark(),
                     new CapacityBenchmark(),
                     new SurgeBenchmark(),
-                    new RoutingBenchmark());
+                    new RoutingBenchmark(),
+                    new PlanBenchmark());
     private static final int EXIT_BROKEN = 1;
     private static final int EXIT_USAGE = 2;
 
