Start tasks of customers within their share first in a full pool

Cause: one customer that sends several times its usual load takes the capacity of the others. `weight` was read and not used. Change: while several customers wait in a pool without room for all, StartOrder takes the steps of customers within their weighted dominant share before those of customers beyond it, among steps of equal urgency. Each start counts at once; a step is handed out twice at most. Usage is derived from open runs, so nothing is stored or sent. Weights that are not above 0 count as 1 (normalised in Customer). Event 7093 and chervillift_customers_beyond_share show it. Tested: CustomerShareTest (a customer with nine times its load beside nineteen others: four of its tests are red without the shares), CustomerShareReplayTest (digests of the orders, taken on, for a customer alone in a full pool and for six customers with room for all: unchanged), ShareMetricsTest, CataloguesTest.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -13,7 +13,8 @@
  *
  * <p>Used when a surge exceeds the capacity of a pool: jobs that can still meet their latency
  * objective go before jobs that cannot, and among these the jobs with the highest value per
- * remaining work, so that a job that has begun is finished before another begins.
+ * remaining work, so that a job that has begun is finished before another begins. Among jobs that
+ * are as urgent, {@link StartOrder} takes customers within their share first.
  */
 final class JobRanking {
 
@@ -40,11 +41,18 @@
     record Rank(boolean longRunning, int priority, boolean late, double valuePerWork)
             implements Comparable<Rank> {
 
-        private static final Comparator<Rank> ORDER =
+        private static final Comparator<Rank> BY_URGENCY =
                 Comparator.comparing((Rank r) -> !r.longRunning)
                         .thenComparing(Rank::late)
-                        .thenComparing(Rank::priority)
-                        .thenComparing(r -> -r.valuePerWork);
+                        .thenComparing(Rank::priority);
+
+        private static final Comparator<Rank> ORDER =
+                BY_URGENCY.thenComparing(r -> -r.valuePerWork);
+
+        /** Returns whether only shares of customers and the value decide which goes first. */
+        boolean isAsUrgentAs(Rank other) {
+            return BY_URGENCY.compare(this, other) == 0;
+        }
 
         @Override
         public int compareTo(Rank other) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -44,7 +44,11 @@
         /** A run was lost with its worker. */
         LOST,
         /** A worker's lease has expired. */
-        LEASE_OVER
+        LEASE_OVER,
+        /** Steps of a customer beyond its share of a pool are postponed. */
+        BEYOND_SHARE,
+        /** No step of a customer has been postponed in a pool for some seconds. */
+        WITHIN_SHARE
     }
 
     public SchedulerEvent {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -27,6 +27,7 @@
     private final RunNumbers numbers;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
+    private final ShareMonitor shareMonitor;
     private final Map<String, WorkerRecord> keptFree = new HashMap<>();
     private Map<String, Resources> unknownUsage = Map.of();
 
@@ -41,6 +42,7 @@
         this.ranking = ranking;
         this.numbers = new RunNumbers(settings.term());
         this.events = events;
+        this.shareMonitor = new ShareMonitor(events);
         this.isolation = new IsolationPlanner(settings.vmMoveMillis(), events);
     }
 
@@ -61,34 +63,28 @@
         Map<String, List<WorkerRecord>> pools =
                 workers.stream().collect(Collectors.groupingBy(WorkerRecord::pool));
         pools.values().forEach(p -> FaultyWorkerLimit.apply(p, now));
-        Map<String, List<Candidate>> candidatesByPool =
+        Map<String, List<StartOrder.Candidate>> candidatesByPool =
                 liveJobs.stream()
                         .flatMap(JobEntry::steps)
                         .filter(s -> !s.isDone() && s.isReady() && hasStartableTask(s, now))
                         .filter(s -> !s.begunPools().mayHaveBegunByPredecessor(unknownPools))
-                        .map(s -> new Candidate(s, ranking.rankOf(s, now)))
+                        .map(s -> new StartOrder.Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
-        isolation.beginRound(stepsOf(candidatesByPool.values()), now);
+        isolation.beginRound(StartOrder.stepsOf(candidatesByPool.values()), now);
         keptFree.clear();
+        shareMonitor.beginRound();
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
-                (pool, candidates) -> {
-                    candidates.sort(Comparator.comparing(Candidate::rank));
-                    startCandidates(
-                            candidates, pools.getOrDefault(pool, List.of()), manifest, now, orders);
+                (name, candidates) -> {
+                    List<WorkerRecord> pool = pools.getOrDefault(name, List.of());
+                    StartOrder order = StartOrder.of(candidates, pool, manifest, now);
+                    startCandidates(order, pool, manifest, now, orders);
+                    shareMonitor.record(name, order, now);
                 });
+        shareMonitor.endRound(now);
         return orders;
     }
 
-    private record Candidate(StepEntry step, JobRanking.Rank rank) {}
-
-    private static Set<StepEntry> stepsOf(Collection<List<Candidate>> candidates) {
-        return candidates.stream()
-                .flatMap(List::stream)
-                .map(Candidate::step)
-                .collect(Collectors.toSet());
-    }
-
     /** Returns whether a task of a step waits, and no longer for a time after a failed run. */
     static boolean hasStartableTask(StepEntry step, long now) {
         for (TaskEntry task : step.tasks().waiting()) {
@@ -100,22 +96,24 @@
     }
 
     private void startCandidates(
-            List<Candidate> candidates,
+            StartOrder order,
             List<WorkerRecord> pool,
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
-        candidates.forEach(c -> isolation.reserve(c.step(), pool, now));
+        order.steps().forEach(s -> isolation.reserve(s, pool, now));
         Set<WorkerRecord> reserved = new HashSet<>();
-        for (Candidate candidate : candidates) {
-            StepEntry step = candidate.step();
+        Optional<StepEntry> next = order.next();
+        while (next.isPresent()) {
+            StepEntry step = next.get();
             boolean blocked =
                     step.spec().gang()
-                            ? !startGang(step, pool, reserved, manifest, now, orders)
-                            : !startTasks(step, pool, reserved, manifest, now, orders);
+                            ? !startGang(step, pool, reserved, manifest, now, orders, order)
+                            : !startTasks(step, pool, reserved, manifest, now, orders, order);
             if (blocked && reserved.isEmpty()) {
                 chooseReservedWorker(step, pool, now).ifPresent(w -> keepFree(w, reserved));
             }
+            next = order.next();
         }
     }
 
@@ -124,6 +122,11 @@
         keptFree.put(worker.pool(), worker);
     }
 
+    /** Returns how many customers the last plan postponed, by pool in which customers compete. */
+    Map<String, Integer> customersBeyondShare() {
+        return shareMonitor.postponedByPool();
+    }
+
     /** Returns whether the last plan kept a worker free for a step that fits on none. */
     boolean isKeptFree(WorkerRecord worker) {
         return keptFree.get(worker.pool()) == worker;
@@ -136,12 +139,16 @@
             Set<WorkerRecord> reserved,
             Manifest manifest,
             long now,
-            List<Order.Start> orders) {
+            List<Order.Start> orders,
+            StartOrder order) {
         int mayBegin = JobSizeLimits.tasksThatMayBegin(step);
         for (TaskEntry task : step.tasks().waiting()) {
             if (task.notBefore() > now) {
                 continue;
             }
+            if (order.postponeIfBeyondShare(step)) {
+                return true;
+            }
             boolean begins = !step.tasks().isKept(task);
             if (begins && mayBegin <= 0 || !isWithinOpenRuns(1)) {
                 return true;
@@ -158,6 +165,7 @@
                 return false;
             }
             orders.add(startRun(task, worker.get(), numbers.next(task), now));
+            order.recordStarts(step, 1);
             mayBegin -= begins ? 1 : 0;
         }
         return true;
@@ -170,7 +178,8 @@
             Set<WorkerRecord> reserved,
             Manifest manifest,
             long now,
-            List<Order.Start> orders) {
+            List<Order.Start> orders,
+            StartOrder order) {
         List<TaskEntry> tasks = step.tasks().all();
         if (!areAllStartable(tasks, now)
                 || !isWithinOpenRuns(tasks.size())
@@ -193,6 +202,7 @@
             run.task().updateCheckpoint(checkpoint);
             orders.add(startOrder(run, now));
         }
+        order.recordStarts(step, placed.size());
         return true;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -262,14 +262,7 @@
         inheritedStarts.lifetimeEnded(workerId, now);
         WorkerRecord worker = workers.get(workerId);
         if (worker != null && !worker.runs().isEmpty()) {
-            events.accept(
-                    new SchedulerEvent(
-                            SchedulerEvent.Kind.LIFETIME,
-                            "",
-                            "",
-                            workerId,
-                            "lifetime ended, runs=" + worker.runs().size()));
-            losses.lifetimeEnded(worker, now);
+            losses.lifetimeEndedWithRuns(worker, now);
         }
         if (worker != null) {
             worker.reported(false);
@@ -434,6 +427,11 @@
                 .poolLoads(liveJobs, workers.values(), now);
     }
 
+    /** Returns how many customers were beyond their share, by pool in which they compete. */
+    public Map<String, Integer> customersBeyondShare() {
+        return startPlanner.customersBeyondShare();
+    }
+
     /**
      * Drains a worker: stops its long-running runs, so that their tasks start on other workers, as
      * far as their steps allow tasks to be down.
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -18,6 +18,18 @@
         this.events = events;
     }
 
+    /** Logs the end of a worker's lifetime, and closes the runs that it had. */
+    void lifetimeEndedWithRuns(WorkerRecord worker, long now) {
+        events.accept(
+                new SchedulerEvent(
+                        SchedulerEvent.Kind.LIFETIME,
+                        "",
+                        "",
+                        worker.id(),
+                        "lifetime ended, runs=" + worker.runs().size()));
+        lifetimeEnded(worker, now);
+    }
+
     /** Closes all runs of a worker whose lifetime has ended: none of them can still exist. */
     void lifetimeEnded(WorkerRecord worker, long now) {
         closeRuns(worker, worker.isEndExpected() ? LossCause.PLANNED : LossCause.CRASH, now);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
@@ -51,6 +51,7 @@
     private void publishLoads() {
         board.poolLoads(context.nowMillis()).forEach(this::publishLoad);
         context.metrics().setPendingJobs(board.pendingByQueue());
+        context.metrics().shares().setCustomersBeyondShare(board.customersBeyondShare());
     }
 
     private void publishLoad(String pool, PoolLoad load) {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -126,6 +126,11 @@
     /** This process gives the lease back, since its holder does not work. */
     HOLDER_REPLACED(
             7074, Level.ERROR, "The holder does not work; this process gives the lease back."),
+    /** A customer is beyond its share of a pool in which customers compete, or no longer. */
+    CUSTOMER_SHARE(
+            7093,
+            Level.INFO,
+            "A customer is beyond its share of a full pool, so others go first, or no longer."),
     /** A maintenance wave has begun or is completed. */
     WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed.");
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -29,6 +29,7 @@
     private final Gauge poolCores;
     private final Gauge pendingJobs;
     private final WaitMetrics waits = new WaitMetrics(registry);
+    private final ShareMetrics shares = new ShareMetrics(registry);
     private final LeaseMetrics lease = new LeaseMetrics(registry);
 
     TaskMetrics() {
@@ -107,6 +108,7 @@
         pendingJobs.clear();
         poolCores.clear();
         waits.clearHolderMetrics();
+        shares.clearHolderMetrics();
     }
 
     /** Returns the metrics that tell who holds the lease. */
@@ -114,6 +116,11 @@
         return lease;
     }
 
+    /** Returns the metrics of the customers that compete for full pools. */
+    ShareMetrics shares() {
+        return shares;
+    }
+
     /** Returns the metrics that tell why work waits. */
     WaitMetrics waits() {
         return waits;
