Start late urgent tasks before tasks of lower priority

Cause: jobs on time of any priority went before late jobs, so in an overload urgent jobs that became late waited for all others. Change: the order is long-running, priority, on time before late, customers within their share, value.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -11,10 +11,11 @@
 /**
  * Ranks steps by which goes first when the pool lacks capacity for all.
  *
- * <p>Used when a surge exceeds the capacity of a pool: jobs that can still meet their latency
- * objective go before jobs that cannot, and among these the jobs with the highest value per
- * remaining work, so that a job that has begun is finished before another begins. Among jobs that
- * are as urgent, {@link StartOrder} takes customers within their share first.
+ * <p>Used when a surge exceeds the capacity of a pool: jobs of the most urgent priority go first,
+ * also when they are late; then jobs that can still meet their latency objective before jobs that
+ * cannot; and among these the jobs with the highest value per remaining work, so that a job that
+ * has begun is finished before another begins. Among jobs that are as urgent, {@link StartOrder}
+ * takes customers within their share first.
  */
 final class JobRanking {
 
@@ -43,8 +44,8 @@
 
         private static final Comparator<Rank> BY_URGENCY =
                 Comparator.comparing((Rank r) -> !r.longRunning)
-                        .thenComparing(Rank::late)
-                        .thenComparing(Rank::priority);
+                        .thenComparing(Rank::priority)
+                        .thenComparing(Rank::late);
 
         private static final Comparator<Rank> ORDER =
                 BY_URGENCY.thenComparing(r -> -r.valuePerWork);
