Compare a size that found no worker with the workers only once a plan

Cause: in a full pool each of 10,000 waiting steps was compared with each of 1,200 workers, so one plan took twice the bound of 50 ms. Change: UnplaceableSizes remembers in a plan of a pool the sizes for which no worker had room; tasks of these sizes or larger are not tried. Shares are compared when usage changes, not for each step, and the sum of the waiting tasks ends as soon as it exceeds the room. bin/bench plan makes 100 plans before it measures.

--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/PlanBenchmark.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/PlanBenchmark.java
@@ -11,7 +11,7 @@
 
     private static final double MAX_PLAN_MILLIS = 50;
     private static final int[] POOL_COUNTS = {34, 1};
-    private static final int WARM_UP_PLANS = 20;
+    private static final int WARM_UP_PLANS = 100;
     private static final int MEASURED_PLANS = 21;
     private static final int ENDS_PER_PLAN = 40;
     private static final double NANOS_PER_MILLI = 1e6;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CustomerCompetition.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CustomerCompetition.java
@@ -2,11 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.Resources;
@@ -31,8 +31,8 @@
      */
     static Optional<PoolShares> sharesIn(
             List<StepEntry> steps, List<WorkerRecord> pool, Manifest manifest, long now) {
-        Set<String> waiting =
-                steps.stream().map(CustomerCompetition::customerOf).collect(Collectors.toSet());
+        Set<String> waiting = new HashSet<>();
+        steps.forEach(s -> waiting.add(customerOf(s)));
         if (waiting.size() < 2 || hasRoomForAll(steps, pool, now)) {
             return Optional.empty();
         }
@@ -55,17 +55,10 @@
     }
 
     /**
-     * Returns whether the room of the workers suffices for all tasks, and one of them for each
-     * task. That no room is lost between the workers is assumed.
+     * Returns whether the workers together have room for all tasks, and the largest room is enough
+     * for each task. Room that is lost between workers counts.
      */
     private static boolean hasRoomForAll(List<StepEntry> steps, List<WorkerRecord> pool, long now) {
-        Resources needed = Resources.NONE;
-        Resources largest = Resources.NONE;
-        for (StepEntry step : steps) {
-            Resources footprint = step.spec().footprint();
-            needed = needed.plus(footprint.times(step.tasks().waitingCount()));
-            largest = max(largest, footprint);
-        }
         Resources free = Resources.NONE;
         Resources largestFree = Resources.NONE;
         for (WorkerRecord worker : pool) {
@@ -74,7 +67,15 @@
                 largestFree = max(largestFree, worker.freeResources());
             }
         }
-        return needed.fitsIn(free) && largest.fitsIn(largestFree);
+        Resources needed = Resources.NONE;
+        for (StepEntry step : steps) {
+            Resources footprint = step.spec().footprint();
+            needed = needed.plus(footprint.times(step.tasks().waitingCount()));
+            if (!needed.fitsIn(free) || !footprint.fitsIn(largestFree)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private static Resources max(Resources a, Resources b) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -29,6 +29,7 @@
     private final IsolationPlanner isolation;
     private final ShareMonitor shareMonitor;
     private final Map<String, WorkerRecord> keptFree = new HashMap<>();
+    private UnplaceableSizes unplaceable = new UnplaceableSizes();
     private Map<String, Resources> unknownUsage = Map.of();
 
     StartPlanner(
@@ -101,6 +102,7 @@
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
+        unplaceable = new UnplaceableSizes();
         order.steps().forEach(s -> isolation.reserve(s, pool, now));
         Set<WorkerRecord> reserved = new HashSet<>();
         Optional<StepEntry> next = order.next();
@@ -162,6 +164,7 @@
                 continue;
             }
             if (worker.isEmpty()) {
+                unplaceable.record(task);
                 return false;
             }
             orders.add(startRun(task, worker.get(), numbers.next(task), now));
@@ -208,6 +211,9 @@
 
     private Optional<WorkerRecord> chooseWorker(
             TaskEntry task, List<WorkerRecord> pool, Set<WorkerRecord> reserved, long now) {
+        if (unplaceable.isUnplaceable(task)) {
+            return Optional.empty();
+        }
         return Placement.choose(
                 task, pool, w -> !reserved.contains(w) && isAllowedByIsolation(task, w, now), now);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/shares/PoolShares.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/shares/PoolShares.java
@@ -22,6 +22,7 @@
     private final Resources capacity;
     private final Map<String, Resources> usage;
     private final Map<String, Double> weights = new HashMap<>();
+    private final Set<String> beyond = new HashSet<>();
     private double totalWeight;
 
     /**
@@ -46,16 +47,25 @@
             weights.put(customer, weight);
             totalWeight += weight;
         }
+        customers.forEach(this::update);
+    }
+
+    /** Compares the use of a customer with its share; steps are looked up far more often. */
+    private void update(String customer) {
+        if (weights.size() > 1 && partOf(customer) > shareOf(customer)) {
+            beyond.add(customer);
+        }
     }
 
     /** Records that a customer uses more of the pool. */
     public void add(String customer, Resources more) {
         usage.merge(customer, more, Resources::plus);
+        update(customer);
     }
 
     /** Returns whether a customer uses more of the pool than its share. */
     public boolean isBeyond(String customer) {
-        return weights.size() > 1 && partOf(customer) > shareOf(customer);
+        return beyond.contains(customer);
     }
 
     /** Returns the part of the pool that a customer uses; 1 is all of it. */
