Stop runs of lower priority for urgent tasks that would miss their objective

Cause: in a pool that is full of long work, urgent tasks waited for the next end, however long that took. Change: PreemptionPlanner returns runs to stop for tasks of priority 0 for which a plan found no worker, if no run ends in time and the stop makes no other job miss an objective that it would have met. The least lost work is stopped first, each task twice at most. Gang members, long-running tasks and runs that end sooner than a stop takes are never stopped. Stops are sent and repeated as for drained workers. Event 7094 and chervillift_task_decisions_total{decision="PREEMPTED"} show it. Tested: UrgentWorkTest, CustomerShareReplayTest (orders without priorities as before), CataloguesTest.

--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/PlanFleet.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/PlanFleet.java
@@ -37,6 +37,10 @@
     private static final int PRIORITIES = 2;
     private static final long MILLI_CORES = 1_000;
     private static final long ESTIMATE_MILLIS = 20_000;
+
+    /** Each run shows progress in each report, so that none counts as stalled. */
+    private static final long MILLIS_PER_PERCENT = 200;
+
     private static final long LEASE_MILLIS = 1_000_000;
     private static final SchedulerSettings SETTINGS =
             new SchedulerSettings(1, LEASE_MILLIS, 400, 1_500);
@@ -144,11 +148,14 @@
     }
 
     private void execute(Order order) {
-        if (order instanceof Order.Start start) {
-            running.computeIfAbsent(start.worker(), w -> new ArrayList<>())
-                    .add(new RunningTask(start.task(), start.run(), "", 0, 0));
-        }
         scheduler.applyAnswer(order, OrderAnswer.DONE, now);
+        RunningTask run = new RunningTask(order.task(), order.run(), "", 0, 0);
+        List<RunningTask> runs = running.computeIfAbsent(order.worker(), w -> new ArrayList<>());
+        if (order instanceof Order.Start) {
+            runs.add(run);
+        } else if (order instanceof Order.Stop && runs.remove(run)) {
+            end(order.worker(), run, RunEnd.STOPPED);
+        }
     }
 
     /** Ends a run on each of some workers, and accepts as many tasks. */
@@ -158,19 +165,23 @@
             String worker = "worker-" + random.nextInt(WORKERS);
             List<RunningTask> runs = running.getOrDefault(worker, List.of());
             if (!runs.isEmpty()) {
-                end(worker, runs.remove(0));
+                end(worker, runs.remove(0), RunEnd.DONE);
             }
         }
         accept(count);
     }
 
-    private void end(String worker, RunningTask run) {
+    private void end(String worker, RunningTask run, RunEnd end) {
         long number = endCount.merge(worker, 1L, Long::sum);
-        report(worker, List.of(new EndedRun(number, run.task(), run.run(), RunEnd.DONE, "")));
+        report(worker, List.of(new EndedRun(number, run.task(), run.run(), end, "")));
     }
 
     private void report(String worker, List<EndedRun> ended) {
-        List<RunningTask> runs = List.copyOf(running.getOrDefault(worker, List.of()));
+        int percent = (int) (now / MILLIS_PER_PERCENT % 100);
+        List<RunningTask> runs =
+                running.getOrDefault(worker, List.of()).stream()
+                        .map(r -> new RunningTask(r.task(), r.run(), "", percent, 0))
+                        .toList();
         scheduler.applyReport(worker, new RunReport(1, now, runs, ended, false), now, now);
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -77,19 +77,26 @@
     }
 
     Rank rankOf(StepEntry step, long now) {
+        JobEntry job = step.job();
+        return new Rank(
+                step.spec().longRunning(),
+                job.policy().priority(),
+                now > latestStart(step),
+                valuePerWork(job, job.occurrence(step.occurrence())));
+    }
+
+    /**
+     * Returns until when the waiting tasks of a step's job must start for the job to meet its
+     * latency objective, in milliseconds.
+     */
+    long latestStart(StepEntry step) {
         JobEntry job = step.job();
         List<StepEntry> steps = job.occurrence(step.occurrence());
         long remainingMillis = longestChainMillis(steps, s -> s.isDone() ? 0 : expectedMillis(s));
         long totalMillis = longestChainMillis(steps, this::expectedMillis);
         double objectiveMillis =
                 job.policy().targetLatencyMillis() + job.policy().stretchFactor() * totalMillis;
-        long startBy =
-                job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
-        return new Rank(
-                step.spec().longRunning(),
-                job.policy().priority(),
-                now > startBy,
-                valuePerWork(job, steps));
+        return job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
     }
 
     private double valuePerWork(JobEntry job, List<StepEntry> steps) {
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
@@ -0,0 +1,208 @@
+package org.chervillift.core.tasks;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.chervillift.api.tasks.TaskId;
+
+/**
+ * Decides which runs of lower priority are stopped so that urgent tasks start in time.
+ *
+ * <p>Used when a pool is full of work that takes longer than urgent jobs may wait: an urgent task
+ * stops runs if its job would miss its objective by waiting for the next expected end, and the stop
+ * makes no other job miss an objective that it would have met. The least lost work decides.
+ *
+ * <p>Never stopped are members of a gang, runs that end within the time that a stop takes, tasks
+ * that were stopped twice, and long-running tasks: these go before urgent tasks, and would take the
+ * room again.
+ */
+final class PreemptionPlanner {
+
+    /** The priority of queues whose tasks may stop others. */
+    private static final int URGENT_PRIORITY = 0;
+
+    private static final int MAX_PREEMPTIONS_PER_TASK = 2;
+
+    /** Bounds the cost of a plan; the next tasks follow in the next plan, some 50 ms later. */
+    private static final int MAX_TASKS_PER_PLAN = 8;
+
+    private static final long FAR_AHEAD = Long.MAX_VALUE;
+
+    private final StartPlanner planner;
+    private final JobRanking ranking;
+    private final RunForecast forecast;
+    private final long stopTimeoutMillis;
+    private final Consumer<SchedulerEvent> events;
+    private final Map<TaskId, List<Run>> stopsByTask = new HashMap<>();
+
+    PreemptionPlanner(
+            StartPlanner planner,
+            JobRanking ranking,
+            RunTimeEstimator runTimes,
+            SchedulerSettings settings,
+            Consumer<SchedulerEvent> events) {
+        this.planner = planner;
+        this.ranking = ranking;
+        this.forecast = new RunForecast(runTimes);
+        this.stopTimeoutMillis = settings.stopTimeoutMillis();
+        this.events = events;
+    }
+
+    /** Returns whether tasks of a step may stop runs; a gang would need room for all its tasks. */
+    static boolean isUrgent(StepEntry step) {
+        return step.job().policy().priority() == URGENT_PRIORITY
+                && !step.spec().longRunning()
+                && !step.spec().gang();
+    }
+
+    /**
+     * Begins to stop runs for the urgent steps for which the last plan found no room; returns
+     * whether there are any such runs.
+     */
+    boolean stopRuns(List<StepEntry> blocked, Collection<WorkerRecord> workers, long now) {
+        stopsByTask.values().removeIf(runs -> runs.stream().noneMatch(this::isStopping));
+        Map<String, List<StepEntry>> byPool =
+                blocked.stream()
+                        .filter(s -> now <= ranking.latestStart(s))
+                        .collect(Collectors.groupingBy(s -> s.job().policy().pool()));
+        boolean any = false;
+        for (Map.Entry<String, List<StepEntry>> entry : byPool.entrySet()) {
+            List<WorkerRecord> pool =
+                    workers.stream().filter(w -> w.pool().equals(entry.getKey())).toList();
+            any |= stopRunsInPool(entry.getValue(), pool, now);
+        }
+        return any;
+    }
+
+    private boolean isStopping(Run run) {
+        return run.phase() == Run.Phase.STOPPING && run.task().runs().contains(run);
+    }
+
+    private boolean stopRunsInPool(List<StepEntry> steps, List<WorkerRecord> pool, long now) {
+        List<PreemptionRound.Victim> victims = victimsIn(pool, now);
+        if (victims.isEmpty()) {
+            return false;
+        }
+        PreemptionRound round = new PreemptionRound(endsIn(pool, now), victims, claimedRuns());
+        boolean any = false;
+        for (TaskEntry task : firstTasks(steps, now)) {
+            List<Run> runs = chooseStops(task, round, now);
+            runs.forEach(r -> stop(r, task, now));
+            any |= !runs.isEmpty();
+        }
+        return any;
+    }
+
+    private List<TaskEntry> firstTasks(List<StepEntry> steps, long now) {
+        List<TaskEntry> tasks = new ArrayList<>();
+        for (StepEntry step : steps) {
+            for (TaskEntry task : step.tasks().waiting()) {
+                if (tasks.size() == MAX_TASKS_PER_PLAN) {
+                    return tasks;
+                }
+                if (task.notBefore() <= now
+                        && !task.crashes().needsIsolation()
+                        && !stopsByTask.containsKey(task.id())) {
+                    tasks.add(task);
+                }
+            }
+        }
+        return tasks;
+    }
+
+    private Set<Run> claimedRuns() {
+        Set<Run> claimed = new HashSet<>();
+        stopsByTask.values().forEach(claimed::addAll);
+        return claimed;
+    }
+
+    private List<Run> chooseStops(TaskEntry task, PreemptionRound round, long now) {
+        StepEntry step = task.step();
+        BiPredicate<StepEntry, WorkerRecord> usable = (s, w) -> isUsable(task, w, now);
+        if (round.claimEndBefore(step, usable, ranking.latestStart(step))) {
+            return List.of();
+        }
+        return round.claimStops(step, usable, now + forecast.expectedMillis(step));
+    }
+
+    /** Returns whether a worker may run a task and only lacks the room for it. */
+    private boolean isUsable(TaskEntry task, WorkerRecord worker, long now) {
+        return Placement.isEligible(task.step(), worker, now)
+                && !worker.isOverCapacity()
+                && !worker.hasRoomFor(task.step().spec().footprint())
+                && !planner.isKeptFromUrgent(worker)
+                && planner.isAllowedByIsolation(task, worker, now);
+    }
+
+    private List<PreemptionRound.ExpectedEnd> endsIn(List<WorkerRecord> pool, long now) {
+        List<PreemptionRound.ExpectedEnd> ends = new ArrayList<>();
+        for (WorkerRecord worker : pool) {
+            for (Run run : worker.runs()) {
+                long remaining =
+                        run.phase() == Run.Phase.STOPPING
+                                ? stopTimeoutMillis
+                                : forecast.remainingMillis(run, now);
+                ends.add(new PreemptionRound.ExpectedEnd(run, now + remaining));
+            }
+        }
+        return ends;
+    }
+
+    private List<PreemptionRound.Victim> victimsIn(List<WorkerRecord> pool, long now) {
+        List<PreemptionRound.Victim> victims = new ArrayList<>();
+        for (WorkerRecord worker : pool) {
+            for (Run run : worker.runs()) {
+                if (mayStop(run, now)) {
+                    victims.add(
+                            new PreemptionRound.Victim(
+                                    run, forecast.lostWork(run, now), latestStartOf(run, now)));
+                }
+            }
+        }
+        return victims;
+    }
+
+    private boolean mayStop(Run run, long now) {
+        StepEntry step = run.task().step();
+        return step.job().policy().priority() > URGENT_PRIORITY
+                && run.phase() == Run.Phase.RUNNING
+                && !step.spec().gang()
+                && !step.spec().longRunning()
+                && run.task().preemptionCount() < MAX_PREEMPTIONS_PER_TASK
+                && forecast.remainingMillis(run, now) > stopTimeoutMillis;
+    }
+
+    /** Returns until when the task of a run must start anew so that its job is still on time. */
+    private long latestStartOf(Run run, long now) {
+        StepEntry step = run.task().step();
+        long latestStart = ranking.latestStart(step);
+        long latestEnd = latestStart + forecast.expectedMillis(step);
+        boolean late = now + forecast.remainingMillis(run, now) > latestEnd;
+        return late ? FAR_AHEAD : latestStart + forecast.keptMillis(run, now);
+    }
+
+    private void stop(Run run, TaskEntry urgent, long now) {
+        stopsByTask.computeIfAbsent(urgent.id(), t -> new ArrayList<>()).add(run);
+        run.task().recordPreemption();
+        run.enterPhase(Run.Phase.STOPPING, now);
+        events.accept(
+                SchedulerEvent.of(
+                        SchedulerEvent.Kind.PREEMPTED,
+                        run,
+                        "urgent="
+                                + urgent.id()
+                                + " lostMillis="
+                                + forecast.lostMillis(run, now)
+                                + " remainingMillis="
+                                + forecast.remainingMillis(run, now)
+                                + " preemptions="
+                                + run.task().preemptionCount()));
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -260,7 +260,9 @@
         task.step().job().recordRun(now);
         run.updateProgress(running.percent(), workerClock);
         run.gauge(running.gauge());
-        task.updateCheckpoint(running.checkpoint());
+        if (task.updateCheckpoint(running.checkpoint())) {
+            run.markSaved(now);
+        }
         if (task.step().spec().longRunning() && now - run.openedAt() >= CRASH_PROBATION_MILLIS) {
             lifecycle.clearCrashes(task);
         }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -1,5 +1,6 @@
 package org.chervillift.core.tasks;
 
+import java.util.OptionalLong;
 import org.chervillift.api.tasks.Resources;
 
 /** One run of a task on one worker, from the order to start until its end is certain. */
@@ -39,6 +40,7 @@
     private boolean begun;
     private boolean startHeld;
     private long startSentAt;
+    private OptionalLong savedAt = OptionalLong.empty();
 
     Run(TaskEntry task, int number, WorkerRecord worker, Phase phase, long now) {
         this.task = task;
@@ -181,6 +183,19 @@
         listedClock = workerClock;
     }
 
+    /**
+     * Returns when this holder first saw the newest checkpoint of this run, in milliseconds; empty
+     * if the run has saved nothing since this holder knows it.
+     */
+    OptionalLong savedAt() {
+        return savedAt;
+    }
+
+    /** Records that the run has saved its progress. */
+    void markSaved(long now) {
+        savedAt = OptionalLong.of(now);
+    }
+
     int pacePercent() {
         return pacePercent;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -48,7 +48,9 @@
         /** Steps of a customer beyond its share of a pool are postponed. */
         BEYOND_SHARE,
         /** No step of a customer has been postponed in a pool for some seconds. */
-        WITHIN_SHARE
+        WITHIN_SHARE,
+        /** A run is to be stopped so that an urgent task starts in time. */
+        PREEMPTED
     }
 
     public SchedulerEvent {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -28,7 +28,8 @@
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
     private final ShareMonitor shareMonitor;
-    private final Map<String, WorkerRecord> keptFree = new HashMap<>();
+    private final Map<String, KeptWorker> keptFree = new HashMap<>();
+    private final List<StepEntry> blockedUrgent = new ArrayList<>();
     private UnplaceableSizes unplaceable = new UnplaceableSizes();
     private Map<String, Resources> unknownUsage = Map.of();
 
@@ -73,6 +74,7 @@
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
         isolation.beginRound(StartOrder.stepsOf(candidatesByPool.values()), now);
         keptFree.clear();
+        blockedUrgent.clear();
         shareMonitor.beginRound();
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
@@ -112,16 +114,26 @@
                     step.spec().gang()
                             ? !startGang(step, pool, reserved, manifest, now, orders, order)
                             : !startTasks(step, pool, reserved, manifest, now, orders, order);
+            if (blocked && PreemptionPlanner.isUrgent(step)) {
+                blockedUrgent.add(step);
+            }
             if (blocked && reserved.isEmpty()) {
-                chooseReservedWorker(step, pool, now).ifPresent(w -> keepFree(w, reserved));
+                chooseReservedWorker(step, pool, now).ifPresent(w -> keepFree(w, step, reserved));
             }
             next = order.next();
         }
     }
 
-    private void keepFree(WorkerRecord worker, Set<WorkerRecord> reserved) {
+    private record KeptWorker(WorkerRecord worker, StepEntry step) {}
+
+    private void keepFree(WorkerRecord worker, StepEntry step, Set<WorkerRecord> reserved) {
         reserved.add(worker);
-        keptFree.put(worker.pool(), worker);
+        keptFree.put(worker.pool(), new KeptWorker(worker, step));
+    }
+
+    /** Returns the urgent steps for which the last plan found no worker, most valuable first. */
+    List<StepEntry> blockedUrgent() {
+        return List.copyOf(blockedUrgent);
     }
 
     /** Returns how many customers the last plan postponed, by pool in which customers compete. */
@@ -131,7 +143,15 @@
 
     /** Returns whether the last plan kept a worker free for a step that fits on none. */
     boolean isKeptFree(WorkerRecord worker) {
-        return keptFree.get(worker.pool()) == worker;
+        return Optional.ofNullable(keptFree.get(worker.pool()))
+                .filter(k -> k.worker() == worker)
+                .isPresent();
+    }
+
+    /** Returns whether the last plan kept a worker free for a step that may not stop runs. */
+    boolean isKeptFromUrgent(WorkerRecord worker) {
+        return isKeptFree(worker)
+                && !PreemptionPlanner.isUrgent(keptFree.get(worker.pool()).step());
     }
 
     /** Starts the waiting tasks of a step; returns false if one of them fits on no worker. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -23,6 +23,7 @@
     private int lastRunNumber;
     private int tooOldCount;
     private int stallCount;
+    private int preemptionCount;
     private String checkpoint = "";
     private long notBefore = Long.MIN_VALUE;
 
@@ -127,14 +128,24 @@
         stallCount++;
     }
 
+    /** Returns how many runs this holder stopped for urgent tasks. */
+    int preemptionCount() {
+        return preemptionCount;
+    }
+
+    void recordPreemption() {
+        preemptionCount++;
+    }
+
     String checkpoint() {
         return checkpoint;
     }
 
-    void updateCheckpoint(String newest) {
-        if (!newest.isEmpty()) {
-            checkpoint = newest;
-        }
+    /** Updates the saved progress unless it is empty; returns whether it is new. */
+    boolean updateCheckpoint(String newest) {
+        boolean changed = !newest.isEmpty() && !newest.equals(checkpoint);
+        checkpoint = changed ? newest : checkpoint;
+        return changed;
     }
 
     /** Returns the earliest time at which the task may be started again, in milliseconds. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -52,6 +52,7 @@
     private final OrderAnswerHandler answerHandler;
     private final StartPlanner startPlanner;
     private final StopPlanner stopPlanner;
+    private final PreemptionPlanner preemption;
     private final WorkerLossHandler losses;
     private final StalledRunDetector stalledRunDetector;
     private final UnansweredStartDetector unansweredStarts;
@@ -86,6 +87,7 @@
                 new ReportHandler(jobs, runs, numbers, lifecycle, losses, runTimes, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
+        this.preemption = new PreemptionPlanner(startPlanner, ranking, runTimes, settings, events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
         this.stalledRunDetector = new StalledRunDetector(events);
         this.unansweredStarts = new UnansweredStartDetector(events);
@@ -369,6 +371,9 @@
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
+        if (preemption.stopRuns(startPlanner.blockedUrgent(), workers.values(), now)) {
+            orders.addAll(stopPlanner.planStops(workers.values(), now));
+        }
         return orders;
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
@@ -33,6 +33,7 @@
             case LIFETIME, LEASE_OVER -> TaskEvent.WORKER_CHANGED;
             case LOST -> TaskEvent.RUN_LOST;
             case ODD_ENTRY -> TaskEvent.REPORT_ENTRY_IGNORED;
+            case PREEMPTED -> TaskEvent.RUN_PREEMPTED;
             case BEYOND_SHARE, WITHIN_SHARE -> TaskEvent.CUSTOMER_SHARE;
             default -> TaskEvent.TASK_DECISION;
         };
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -131,6 +131,11 @@
             7093,
             Level.INFO,
             "A customer is beyond its share of a full pool, so others go first, or no longer."),
+    /** A run is stopped for an urgent task. */
+    RUN_PREEMPTED(
+            7094,
+            Level.INFO,
+            "A run is stopped so that an urgent task starts in time; its task starts again later."),
     /** A maintenance wave has begun or is completed. */
     WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed.");
 
