--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -11,9 +11,11 @@
 /**
  * Ranks steps by which goes first when the pool lacks capacity for all.
  *
- * <p>Used when a surge exceeds the capacity of a pool: jobs that can still meet their latency
- * objective go before jobs that cannot, and among these the jobs with the highest value per
- * remaining work, so that a job that has begun is finished before another begins.
+ * <p>Used when a surge exceeds the capacity of a pool: jobs of the most urgent priority go first,
+ * also when they are late; then jobs that can still meet their latency objective before jobs that
+ * cannot; and among these the jobs with the highest value per remaining work, so that a job that
+ * has begun is finished before another begins. Among jobs that are as urgent, {@link StartOrder}
+ * takes customers within their share first.
  */
 final class JobRanking {
 
@@ -40,11 +42,18 @@
     record Rank(boolean longRunning, int priority, boolean late, double valuePerWork)
             implements Comparable<Rank> {
 
-        private static final Comparator<Rank> ORDER =
+        private static final Comparator<Rank> BY_URGENCY =
                 Comparator.comparing((Rank r) -> !r.longRunning)
-                        .thenComparing(Rank::late)
                         .thenComparing(Rank::priority)
-                        .thenComparing(r -> -r.valuePerWork);
+                        .thenComparing(Rank::late);
+
+        private static final Comparator<Rank> ORDER =
+                BY_URGENCY.thenComparing(r -> -r.valuePerWork);
+
+        /** Returns whether only shares of customers and the value decide which goes first. */
+        boolean isAsUrgentAs(Rank other) {
+            return BY_URGENCY.compare(this, other) == 0;
+        }
 
         @Override
         public int compareTo(Rank other) {
@@ -68,19 +77,26 @@
     }
 
     Rank rankOf(StepEntry step, long now) {
+        JobEntry job = step.job();
+        return new Rank(
+                step.spec().longRunning(),
+                job.policy().priority(),
+                now > latestStart(step),
+                valuePerWork(job, job.occurrence(step.occurrence())));
+    }
+
+    /**
+     * Returns until when the waiting tasks of a step's job must start for the job to meet its
+     * latency objective, in milliseconds.
+     */
+    long latestStart(StepEntry step) {
         JobEntry job = step.job();
         List<StepEntry> steps = job.occurrence(step.occurrence());
         long remainingMillis = longestChainMillis(steps, s -> s.isDone() ? 0 : expectedMillis(s));
         long totalMillis = longestChainMillis(steps, this::expectedMillis);
         double objectiveMillis =
                 job.policy().targetLatencyMillis() + job.policy().stretchFactor() * totalMillis;
-        long startBy =
-                job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
-        return new Rank(
-                step.spec().longRunning(),
-                job.policy().priority(),
-                now > startBy,
-                valuePerWork(job, steps));
+        return job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
     }
 
     private double valuePerWork(JobEntry job, List<StepEntry> steps) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -46,7 +46,13 @@
         /** A worker's lease has expired. */
         LEASE_OVER,
         /** A run is stopped, so that its task moves out of an evacuated data centre. */
-        EVACUATED
+        EVACUATED,
+        /** Steps of a customer beyond its share of a pool are postponed. */
+        BEYOND_SHARE,
+        /** No step of a customer has been postponed in a pool for some seconds. */
+        WITHIN_SHARE,
+        /** A run is to be stopped so that an urgent task starts in time. */
+        PREEMPTED
     }
 
     public SchedulerEvent {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -52,6 +52,7 @@
     private final OrderAnswerHandler answerHandler;
     private final StartPlanner startPlanner;
     private final StopPlanner stopPlanner;
+    private final PreemptionPlanner preemption;
     private final WorkerLossHandler losses;
     private final StalledRunDetector stalledRunDetector;
     private final UnansweredStartDetector unansweredStarts;
@@ -89,6 +90,7 @@
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
         this.evacuationPlanner = new EvacuationPlanner(evacuation, stopPlanner, events);
+        this.preemption = new PreemptionPlanner(startPlanner, ranking, runTimes, settings, events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
         this.stalledRunDetector = new StalledRunDetector(events);
         this.unansweredStarts = new UnansweredStartDetector(events);
@@ -261,14 +263,7 @@
         inheritedStarts.lifetimeEnded(workerId, now);
         WorkerRecord worker = workers.get(workerId);
         if (worker != null && !worker.runs().isEmpty()) {
-            events.accept(
-                    new SchedulerEvent(
-                            SchedulerEvent.Kind.LIFETIME,
-                            "",
-                            "",
-                            workerId,
-                            "lifetime ended, runs=" + worker.runs().size()));
-            losses.lifetimeEnded(worker, now);
+            losses.lifetimeEndedWithRuns(worker, now);
         }
         if (worker != null) {
             worker.reported(false);
@@ -375,6 +370,9 @@
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
+        if (preemption.stopRuns(startPlanner.blockedUrgent(), workers.values(), now)) {
+            orders.addAll(stopPlanner.planStops(workers.values(), now));
+        }
         // After the starts, so that tasks that wait already have the room that they can get.
         orders.addAll(evacuationPlanner.planStops(workers.values(), now));
         return orders;
@@ -435,6 +433,11 @@
                 .poolLoads(liveJobs, workers.values(), now);
     }
 
+    /** Returns how many customers were beyond their share, by pool in which they compete. */
+    public Map<String, Integer> customersBeyondShare() {
+        return startPlanner.customersBeyondShare();
+    }
+
     /**
      * Drains a worker: stops its long-running runs, so that their tasks start on other workers, as
      * far as their steps allow tasks to be down.
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -139,6 +139,16 @@
             7092,
             Level.WARN,
             "An evacuated data centre has no worker, or a pool has no worker elsewhere."),
+    /** A customer is beyond its share of a pool in which customers compete, or no longer. */
+    CUSTOMER_SHARE(
+            7093,
+            Level.INFO,
+            "A customer is beyond its share of a full pool, so others go first, or no longer."),
+    /** A run is stopped for an urgent task. */
+    RUN_PREEMPTED(
+            7094,
+            Level.INFO,
+            "A run is stopped so that an urgent task starts in time; its task starts again later."),
     /** A maintenance wave has begun or is completed. */
     WAVE_CHANGED(7061, Level.INFO, "A maintenance wave has begun or is completed."),
     SURGE_FORECAST(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -29,6 +29,7 @@
     private final Gauge poolCores;
     private final Gauge pendingJobs;
     private final WaitMetrics waits = new WaitMetrics(registry);
+    private final ShareMetrics shares = new ShareMetrics(registry);
     private final LeaseMetrics lease = new LeaseMetrics(registry);
     private final EvacuationMetrics evacuation = new EvacuationMetrics(registry);
 
@@ -109,6 +110,7 @@
         poolCores.clear();
         waits.clearHolderMetrics();
         evacuation.clearHolderMetrics();
+        shares.clearHolderMetrics();
     }
 
     /** Returns the metrics that tell who holds the lease. */
@@ -121,6 +123,11 @@
         return evacuation;
     }
 
+    /** Returns the metrics of the customers that compete for full pools. */
+    ShareMetrics shares() {
+        return shares;
+    }
+
     /** Returns the metrics that tell why work waits. */
     WaitMetrics waits() {
         return waits;
