--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
@@ -0,0 +1,192 @@
+package org.chervillift.core.tasks.relay;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.chervillift.api.Checks;
+
+/**
+ * Chooses the entry VM to which a request is relayed.
+ *
+ * <p>The load: the store rejects the requests of a third of the entry VMs for some seconds and
+ * serves the others. Peers of the same data centre come first, each in turn. A peer that failed is
+ * skipped for a time that doubles; afterwards one request at a time tests it. While no peer can
+ * serve requests, none is relayed ({@link RelayCircuit}). Not thread-safe.
+ */
+public final class RelayPeers {
+
+    /** The most requests that are relayed at a time; bounds the memory for their bodies. */
+    public static final int MAX_IN_FLIGHT = 64;
+
+    /** The most requests in flight to a peer that has not answered since it became known. */
+    public static final int MAX_IN_FLIGHT_UNPROVEN = 4;
+
+    /** The most known peers, which bounds the memory and the connections. */
+    public static final int MAX_PEERS = 256;
+
+    /** The most peers that are tried for a request. */
+    public static final int MAX_TRIES = 2;
+
+    /** The longest wait for the answer of a peer, in milliseconds. */
+    public static final long MAX_TRY_MILLIS = 1_000;
+
+    /** A peer that reads and writes the store takes longer than this. */
+    private static final long MIN_TRY_MILLIS = 20;
+
+    private final String vm;
+    private final String dataCentre;
+    private final RelayCircuit circuit = new RelayCircuit();
+    private final Map<String, PeerState> states = new HashMap<>();
+    private List<PeerState> near = List.of();
+    private List<PeerState> far = List.of();
+    private int inFlight;
+    private int turn;
+
+    /** A peer, the requests that it is sent now, and how it has answered. */
+    private static final class PeerState {
+        private final RelayPeer peer;
+        private RelayBackOff backOff = RelayBackOff.NONE;
+        private boolean proven;
+        private int inFlight;
+
+        PeerState(RelayPeer peer) {
+            this.peer = peer;
+        }
+
+        private int maxInFlight() {
+            if (backOff.isFailing()) {
+                return 1;
+            }
+            return proven ? MAX_IN_FLIGHT : MAX_IN_FLIGHT_UNPROVEN;
+        }
+
+        boolean isEligible(long now) {
+            return backOff.isOver(now) && inFlight < maxInFlight();
+        }
+    }
+
+    /**
+     * Creates a chooser that knows no peer.
+     *
+     * @param vm the name of the own VM
+     * @param dataCentre its data centre
+     */
+    public RelayPeers(String vm, String dataCentre) {
+        this.vm = Checks.notBlank("vm", vm);
+        this.dataCentre = Checks.notBlank("dataCentre", dataCentre);
+        // Entry VMs that start to relay together begin with different peers.
+        this.turn = vm.hashCode();
+    }
+
+    /** Replaces the known peers; what is known of a peer that has not changed is kept. */
+    public void update(Collection<RelayPeer> peers) {
+        List<RelayPeer> others =
+                peers.stream()
+                        .filter(p -> !p.vm().equals(vm))
+                        .sorted(Comparator.comparing(RelayPeer::vm))
+                        .limit(MAX_PEERS)
+                        .toList();
+        Map<String, PeerState> former = Map.copyOf(states);
+        states.clear();
+        others.forEach(p -> states.put(p.vm(), keptOrNew(former.get(p.vm()), p)));
+        near = statesOf(others.stream().filter(this::isNear).toList());
+        far = statesOf(others.stream().filter(p -> !isNear(p)).toList());
+    }
+
+    private static PeerState keptOrNew(PeerState former, RelayPeer peer) {
+        return former != null && former.peer.equals(peer) ? former : new PeerState(peer);
+    }
+
+    private boolean isNear(RelayPeer peer) {
+        return peer.dataCentre().equals(dataCentre);
+    }
+
+    private List<PeerState> statesOf(List<RelayPeer> peers) {
+        return peers.stream().map(p -> states.get(p.vm())).toList();
+    }
+
+    /** Returns the number of known peers. */
+    public int peerCount() {
+        return states.size();
+    }
+
+    /**
+     * Chooses the peer to try next, if any, and records the start of the try.
+     *
+     * @param tried the VMs that were already tried for the request
+     * @param callerUntil up to when the caller waits, in milliseconds
+     */
+    public Optional<RelayTry> choose(Set<String> tried, long callerUntil, long now) {
+        long timeoutMillis = Math.min(MAX_TRY_MILLIS, callerUntil - now);
+        boolean allowed =
+                tried.size() < MAX_TRIES
+                        && timeoutMillis >= MIN_TRY_MILLIS
+                        && inFlight < MAX_IN_FLIGHT
+                        && circuit.allowsTry(now);
+        if (!allowed) {
+            return Optional.empty();
+        }
+        boolean probe = circuit.isOpen();
+        return next(near, tried, now)
+                .or(() -> next(far, tried, now))
+                .or(() -> probe ? soonestOver(tried) : Optional.empty())
+                .map(state -> start(state, timeoutMillis, probe));
+    }
+
+    private Optional<PeerState> next(List<PeerState> group, Set<String> tried, long now) {
+        for (int i = 0; i < group.size(); i++) {
+            PeerState state = group.get(Math.floorMod(turn + i, group.size()));
+            if (!tried.contains(state.peer.vm()) && state.isEligible(now)) {
+                return Optional.of(state);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the peer whose back-off ends first; a probe needs a peer although all failed. */
+    private Optional<PeerState> soonestOver(Set<String> tried) {
+        List<PeerState> all = new ArrayList<>(near);
+        all.addAll(far);
+        return all.stream()
+                .filter(s -> !tried.contains(s.peer.vm()) && s.inFlight < s.maxInFlight())
+                .min(Comparator.comparingLong(s -> s.backOff.until()));
+    }
+
+    private RelayTry start(PeerState state, long timeoutMillis, boolean probe) {
+        turn++;
+        inFlight++;
+        state.inFlight++;
+        circuit.recordStart(probe);
+        return new RelayTry(state.peer, timeoutMillis, probe);
+    }
+
+    /** Records how a try ended. */
+    public void recordResult(RelayTry tried, RelayResult result, long now) {
+        boolean answered = result == RelayResult.ANSWERED;
+        // A busy peer says nothing about whether the store answers it.
+        circuit.recordResult(tried, answered || result == RelayResult.BUSY, states.size(), now);
+        stateOf(tried)
+                .ifPresent(
+                        state -> {
+                            state.proven = answered;
+                            state.backOff =
+                                    answered ? RelayBackOff.NONE : state.backOff.afterFailure(now);
+                        });
+    }
+
+    /** Records that the connection of a try is no longer in use; may come after its result. */
+    public void release(RelayTry tried) {
+        inFlight--;
+        stateOf(tried).ifPresent(state -> state.inFlight--);
+    }
+
+    private Optional<PeerState> stateOf(RelayTry tried) {
+        return Optional.ofNullable(states.get(tried.peer().vm()))
+                .filter(state -> state.peer.equals(tried.peer()));
+    }
+}
