--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/JobRequest.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/JobRequest.java
@@ -1,5 +1,6 @@
 package org.chervillift.api.tasks;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
 import org.chervillift.api.Checks;
@@ -13,13 +14,17 @@
  * @param key the key, if one came
  * @param decode reads the job from the request's body, given its identifier; throws {@link
  *     org.chervillift.api.ChervilliftException} for a body that is not well formed
+ * @param body the request's body, for another entry VM that may serve the request
+ * @param callerWait how long the caller waits for the answer, if it said so
  */
 public record JobRequest(
         Action action,
         String host,
         String path,
         Optional<String> key,
-        Function<String, JobSpec> decode) {
+        Function<String, JobSpec> decode,
+        String body,
+        Optional<Duration> callerWait) {
 
     /** What a caller wants. */
     public enum Action {
@@ -37,5 +42,19 @@
         Checks.notNull("path", path);
         Checks.notNull("key", key);
         Checks.notNull("decode", decode);
+        Checks.notNull("body", body);
+        Checks.notNull("callerWait", callerWait);
+    }
+
+    /**
+     * Creates a request without a body of its own, of a caller that did not say how long it waits.
+     */
+    public JobRequest(
+            Action action,
+            String host,
+            String path,
+            Optional<String> key,
+            Function<String, JobSpec> decode) {
+        this(action, host, path, key, decode, "", Optional.empty());
     }
 }
