Relay requests that the store rejects here to another entry VM

Cause: an entry VM whose requests the store rejects answers 503, although the store serves other entry VMs.

Change: with [peers] address set, a process lists itself in the table entry-vms, follows it with polls of 10 s, and relays a request once if the store does not respond to it, if its configuration may be out of date, or if its write was answered with "nothing was done". The receiver handles it as if the caller had sent it, and never relays it on. Without the setting nothing changes. An intake whose queue is full is told apart from a rejected write; it is not relayed. New: metrics chervillift_relayed_requests_total and chervillift_relay_handled_total, events 7095 and 7096, the basis Peer in 7020.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AnswerBasis.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AnswerBasis.java
@@ -36,6 +36,13 @@
      */
     record CountRow(long version, long ageMillis) implements AnswerBasis {}
 
+    /**
+     * The answer of another entry VM, to which the request was relayed.
+     *
+     * @param vm the name of that VM
+     */
+    record Peer(String vm) implements AnswerBasis {}
+
     /** A final state that this process remembers; it cannot change. */
     record Memory() implements AnswerBasis {}
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.TimeUnit;
 import org.chervillift.daemon.internal.DaemonEvent;
 import org.chervillift.daemon.internal.SettingsProgram;
+import org.chervillift.daemon.tasks.relay.PeerClient;
+import org.chervillift.daemon.tasks.relay.PeerServlet;
 import org.chervillift.http.Answers;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
@@ -44,8 +46,13 @@
     private static final Duration WORKER_ORDER_TIMEOUT = Duration.ofMillis(200);
     private static final Duration WORKER_POLL_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration STORE_POLL_TIMEOUT = Duration.ofMillis(3_000);
+    private static final Duration LONG_POLL_TIMEOUT = EntryVmDirectory.POLL_WAIT.plusSeconds(3);
     private static final Duration ADVICE_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
+
+    /** Shorter than the server keeps connections, so that none is used while it is closed. */
+    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(20);
+
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(15);
     private static final long MAX_DRAIN_MILLIS = 2_500;
 
@@ -79,7 +86,12 @@
     private static void open(Eventloop reactor, FleetSettings settings, Path file, String process) {
         Scheduler scheduler = new ReactorScheduler(reactor);
         TaskNode node =
-                new TaskNode(settings, scheduler, platformAccess(reactor, settings), process);
+                new TaskNode(
+                        settings,
+                        scheduler,
+                        platformAccess(reactor, settings),
+                        process,
+                        new PeerClient(a -> peerClient(reactor, a)));
         HttpServer callers =
                 HttpServer.builder(reactor, new JobServlet(node::answer))
                         .withListenAddress(settings.callers().toSocketAddress())
@@ -99,6 +111,7 @@
             callers.listen();
             readiness.listen();
             metrics.listen();
+            listenForPeers(reactor, node, settings);
         } catch (IOException e) {
             EventLog.log(DaemonEvent.FAILED, e);
             Runtime.getRuntime().halt(EXIT_FAILED);
@@ -114,6 +127,22 @@
         node.start();
     }
 
+    private static void listenForPeers(Eventloop reactor, TaskNode node, FleetSettings settings)
+            throws IOException {
+        if (settings.peers().isPresent()) {
+            HttpServer.builder(reactor, new PeerServlet(node::answerForPeer, JobServlet::decodeJob))
+                    .withListenAddress(settings.peers().get().toSocketAddress())
+                    .withReadWriteTimeout(CALLER_TIMEOUT)
+                    .withKeepAliveTimeout(KEEP_ALIVE)
+                    .build()
+                    .listen();
+        }
+    }
+
+    private static JsonClient peerClient(Eventloop reactor, HostPort peer) {
+        return new JsonClient(reactor, peer, CALL_TIMEOUT, PEER_KEEP_ALIVE, Optional.empty());
+    }
+
     private static Promise<HttpResponse> metrics(TaskNode node, HttpRequest request) {
         return request.getPath().equals("/metrics")
                 ? HttpResponse.ok200().withBody(node.metrics()).toPromise()
@@ -126,7 +155,8 @@
                 new RowStoreClient(
                         client(reactor, settings.store(), CALL_TIMEOUT),
                         client(reactor, settings.store(), CALL_TIMEOUT),
-                        client(reactor, settings.store(), STORE_POLL_TIMEOUT));
+                        client(reactor, settings.store(), STORE_POLL_TIMEOUT),
+                        client(reactor, settings.store(), LONG_POLL_TIMEOUT));
         return new TaskNode.PlatformAccess(
                 store,
                 new FleetRowCodec(),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -19,6 +19,7 @@
  * @param callers the address on which callers' requests are accepted
  * @param readiness the address on which the load balancer checks readiness
  * @param metrics the address on which metrics are served
+ * @param peers the address on which requests relayed by other entry VMs are accepted, if any
  * @param store the address of the store
  * @param maxRowBytes the longest value of a row of the store, in bytes
  * @param vms the address of the platform's VM service
@@ -39,6 +40,7 @@
         HostPort callers,
         HostPort readiness,
         HostPort metrics,
+        Optional<HostPort> peers,
         HostPort store,
         int maxRowBytes,
         HostPort vms,
@@ -118,6 +120,13 @@
                                     "address",
                                     ADDRESS,
                                     "The address on which metrics are served."),
+                            Setting.optional(
+                                    "peers",
+                                    "address",
+                                    new SettingType.AddressList(),
+                                    "",
+                                    "The address for requests that other entry VMs relay; empty"
+                                            + " if none are relayed."),
                             Setting.required(
                                     "store", "address", ADDRESS, "The address of the store."),
                             Setting.optional(
@@ -215,6 +224,7 @@
                 settings.address("callers.address"),
                 settings.address("readiness.address"),
                 settings.address("metrics.address"),
+                settings.addresses("peers.address").stream().findFirst(),
                 settings.address("store.address"),
                 settings.number("store.max-row-bytes"),
                 settings.address("vms.address"),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobIntake.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobIntake.java
@@ -43,6 +43,8 @@
         STORED,
         /** The job is not stored and will not be stored later. */
         NOT_STORED,
+        /** Too many jobs wait to be stored; the job is not stored and will not be stored later. */
+        QUEUE_FULL,
         /** The job does not fit in a row of the store; it is not stored. */
         TOO_LARGE,
         /** The job may have been stored, or may still be. */
@@ -98,7 +100,7 @@
                 queuesByPartition.computeIfAbsent(
                         StoreLayout.partitionOf(job.id()), PartitionQueue::new);
         if (queue.waiting.size() >= MAX_WAITING) {
-            return CompletableFuture.completedFuture(Result.NOT_STORED);
+            return CompletableFuture.completedFuture(Result.QUEUE_FULL);
         }
         PendingJob pendingJob = new PendingJob(write, nowMillis());
         queue.waiting.add(pendingJob);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -14,6 +14,7 @@
 import org.chervillift.api.ErrorCode;
 import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.RowStore.Outcome;
+import org.chervillift.api.platform.StoreException;
 import org.chervillift.api.platform.Transaction.Condition;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.tasks.AcceptedJob;
@@ -28,7 +29,9 @@
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.JobSizeLimits;
+import org.chervillift.core.tasks.relay.RelayCause;
 import org.chervillift.daemon.tasks.KnownJobs.KnownJob;
+import org.chervillift.daemon.tasks.relay.RelayedAnswer;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
@@ -52,6 +55,7 @@
     private final PendingCountHandler pendingCounts;
     private final TaskMetrics metrics;
     private final KnownJobs knownJobs;
+    private final Relay relay;
 
     /** The queue route, the customer and the job of a request. */
     private record RequestContext(QueueRoute route, Optional<Customer> customer, String jobId) {}
@@ -61,6 +65,7 @@
      *
      * @param isFollowing returns whether configuration changes are being received
      * @param knownJobs what this process remembers of jobs
+     * @param relay relays requests that this process cannot serve
      */
     JobRequestHandler(
             MonitoredStore store,
@@ -70,6 +75,7 @@
             JobIntake intake,
             Supplier<Optional<HolderBoard>> board,
             KnownJobs knownJobs,
+            Relay relay,
             TaskMetrics metrics) {
         this.store = Checks.notNull("store", store);
         this.scheduler = Checks.notNull("scheduler", scheduler);
@@ -78,28 +84,45 @@
         this.intake = Checks.notNull("intake", intake);
         this.holderBoard = Checks.notNull("board", board);
         this.knownJobs = Checks.notNull("knownJobs", knownJobs);
+        this.relay = Checks.notNull("relay", relay);
         this.pendingCounts = new PendingCountHandler(store, scheduler, board);
         this.metrics = Checks.notNull("metrics", metrics);
     }
 
-    /** Answers a request. */
+    /** Answers a request of a caller. */
     CompletionStage<JobAnswer> answer(JobRequest request) {
         long start = nowMillis();
-        return route(request)
-                .exceptionally(fault -> AnswerWithBasis.of(toFailureAnswer(request, fault)))
+        return answerHere(request)
+                .thenCompose(local -> relay.relayIfNeeded(request, local, start))
                 .thenApply(
                         result -> {
-                            log(request, result, nowMillis() - start);
+                            long millis = nowMillis() - start;
+                            metrics.countAnswer(request.action(), result.answer(), millis);
+                            log(request, result, millis, false);
                             return result.answer();
                         });
     }
 
+    /** Answers a request that another entry VM has relayed; it is never relayed on. */
+    CompletionStage<RelayedAnswer> answerForPeer(JobRequest request) {
+        long start = nowMillis();
+        return answerHere(request)
+                .thenApply(
+                        result -> {
+                            log(request, result, nowMillis() - start, true);
+                            return new RelayedAnswer(result.answer(), result.relayCause());
+                        });
+    }
+
+    private CompletionStage<AnswerWithBasis> answerHere(JobRequest request) {
+        return route(request).exceptionally(fault -> toFailureAnswer(request, fault));
+    }
+
     private long nowMillis() {
         return scheduler.now().toEpochMilli();
     }
 
-    private void log(JobRequest request, AnswerWithBasis result, long millis) {
-        metrics.countAnswer(request.action(), result.answer(), millis);
+    private void log(JobRequest request, AnswerWithBasis result, long millis, boolean forPeer) {
         EventLog.log(
                 TaskEvent.REQUEST_ANSWERED,
                 Field.of("action", request.action()),
@@ -107,10 +130,11 @@
                 Field.of("manifest", manifests.manifest().map(Manifest::version).orElse(0L)),
                 Field.of("answer", result.answer()),
                 Field.of("basis", result.basis()),
+                Field.of("forPeer", forPeer),
                 Field.of("ms", millis));
     }
 
-    private JobAnswer toFailureAnswer(JobRequest request, Throwable fault) {
+    private AnswerWithBasis toFailureAnswer(JobRequest request, Throwable fault) {
         Throwable cause = fault.getCause() == null ? fault : fault.getCause();
         EventLog.log(
                 TaskEvent.REQUEST_FAILED,
@@ -121,9 +145,13 @@
                 request.action() != JobRequest.Action.READ
                         && cause instanceof ChervilliftException e
                         && e.code() == ErrorCode.OUTCOME_UNKNOWN;
-        return mayHaveTakenEffect
-                ? new JobAnswer.OutcomeUnknown()
-                : unavailable("The store does not respond.");
+        JobAnswer answer =
+                mayHaveTakenEffect
+                        ? new JobAnswer.OutcomeUnknown()
+                        : unavailable("The store does not respond.");
+        return cause instanceof StoreException
+                ? AnswerWithBasis.relayable(answer, RelayCause.STORE_UNRESPONSIVE)
+                : AnswerWithBasis.of(answer);
     }
 
     private static JobAnswer unavailable(String why) {
@@ -133,19 +161,22 @@
     private CompletionStage<AnswerWithBasis> route(JobRequest request) {
         Optional<Manifest> manifest = manifests.manifest();
         if (manifest.isEmpty()) {
-            return completed(unavailable("No manifest has been read yet."));
+            return relayable(
+                    unavailable("No manifest has been read yet."),
+                    RelayCause.CONFIGURATION_OUTDATED);
         }
         Optional<QueueRoute> route = manifest.get().routeOf(request.host(), request.path());
         if (route.isEmpty()) {
-            return completed(refuseIfCurrent(new JobAnswer.NoSuchQueue()));
+            return refuseIfCurrent(new JobAnswer.NoSuchQueue());
         }
         Optional<Customer> customer = request.key().flatMap(manifest.get()::customerOf);
         if (!route.get().openToAll() && customer.isEmpty()) {
-            return completed(refuseIfCurrent(new JobAnswer.KeyRefused()));
+            return refuseIfCurrent(new JobAnswer.KeyRefused());
         }
         if (store.isUnresponsive()) {
-            return completed(
-                    unavailable("The store does not respond; the request was not processed."));
+            return relayable(
+                    unavailable("The store does not respond; the request was not processed."),
+                    RelayCause.STORE_UNRESPONSIVE);
         }
         String jobId = request.path().substring(route.get().pathPrefix().length());
         RequestContext context = new RequestContext(route.get(), customer, jobId);
@@ -169,10 +200,16 @@
     }
 
     /** Returns a refusal that follows from the configuration, unless that may be out of date. */
-    private JobAnswer refuseIfCurrent(JobAnswer refusal) {
+    private CompletionStage<AnswerWithBasis> refuseIfCurrent(JobAnswer refusal) {
         return isFollowing.getAsBoolean()
-                ? refusal
-                : unavailable("The configuration may be out of date.");
+                ? completed(refusal)
+                : relayable(
+                        unavailable("The configuration may be out of date."),
+                        RelayCause.CONFIGURATION_OUTDATED);
+    }
+
+    private static CompletionStage<AnswerWithBasis> relayable(JobAnswer answer, RelayCause cause) {
+        return CompletableFuture.completedFuture(AnswerWithBasis.relayable(answer, cause));
     }
 
     private static CompletionStage<AnswerWithBasis> completed(JobAnswer answer) {
@@ -216,10 +253,16 @@
                                     case TOO_LARGE ->
                                             AnswerWithBasis.of(
                                                     new JobAnswer.TooLarge(ROW_TOO_LARGE_MESSAGE));
-                                    case NOT_STORED ->
+                                    case QUEUE_FULL ->
                                             AnswerWithBasis.of(unavailable(NOT_STORED_MESSAGE));
+                                    case NOT_STORED ->
+                                            AnswerWithBasis.relayable(
+                                                    unavailable(NOT_STORED_MESSAGE),
+                                                    RelayCause.NOT_WRITTEN);
                                     case UNKNOWN ->
-                                            AnswerWithBasis.of(new JobAnswer.OutcomeUnknown());
+                                            AnswerWithBasis.relayable(
+                                                    new JobAnswer.OutcomeUnknown(),
+                                                    RelayCause.STORE_UNRESPONSIVE);
                                 });
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -118,6 +118,13 @@
     /** The reloaded settings are invalid. */
     SETTINGS_REJECTED(
             7005, Level.ERROR, "The reloaded settings contain errors and are not applied."),
+    /** This process relays requests to other entry VMs. */
+    RELAYING_STARTED(
+            7095,
+            Level.WARN,
+            "Callers' requests that cannot be served here are relayed to other entry VMs."),
+    /** This process relays no requests any more. */
+    RELAYING_ENDED(7096, Level.INFO, "No request has been relayed for a while."),
     /** A step or a callback of what must go on has thrown. */
     CALLBACK_FAILED(
             7072, Level.ERROR, "A step or a callback has thrown; its loop goes on after a pause."),
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -30,6 +30,7 @@
     private final Gauge pendingJobs;
     private final WaitMetrics waits = new WaitMetrics(registry);
     private final LeaseMetrics lease = new LeaseMetrics(registry);
+    private final RelayMetrics relay = new RelayMetrics(registry);
 
     TaskMetrics() {
         answers =
@@ -114,6 +115,11 @@
         return lease;
     }
 
+    /** Returns the metrics of requests that are relayed between entry VMs. */
+    RelayMetrics relay() {
+        return relay;
+    }
+
     /** Returns the metrics that tell why work waits. */
     WaitMetrics waits() {
         return waits;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -15,6 +15,11 @@
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.core.tasks.HolderElection;
 import org.chervillift.core.tasks.HolderHealth;
+import org.chervillift.core.tasks.relay.RelayPeer;
+import org.chervillift.core.tasks.relay.RelayPeers;
+import org.chervillift.daemon.tasks.relay.PeerCalls;
+import org.chervillift.daemon.tasks.relay.RelayedAnswer;
+import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.supervision.Scheduler;
 
 /** Handles job requests in one process, and controls the fleet while it holds the lease. */
@@ -34,6 +39,7 @@
     private final TableFollower operatorFollower;
     private final HolderLeaseManager leaseManager;
     private final JobRequestHandler requestHandler;
+    private final Optional<EntryVmDirectory> directory;
     private final TaskMetrics metrics = new TaskMetrics();
     private boolean stopping;
 
@@ -65,9 +71,14 @@
      * Creates a node.
      *
      * @param process the name of this process, unique across restarts
+     * @param peerCalls sends requests to other entry VMs, if the settings have an address for them
      */
     public TaskNode(
-            FleetSettings settings, Scheduler scheduler, PlatformAccess ports, String process) {
+            FleetSettings settings,
+            Scheduler scheduler,
+            PlatformAccess ports,
+            String process,
+            PeerCalls peerCalls) {
         this.settings = Checks.notNull("settings", settings);
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.supervision = new Supervision(scheduler, metrics);
@@ -89,6 +100,17 @@
                         process, settings.vm(), LEASE_TIMES, settings.leaseYieldMillis());
         this.leaseManager =
                 new HolderLeaseManager(store, supervision, election, this::createHolder, metrics);
+        RelayPeers peers = new RelayPeers(settings.vm(), settings.dataCentre());
+        this.directory = settings.peers().map(address -> directory(address, peers));
+        Relay relay =
+                directory.isEmpty()
+                        ? Relay.NONE
+                        : new RequestRelay(
+                                peers,
+                                peerCalls,
+                                supervision,
+                                metrics.relay(),
+                                settings.maxRowBytes());
         this.requestHandler =
                 new JobRequestHandler(
                         store,
@@ -98,9 +120,16 @@
                         new JobIntake(store, supervision, settings.maxRowBytes()),
                         this::holderBoard,
                         new KnownJobs(settings.keepFinished().toMillis()),
+                        relay,
                         metrics);
     }
 
+    private EntryVmDirectory directory(HostPort address, RelayPeers peers) {
+        RelayPeer self =
+                new RelayPeer(settings.vm(), address.toString(), settings.dataCentre(), process);
+        return new EntryVmDirectory(ports.store(), supervision, store::clock, self, peers);
+    }
+
     private HolderController createHolder(long term) {
         RowStore throttled = new ThrottledStore(store, scheduler);
         HolderContext context =
@@ -150,6 +179,7 @@
                 };
         manifests.addChangeListener(startOnFirstManifest);
         operatorFollower.start();
+        directory.ifPresent(EntryVmDirectory::start);
     }
 
     /**
@@ -180,14 +210,22 @@
         return requestHandler.answer(request);
     }
 
+    /** Handles a request that another entry VM has relayed; it is not relayed on. */
+    public CompletionStage<RelayedAnswer> answerForPeer(JobRequest request) {
+        metrics.relay().countHandled();
+        return requestHandler.answerForPeer(request);
+    }
+
     /** Reports not ready and releases the lease; requests are still answered. */
     public void drain() {
         stopping = true;
+        directory.ifPresent(EntryVmDirectory::leave);
         leaseManager.stop();
     }
 
     /** Stops following the store. */
     public void stop() {
         operatorFollower.stop();
+        directory.ifPresent(EntryVmDirectory::stop);
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -24,6 +24,7 @@
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.WaveOrder;
 import org.chervillift.api.tasks.WorkerEntry;
+import org.chervillift.daemon.tasks.relay.PeerCalls;
 import org.chervillift.platform.fleet.FleetRowCodec;
 import org.chervillift.platform.fleet.FleetRowWriter;
 import org.chervillift.runtime.settings.HostPort;
@@ -44,6 +45,13 @@
     private static final Duration MAINTENANCE = Duration.ofSeconds(2);
     private static final double LINK_MBPS = 1_000;
     static final int MAX_ROW_BYTES = 65_536;
+
+    /** Fails a test in which a request is relayed although no address for peers is set. */
+    static final PeerCalls NO_PEERS =
+            (address, request) -> {
+                throw new AssertionError("relayed to " + address);
+            };
+
     private static final HostPort ANY_ADDRESS = new HostPort("127.0.0.1", 0);
 
     final ManualScheduler scheduler = new ManualScheduler();
@@ -128,10 +136,12 @@
     }
 
     TaskNode startNode(FleetSettings settings, RowStore storeView, String process) {
-        TaskNode.PlatformAccess ports =
-                new TaskNode.PlatformAccess(
-                        storeView, new FleetRowCodec(), this::connect, fleet, Optional.empty());
-        return startNode(settings, ports, process);
+        return startNode(settings, access(storeView), process);
+    }
+
+    private TaskNode.PlatformAccess access(RowStore storeView) {
+        return new TaskNode.PlatformAccess(
+                storeView, new FleetRowCodec(), this::connect, fleet, Optional.empty());
     }
 
     /** Starts a node whose calls to the platform may fail in ways that no interface allows. */
@@ -146,9 +156,26 @@
         return startNode(settings(vm, LINK_MBPS), ports, vm + "/" + startedNodes.size());
     }
 
+    /** Starts a node that relays requests to other entry VMs. */
+    TaskNode startNode(String vm, RowStore storeView, HostPort address, PeerCalls peerCalls) {
+        return startNode(
+                settings(vm, LINK_MBPS, Optional.of(address)),
+                access(storeView),
+                vm + "/" + startedNodes.size(),
+                peerCalls);
+    }
+
     private TaskNode startNode(
             FleetSettings settings, TaskNode.PlatformAccess ports, String process) {
-        TaskNode node = new TaskNode(settings, scheduler, ports, process);
+        return startNode(settings, ports, process, NO_PEERS);
+    }
+
+    private TaskNode startNode(
+            FleetSettings settings,
+            TaskNode.PlatformAccess ports,
+            String process,
+            PeerCalls peerCalls) {
+        TaskNode node = new TaskNode(settings, scheduler, ports, process, peerCalls);
         startedNodes.add(node);
         node.start();
         return node;
@@ -161,6 +188,10 @@
     }
 
     static FleetSettings settings(String vm, double linkMbps) {
+        return settings(vm, linkMbps, Optional.empty());
+    }
+
+    private static FleetSettings settings(String vm, double linkMbps, Optional<HostPort> peers) {
         return new FleetSettings(
                 vm,
                 "dc",
@@ -168,6 +199,7 @@
                 ANY_ADDRESS,
                 ANY_ADDRESS,
                 ANY_ADDRESS,
+                peers,
                 ANY_ADDRESS,
                 MAX_ROW_BYTES,
                 ANY_ADDRESS,
--- /dev/null
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RejectingStore.java
@@ -0,0 +1,74 @@
+package org.chervillift.daemon.tasks;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.chervillift.api.platform.RowStore;
+import org.chervillift.api.platform.StoreException;
+import org.chervillift.api.platform.Transaction.Condition;
+import org.chervillift.api.platform.Transaction.Write;
+
+/** The store as one entry VM sees it: it can reject that VM's requests, and counts them. */
+final class RejectingStore implements RowStore {
+
+    private final RowStore store;
+    private final Map<String, Integer> calls = new TreeMap<>();
+    private boolean rejecting;
+    private boolean writesRejected;
+    private boolean feedsRejected;
+
+    RejectingStore(RowStore store) {
+        this.store = store;
+    }
+
+    /** Rejects all calls, with the answer that nothing was done. */
+    void setRejecting(boolean value) {
+        rejecting = value;
+    }
+
+    /** Rejects writes of jobs only. */
+    void setJobWritesRejected(boolean value) {
+        writesRejected = value;
+    }
+
+    /** Rejects all calls for changes. */
+    void setFeedsRejected(boolean value) {
+        feedsRejected = value;
+    }
+
+    /** Returns the number of calls by kind and table. */
+    Map<String, Integer> calls() {
+        return calls;
+    }
+
+    private <T> CompletionStage<T> call(
+            String name, boolean rejected, Supplier<CompletionStage<T>> call) {
+        calls.merge(name, 1, Integer::sum);
+        return rejecting || rejected
+                ? CompletableFuture.failedFuture(
+                        new StoreException(StoreException.Effect.NONE, "rejected", null))
+                : call.get();
+    }
+
+    @Override
+    public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
+        return call("scan " + table, false, () -> store.scan(table, part, range, most));
+    }
+
+    @Override
+    public CompletionStage<Outcome> commit(
+            String part, List<Condition> conditions, List<Write> writes) {
+        String table = writes.getFirst().key().table();
+        boolean rejected = writesRejected && table.equals(StoreLayout.JOBS_TABLE);
+        return call("commit " + table, rejected, () -> store.commit(part, conditions, writes));
+    }
+
+    @Override
+    public CompletionStage<Changes> follow(String table, long after, Duration wait) {
+        return call("follow " + table, feedsRejected, () -> store.follow(table, after, wait));
+    }
+}
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
@@ -125,7 +125,8 @@
                         NodeFixture.settings(vm, LINK_MBPS),
                         process,
                         ports,
-                        vm + "/" + startedNodes);
+                        vm + "/" + startedNodes,
+                        NodeFixture.NO_PEERS);
         nodes.add(new Node(vm, process, link, node));
         node.start();
     }
