--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
@@ -23,7 +23,10 @@
     /** The most requests that are relayed at a time; bounds the memory for their bodies. */
     public static final int MAX_IN_FLIGHT = 64;
 
-    /** The most requests in flight to a peer that has not answered since it became known. */
+    /**
+     * The most requests in flight to peers that have not answered of late, in all. If the store
+     * goes silent for all entry VMs, only so many callers wait for peers that do not know it yet.
+     */
     public static final int MAX_IN_FLIGHT_UNPROVEN = 4;
 
     /** The most known peers, which bounds the memory and the connections. */
@@ -35,6 +38,9 @@
     /** The longest wait for the answer of a peer, in milliseconds. */
     public static final long MAX_TRY_MILLIS = 1_000;
 
+    /** How long an answer of a peer lets many requests go there at a time, in milliseconds. */
+    private static final long PROVEN_MILLIS = 2_000;
+
     /** A peer that reads and writes the store takes longer than this. */
     private static final long MIN_TRY_MILLIS = 20;
 
@@ -51,22 +57,20 @@
     private static final class PeerState {
         private final RelayPeer peer;
         private RelayBackOff backOff = RelayBackOff.NONE;
-        private boolean proven;
+        private long provenUntil = Long.MIN_VALUE;
         private int inFlight;
 
         PeerState(RelayPeer peer) {
             this.peer = peer;
         }
 
-        private int maxInFlight() {
-            if (backOff.isFailing()) {
-                return 1;
-            }
-            return proven ? MAX_IN_FLIGHT : MAX_IN_FLIGHT_UNPROVEN;
+        boolean isProven(long now) {
+            return now < provenUntil;
         }
 
-        boolean isEligible(long now) {
-            return backOff.isOver(now) && inFlight < maxInFlight();
+        /** Returns whether it may be tried, but for its back-off. */
+        boolean hasRoom() {
+            return !backOff.isFailing() || inFlight == 0;
         }
     }
 
@@ -141,19 +145,32 @@
     private Optional<PeerState> next(List<PeerState> group, Set<String> tried, long now) {
         for (int i = 0; i < group.size(); i++) {
             PeerState state = group.get(Math.floorMod(turn + i, group.size()));
-            if (!tried.contains(state.peer.vm()) && state.isEligible(now)) {
+            if (!tried.contains(state.peer.vm()) && isEligible(state, now)) {
                 return Optional.of(state);
             }
         }
         return Optional.empty();
     }
 
+    private boolean isEligible(PeerState state, long now) {
+        return state.backOff.isOver(now)
+                && state.hasRoom()
+                && (state.isProven(now) || unprovenInFlight(now) < MAX_IN_FLIGHT_UNPROVEN);
+    }
+
+    private int unprovenInFlight(long now) {
+        return states.values().stream()
+                .filter(s -> !s.isProven(now))
+                .mapToInt(s -> s.inFlight)
+                .sum();
+    }
+
     /** Returns the peer whose back-off ends first; a probe needs a peer although all failed. */
     private Optional<PeerState> soonestOver(Set<String> tried) {
         List<PeerState> all = new ArrayList<>(near);
         all.addAll(far);
         return all.stream()
-                .filter(s -> !tried.contains(s.peer.vm()) && s.inFlight < s.maxInFlight())
+                .filter(s -> !tried.contains(s.peer.vm()) && s.hasRoom())
                 .min(Comparator.comparingLong(s -> s.backOff.until()));
     }
 
@@ -173,7 +190,7 @@
         stateOf(tried)
                 .ifPresent(
                         state -> {
-                            state.proven = answered;
+                            state.provenUntil = answered ? now + PROVEN_MILLIS : now;
                             state.backOff =
                                     answered ? RelayBackOff.NONE : state.backOff.afterFailure(now);
                         });
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RequestRelayTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RequestRelayTest.java
@@ -14,6 +14,7 @@
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.JobStatus;
 import org.chervillift.core.tasks.relay.RelayPeers;
+import org.chervillift.standin.tasks.StoreFault;
 import org.junit.jupiter.api.Test;
 
 /** Relays requests between entry VMs in virtual time, under rejections by the store. */
@@ -75,6 +76,24 @@
         assertThat(network.sent()).allMatch(s -> s.startsWith("a to "));
     }
 
+    /** The store goes silent for all, and the peers do not know it yet: their calls hang. */
+    @Test
+    void ifTheStoreGoesSilentForAllFewCallersWaitForPeers() {
+        startNodes("a", "b", "c", "d");
+        reject("a");
+        fixture.store.setFault(StoreFault.SILENT);
+        List<CompletionStage<JobAnswer>> answers = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            answers.add(
+                    nodes.get("a").answer(request(Action.SUBMIT, Optional.of(NodeFixture.KEY))));
+            fixture.advanceMillis(10);
+        }
+
+        assertThat(answers.stream().filter(a -> !a.toCompletableFuture().isDone()))
+                .hasSizeLessThanOrEqualTo(RelayPeers.MAX_IN_FLIGHT_UNPROVEN);
+        assertThat(network.sent()).hasSizeLessThanOrEqualTo(2 * RelayPeers.MAX_IN_FLIGHT_UNPROVEN);
+    }
+
     @Test
     void relayingResumesWhenAPeerIsServedAgain() {
         startNodes("a", "b", "c", "d");
