Bound relayed bodies by a constant, write a lost row again, and close the peers' server at a stop

Cause: the bound on bodies followed store.max-row-bytes, so a message could exceed what the receiver reads; 64 requests in flight with the longest bodies take 8 MB of an entry VM that has 330 MB. A process whose row was deleted was not found by others until its next start. At a planned stop the server for peers was not closed. The timeout of a long poll was that of the wrapper around the client, which should answer last.

Change: bodies up to 65,536 characters, 32 requests in flight; the row is written again; the server is closed with the callers'; the timeout is a second over the wait.

Tested: RequestRelayTest (own write of unknown outcome, body beyond the bound), EntryVmDirectoryTest (lost row).

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
@@ -21,7 +21,7 @@
 public final class RelayPeers {
 
     /** The most requests that are relayed at a time; bounds the memory for their bodies. */
-    public static final int MAX_IN_FLIGHT = 64;
+    public static final int MAX_IN_FLIGHT = 32;
 
     /**
      * The most requests in flight to peers that have not answered of late, in all. If the store
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EntryVmDirectory.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EntryVmDirectory.java
@@ -146,6 +146,10 @@
     private void apply(String vm, long version, Optional<String> value) {
         known.remove(vm);
         value.flatMap(v -> decode(vm, v)).ifPresent(peer -> known.put(vm, peer));
+        if (vm.equals(self.vm()) && value.isEmpty()) {
+            // Nobody else deletes the row on purpose while this process lives.
+            write(MIN_RETRY_DELAY);
+        }
         if (self.equals(known.get(vm))) {
             ownVersion = Math.max(ownVersion, version);
         }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
@@ -7,10 +7,13 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -46,7 +49,7 @@
     private static final Duration WORKER_ORDER_TIMEOUT = Duration.ofMillis(200);
     private static final Duration WORKER_POLL_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration STORE_POLL_TIMEOUT = Duration.ofMillis(3_000);
-    private static final Duration LONG_POLL_TIMEOUT = EntryVmDirectory.POLL_WAIT.plusSeconds(3);
+    private static final Duration LONG_POLL_TIMEOUT = EntryVmDirectory.POLL_WAIT.plusSeconds(1);
     private static final Duration ADVICE_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
 
@@ -107,11 +110,17 @@
                 HttpServer.builder(reactor, r -> metrics(node, r))
                         .withListenAddress(settings.metrics().toSocketAddress())
                         .build();
+        List<HttpServer> peers =
+                settings.peers().stream().map(a -> peerServer(reactor, node, a)).toList();
+        List<HttpServer> servers = new ArrayList<>(peers);
+        servers.add(callers);
         try {
             callers.listen();
             readiness.listen();
             metrics.listen();
-            listenForPeers(reactor, node, settings);
+            for (HttpServer server : peers) {
+                server.listen();
+            }
         } catch (IOException e) {
             EventLog.log(DaemonEvent.FAILED, e);
             Runtime.getRuntime().halt(EXIT_FAILED);
@@ -119,7 +128,7 @@
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(
-                                () -> shutDown(reactor, node, callers, settings),
+                                () -> shutDown(reactor, node, servers, settings),
                                 "graceful-shutdown"));
         SettingsReloader reload = new SettingsReloader(file, settings, node::reconfigure);
         Signals.handle("HUP", () -> reactor.execute(reload::reload));
@@ -127,16 +136,13 @@
         node.start();
     }
 
-    private static void listenForPeers(Eventloop reactor, TaskNode node, FleetSettings settings)
-            throws IOException {
-        if (settings.peers().isPresent()) {
-            HttpServer.builder(reactor, new PeerServlet(node::answerForPeer, JobServlet::decodeJob))
-                    .withListenAddress(settings.peers().get().toSocketAddress())
-                    .withReadWriteTimeout(CALLER_TIMEOUT)
-                    .withKeepAliveTimeout(KEEP_ALIVE)
-                    .build()
-                    .listen();
-        }
+    private static HttpServer peerServer(Eventloop reactor, TaskNode node, HostPort address) {
+        return HttpServer.builder(
+                        reactor, new PeerServlet(node::answerForPeer, JobServlet::decodeJob))
+                .withListenAddress(address.toSocketAddress())
+                .withReadWriteTimeout(CALLER_TIMEOUT)
+                .withKeepAliveTimeout(KEEP_ALIVE)
+                .build();
     }
 
     private static JsonClient peerClient(Eventloop reactor, HostPort peer) {
@@ -178,11 +184,14 @@
 
     /** Releases the lease at once, and still answers requests for the time of the drain. */
     private static void shutDown(
-            Eventloop reactor, TaskNode node, HttpServer callers, FleetSettings settings) {
+            Eventloop reactor, TaskNode node, List<HttpServer> servers, FleetSettings settings) {
         EventLog.log(TaskEvent.STOPPING);
         CountDownLatch drained = new CountDownLatch(1);
         long drainMillis = Math.min(MAX_DRAIN_MILLIS, settings.shutdownGrace().toMillis() / 2);
-        Runnable close = () -> callers.close().whenComplete(drained::countDown);
+        Runnable close =
+                () ->
+                        Promises.all(servers.stream().map(HttpServer::close))
+                                .whenComplete(drained::countDown);
         reactor.execute(
                 () -> {
                     node.drain();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RequestRelay.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RequestRelay.java
@@ -29,6 +29,12 @@
  */
 final class RequestRelay implements Relay {
 
+    /**
+     * The longest body that is relayed, in characters. A job of a longer one is refused in any
+     * case, and the JSON text of a message stays below what a peer reads.
+     */
+    static final int MAX_BODY_LENGTH = 65_536;
+
     /**
      * When the connection of a try is given up. HTTP timeouts are looked at once a second, so a
      * connection may be in use for longer than its answer is waited for.
@@ -42,24 +48,12 @@
     private final Supervision supervision;
     private final RelayMetrics metrics;
     private final RelayPeriod period;
-    private final int maxBodyLength;
 
-    /**
-     * Creates a relay.
-     *
-     * @param maxBodyLength the longest body that is relayed; a longer one fits in no row
-     */
-    RequestRelay(
-            RelayPeers peers,
-            PeerCalls calls,
-            Supervision supervision,
-            RelayMetrics metrics,
-            int maxBodyLength) {
+    RequestRelay(RelayPeers peers, PeerCalls calls, Supervision supervision, RelayMetrics metrics) {
         this.peers = Checks.notNull("peers", peers);
         this.peerCalls = Checks.notNull("calls", calls);
         this.supervision = Checks.notNull("supervision", supervision);
         this.metrics = Checks.notNull("metrics", metrics);
-        this.maxBodyLength = maxBodyLength;
         this.period = new RelayPeriod(supervision.scheduler());
         this.boundedCalls =
                 new BoundedCalls(
@@ -98,7 +92,7 @@
     @Override
     public CompletionStage<AnswerWithBasis> relayIfNeeded(
             JobRequest request, AnswerWithBasis local, long arrivedAt) {
-        if (local.relayCause().isEmpty() || request.body().length() > maxBodyLength) {
+        if (local.relayCause().isEmpty() || request.body().length() > MAX_BODY_LENGTH) {
             return CompletableFuture.completedFuture(local);
         }
         Relayed relayed = new Relayed(request, local, callerUntil(request, arrivedAt));
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -105,12 +105,7 @@
         Relay relay =
                 directory.isEmpty()
                         ? Relay.NONE
-                        : new RequestRelay(
-                                peers,
-                                peerCalls,
-                                supervision,
-                                metrics.relay(),
-                                settings.maxRowBytes());
+                        : new RequestRelay(peers, peerCalls, supervision, metrics.relay());
         this.requestHandler =
                 new JobRequestHandler(
                         store,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/relay/PeerServlet.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/relay/PeerServlet.java
@@ -37,7 +37,7 @@
 
     static final String PATH = "/relayed-requests";
 
-    /** The JSON text of a body that fits in a row of the store is shorter than this. */
+    /** The JSON text of the longest body that is relayed is shorter than this. */
     private static final MemSize MAX_MESSAGE = MemSize.megabytes(1);
 
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EntryVmDirectoryTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EntryVmDirectoryTest.java
@@ -61,6 +61,17 @@
         assertThat(vms()).containsExactly("a", "b");
     }
 
+    @Test
+    void aRowThatIsLostIsWrittenAgain() {
+        startNodes("a", "b");
+        fixture.store.commit(
+                EntryVmDirectory.PARTITION,
+                List.of(),
+                List.of(Write.delete(new RowKey(EntryVmDirectory.TABLE, "a"))));
+        fixture.advanceMillis(100);
+        assertThat(vms()).containsExactly("a", "b");
+    }
+
     @Test
     void aRowIsAsSmallAsStated() {
         var row =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RejectingStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RejectingStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -15,10 +16,13 @@
 /** The store as one entry VM sees it: it can reject that VM's requests, and counts them. */
 final class RejectingStore implements RowStore {
 
+    private static final Optional<StoreException.Effect> REJECTED =
+            Optional.of(StoreException.Effect.NONE);
+
     private final RowStore store;
     private final Map<String, Integer> calls = new TreeMap<>();
     private boolean rejecting;
-    private boolean writesRejected;
+    private Optional<StoreException.Effect> jobWriteFault = Optional.empty();
     private boolean feedsRejected;
 
     RejectingStore(RowStore store) {
@@ -30,9 +34,9 @@
         rejecting = value;
     }
 
-    /** Rejects writes of jobs only. */
-    void setJobWritesRejected(boolean value) {
-        writesRejected = value;
+    /** Lets writes of jobs fail, which have no effect; tells the caller what may have happened. */
+    void failJobWrites(StoreException.Effect told) {
+        jobWriteFault = Optional.of(told);
     }
 
     /** Rejects all calls for changes. */
@@ -46,29 +50,36 @@
     }
 
     private <T> CompletionStage<T> call(
-            String name, boolean rejected, Supplier<CompletionStage<T>> call) {
+            String name, Optional<StoreException.Effect> fault, Supplier<CompletionStage<T>> call) {
         calls.merge(name, 1, Integer::sum);
-        return rejecting || rejected
-                ? CompletableFuture.failedFuture(
-                        new StoreException(StoreException.Effect.NONE, "rejected", null))
-                : call.get();
+        Optional<StoreException.Effect> effect = rejecting ? REJECTED : fault;
+        return effect.isEmpty()
+                ? call.get()
+                : CompletableFuture.failedFuture(
+                        new StoreException(effect.get(), "rejected", null));
     }
 
     @Override
     public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
-        return call("scan " + table, false, () -> store.scan(table, part, range, most));
+        return call("scan " + table, Optional.empty(), () -> store.scan(table, part, range, most));
     }
 
     @Override
     public CompletionStage<Outcome> commit(
             String part, List<Condition> conditions, List<Write> writes) {
         String table = writes.getFirst().key().table();
-        boolean rejected = writesRejected && table.equals(StoreLayout.JOBS_TABLE);
-        return call("commit " + table, rejected, () -> store.commit(part, conditions, writes));
+        boolean isJob = table.equals(StoreLayout.JOBS_TABLE);
+        return call(
+                "commit " + table,
+                jobWriteFault.filter(e -> isJob),
+                () -> store.commit(part, conditions, writes));
     }
 
     @Override
     public CompletionStage<Changes> follow(String table, long after, Duration wait) {
-        return call("follow " + table, feedsRejected, () -> store.follow(table, after, wait));
+        return call(
+                "follow " + table,
+                feedsRejected ? REJECTED : Optional.empty(),
+                () -> store.follow(table, after, wait));
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RequestRelayTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RequestRelayTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import org.chervillift.api.platform.StoreException;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobRequest.Action;
@@ -41,12 +42,24 @@
     @Test
     void aWriteThatTheStoreRejectedIsRelayed() {
         startNodes("a", "b");
-        stores.get("a").setJobWritesRejected(true);
+        stores.get("a").failJobWrites(StoreException.Effect.NONE);
 
         assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.Accepted.class);
         assertThat(network.sent()).hasSize(1);
     }
 
+    /** Guards against a refusal by a peer after a write of the sender that may be in effect. */
+    @Test
+    void afterAnOwnWriteOfUnknownOutcomeAPeerIsAskedAndNothingIsRefused() {
+        startNodes("a", "b");
+        stores.get("a").failJobWrites(StoreException.Effect.UNKNOWN);
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.Accepted.class);
+
+        stores.get("b").setRejecting(true);
+        assertThat(fixture.ask(nodes.get("a"), Action.SUBMIT, "5c0e7a21d94b36f9"))
+                .isInstanceOf(JobAnswer.OutcomeUnknown.class);
+    }
+
     @Test
     void aKeyThatTheSenderDoesNotKnowYetIsJudgedByAPeer() {
         startNodes("a", "b");
@@ -192,7 +205,7 @@
     }
 
     @Test
-    void aBodyThatFitsInNoRowIsNotRelayed() {
+    void aBodyBeyondTheBoundIsNotRelayed() {
         startNodes("a", "b");
         reject("a");
         JobRequest request = request(Action.SUBMIT, Optional.of(NodeFixture.KEY));
@@ -203,7 +216,7 @@
                         request.path(),
                         request.key(),
                         request.decode(),
-                        "x".repeat(NodeFixture.MAX_ROW_BYTES + 1),
+                        "x".repeat(RequestRelay.MAX_BODY_LENGTH + 1),
                         Optional.empty());
 
         assertThat(fixture.await(nodes.get("a").answer(large)))
