Check in a soak that no job runs that was refused while requests are relayed

Cause: the tests of the relay play one fault each. A refusal that says "has not run" must be true also when own writes, replies of peers and processes are lost together.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -191,7 +191,7 @@
         return settings(vm, linkMbps, Optional.empty());
     }
 
-    private static FleetSettings settings(String vm, double linkMbps, Optional<HostPort> peers) {
+    static FleetSettings settings(String vm, double linkMbps, Optional<HostPort> peers) {
         return new FleetSettings(
                 vm,
                 "dc",
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
@@ -93,7 +93,11 @@
     }
 
     SoakJob job(TaskId task) {
-        return jobs.get(task.job());
+        return job(task.job());
+    }
+
+    SoakJob job(String id) {
+        return jobs.get(id);
     }
 
     Resources request(TaskId task) {
@@ -102,6 +106,7 @@
 
     /** Checks that a task neither runs elsewhere nor has ended well to the holder's knowledge. */
     void taskStarts(TaskId task, String worker) {
+        job(task).started();
         boolean again =
                 job(task).isNotedDone(task) || liveWorkers().stream().anyMatch(w -> runs(w, task));
         if (again) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakJob.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakJob.java
@@ -26,6 +26,8 @@
     private final Set<TaskId> notedDone = new HashSet<>();
     private int failuresOfEachTask;
     private boolean accepted;
+    private boolean refused;
+    private boolean started;
     private boolean cancelSent;
 
     /**
@@ -86,6 +88,23 @@
         accepted = true;
     }
 
+    /** Records that the caller was told that the job has not run and will not run. */
+    void refused() {
+        refused = true;
+    }
+
+    boolean isRefused() {
+        return refused;
+    }
+
+    void started() {
+        started = true;
+    }
+
+    boolean hasStarted() {
+        return started;
+    }
+
     boolean isAccepted() {
         return accepted;
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
@@ -147,6 +147,8 @@
                 answer -> {
                     if (answer instanceof JobAnswer.Accepted) {
                         job.accepted();
+                    } else if (answer != null && !(answer instanceof JobAnswer.OutcomeUnknown)) {
+                        job.refused();
                     }
                 });
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
@@ -17,6 +17,7 @@
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.platform.fleet.FleetRowCodec;
 import org.chervillift.platform.fleet.FleetRowWriter;
+import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.supervision.ManualScheduler;
 import org.chervillift.standin.tasks.MemoryStore;
 
@@ -43,19 +44,32 @@
     final SoakFleet fleet;
     final List<Node> nodes = new ArrayList<>();
     final List<Throwable> faults = new ArrayList<>();
+    final SoakPeers peers;
     final Map<String, String> poolByQueue = new LinkedHashMap<>(HOME_POOLS);
     final Set<String> removedQueues = new TreeSet<>();
     final SoakStoreClock storeClock = new SoakStoreClock();
     double limitFactor = 1;
     private long manifestVersion;
+    private final boolean relaying;
     private int startedNodes;
 
     /** A process with its links. */
     record Node(String vm, SoakProcess process, SoakLink link, TaskNode node) {}
 
     SoakWorld(long seed) {
+        this(seed, false);
+    }
+
+    /** Returns a world whose processes relay requests to each other. */
+    static SoakWorld withRelay(long seed) {
+        return new SoakWorld(seed, true);
+    }
+
+    private SoakWorld(long seed, boolean relaying) {
+        this.relaying = relaying;
         random = new Random(seed);
         fleet = new SoakFleet(base, store, random);
+        peers = new SoakPeers(random, id -> fleet.job(id).spec());
         base.advance(START);
         for (String pool : POOLS) {
             int count = MIN_WORKERS_PER_POOL + random.nextInt(3);
@@ -122,15 +136,20 @@
         startedNodes++;
         TaskNode node =
                 new TaskNode(
-                        NodeFixture.settings(vm, LINK_MBPS),
+                        NodeFixture.settings(vm, LINK_MBPS, peerAddress()),
                         process,
                         ports,
                         vm + "/" + startedNodes,
-                        NodeFixture.NO_PEERS);
+                        peers.callsOf(process));
+        peers.add(startedNodes, process, node);
         nodes.add(new Node(vm, process, link, node));
         node.start();
     }
 
+    private Optional<HostPort> peerAddress() {
+        return relaying ? Optional.of(SoakPeers.addressOf(startedNodes)) : Optional.empty();
+    }
+
     List<Node> awakeNodes() {
         return nodes.stream().filter(n -> n.process().isAwake()).toList();
     }
