--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
@@ -7,15 +7,20 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.chervillift.daemon.internal.DaemonEvent;
 import org.chervillift.daemon.internal.SettingsProgram;
+import org.chervillift.daemon.tasks.relay.PeerClient;
+import org.chervillift.daemon.tasks.relay.PeerServlet;
 import org.chervillift.http.Answers;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
@@ -44,8 +49,13 @@
     private static final Duration WORKER_ORDER_TIMEOUT = Duration.ofMillis(200);
     private static final Duration WORKER_POLL_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration STORE_POLL_TIMEOUT = Duration.ofMillis(3_000);
+    private static final Duration LONG_POLL_TIMEOUT = EntryVmDirectory.POLL_WAIT.plusSeconds(1);
     private static final Duration ADVICE_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
+
+    /** Shorter than the server keeps connections, so that none is used while it is closed. */
+    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(20);
+
     private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(15);
     private static final long MAX_DRAIN_MILLIS = 2_500;
 
@@ -79,7 +89,12 @@
     private static void open(Eventloop reactor, FleetSettings settings, Path file, String process) {
         Scheduler scheduler = new ReactorScheduler(reactor);
         TaskNode node =
-                new TaskNode(settings, scheduler, platformAccess(reactor, settings), process);
+                new TaskNode(
+                        settings,
+                        scheduler,
+                        platformAccess(reactor, settings),
+                        process,
+                        new PeerClient(a -> peerClient(reactor, a)));
         HttpServer callers =
                 HttpServer.builder(reactor, new JobServlet(node::answer))
                         .withListenAddress(settings.callers().toSocketAddress())
@@ -95,10 +110,17 @@
                 HttpServer.builder(reactor, r -> metrics(node, r))
                         .withListenAddress(settings.metrics().toSocketAddress())
                         .build();
+        List<HttpServer> peers =
+                settings.peers().stream().map(a -> peerServer(reactor, node, a)).toList();
+        List<HttpServer> servers = new ArrayList<>(peers);
+        servers.add(callers);
         try {
             callers.listen();
             readiness.listen();
             metrics.listen();
+            for (HttpServer server : peers) {
+                server.listen();
+            }
         } catch (IOException e) {
             EventLog.log(DaemonEvent.FAILED, e);
             Runtime.getRuntime().halt(EXIT_FAILED);
@@ -106,7 +128,7 @@
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(
-                                () -> shutDown(reactor, node, callers, settings),
+                                () -> shutDown(reactor, node, servers, settings),
                                 "graceful-shutdown"));
         SettingsReloader reload = new SettingsReloader(file, settings, node::reconfigure);
         Signals.handle("HUP", () -> reactor.execute(reload::reload));
@@ -114,6 +136,19 @@
         node.start();
     }
 
+    private static HttpServer peerServer(Eventloop reactor, TaskNode node, HostPort address) {
+        return HttpServer.builder(
+                        reactor, new PeerServlet(node::answerForPeer, JobServlet::decodeJob))
+                .withListenAddress(address.toSocketAddress())
+                .withReadWriteTimeout(CALLER_TIMEOUT)
+                .withKeepAliveTimeout(KEEP_ALIVE)
+                .build();
+    }
+
+    private static JsonClient peerClient(Eventloop reactor, HostPort peer) {
+        return new JsonClient(reactor, peer, CALL_TIMEOUT, PEER_KEEP_ALIVE, Optional.empty());
+    }
+
     private static Promise<HttpResponse> metrics(TaskNode node, HttpRequest request) {
         return request.getPath().equals("/metrics")
                 ? HttpResponse.ok200().withBody(node.metrics()).toPromise()
@@ -126,7 +161,8 @@
                 new RowStoreClient(
                         client(reactor, settings.store(), CALL_TIMEOUT),
                         client(reactor, settings.store(), CALL_TIMEOUT),
-                        client(reactor, settings.store(), STORE_POLL_TIMEOUT));
+                        client(reactor, settings.store(), STORE_POLL_TIMEOUT),
+                        client(reactor, settings.store(), LONG_POLL_TIMEOUT));
         return new TaskNode.PlatformAccess(
                 store,
                 new FleetRowCodec(),
@@ -148,11 +184,14 @@
 
     /** Releases the lease at once, and still answers requests for the time of the drain. */
     private static void shutDown(
-            Eventloop reactor, TaskNode node, HttpServer callers, FleetSettings settings) {
+            Eventloop reactor, TaskNode node, List<HttpServer> servers, FleetSettings settings) {
         EventLog.log(TaskEvent.STOPPING);
         CountDownLatch drained = new CountDownLatch(1);
         long drainMillis = Math.min(MAX_DRAIN_MILLIS, settings.shutdownGrace().toMillis() / 2);
-        Runnable close = () -> callers.close().whenComplete(drained::countDown);
+        Runnable close =
+                () ->
+                        Promises.all(servers.stream().map(HttpServer::close))
+                                .whenComplete(drained::countDown);
         reactor.execute(
                 () -> {
                     node.drain();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -32,6 +32,7 @@
     private final ShareMetrics shares = new ShareMetrics(registry);
     private final LeaseMetrics lease = new LeaseMetrics(registry);
     private final EvacuationMetrics evacuation = new EvacuationMetrics(registry);
+    private final RelayMetrics relay = new RelayMetrics(registry);
 
     TaskMetrics() {
         answers =
@@ -128,6 +129,11 @@
         return shares;
     }
 
+    /** Returns the metrics of requests that are relayed between entry VMs. */
+    RelayMetrics relay() {
+        return relay;
+    }
+
     /** Returns the metrics that tell why work waits. */
     WaitMetrics waits() {
         return waits;
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
@@ -15,8 +15,10 @@
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.api.tasks.Resources;
+import org.chervillift.core.tasks.vms.PoolSettings;
 import org.chervillift.platform.fleet.FleetRowCodec;
 import org.chervillift.platform.fleet.FleetRowWriter;
+import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.supervision.ManualScheduler;
 import org.chervillift.standin.tasks.MemoryStore;
 
@@ -43,12 +45,14 @@
     final SoakFleet fleet;
     final List<Node> nodes = new ArrayList<>();
     final List<Throwable> faults = new ArrayList<>();
+    final SoakPeers peers;
     final Map<String, String> poolByQueue = new LinkedHashMap<>(HOME_POOLS);
     final Set<String> removedQueues = new TreeSet<>();
     final SoakStoreClock storeClock = new SoakStoreClock();
     double limitFactor = 1;
     private final Duration evacuateWithin;
     private long manifestVersion;
+    private final boolean relaying;
     private int startedNodes;
 
     /** A process with its links. */
@@ -64,9 +68,20 @@
      * @param evacuateWithin the setting of all processes; zero if there are no evacuations
      */
     SoakWorld(long seed, Duration evacuateWithin) {
+        this(seed, evacuateWithin, false);
+    }
+
+    /** Returns a world whose processes relay requests to each other. */
+    static SoakWorld withRelay(long seed) {
+        return new SoakWorld(seed, Duration.ZERO, true);
+    }
+
+    private SoakWorld(long seed, Duration evacuateWithin, boolean relaying) {
         this.evacuateWithin = evacuateWithin;
+        this.relaying = relaying;
         random = new Random(seed);
         fleet = new SoakFleet(base, store, random);
+        peers = new SoakPeers(random, id -> fleet.job(id).spec());
         base.advance(START);
         for (String pool : POOLS) {
             int count = MIN_WORKERS_PER_POOL + random.nextInt(3);
@@ -133,14 +148,21 @@
         startedNodes++;
         TaskNode node =
                 new TaskNode(
-                        NodeFixture.settings(vm, LINK_MBPS, evacuateWithin),
+                        NodeFixture.settings(
+                                vm, LINK_MBPS, evacuateWithin, PoolSettings.DEFAULT, peerAddress()),
                         process,
                         ports,
-                        vm + "/" + startedNodes);
+                        vm + "/" + startedNodes,
+                        peers.callsOf(process));
+        peers.add(startedNodes, process, node);
         nodes.add(new Node(vm, process, link, node));
         node.start();
     }
 
+    private Optional<HostPort> peerAddress() {
+        return relaying ? Optional.of(SoakPeers.addressOf(startedNodes)) : Optional.empty();
+    }
+
     List<Node> awakeNodes() {
         return nodes.stream().filter(n -> n.process().isAwake()).toList();
     }
