Reject at submission what cannot be served, or not in time

Cause: a job that asks for more than any VM offers, or more than its customer's limit, was accepted and waited for ever.

Change: AdmissionPolicy decides from the job, the newest manifest and figures that the holder writes beside the counts of pending jobs: the most that VMs of each pool have offered, and for each queue when a job would start. The start is the waiting work that goes first, divided by the cores that the pool has and may still get, or by the rate of finished work if that is higher. Figures older than 2 s, of a former clock of the store, or absent reject nothing. A job that is stored, or that this process may have stored, is accepted as before; this is read before a rejection. Retry-After is spread by the identifier's hash. Rejections are counted by cause and logged at most every 10 s for each cause.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -36,7 +36,7 @@
     private final RunNumbers numbers;
     private final JobLifecycle lifecycle;
     private final WorkerLossHandler losses;
-    private final RunTimeEstimator runTimes;
+    private final Backlog backlog;
     private final Consumer<SchedulerEvent> events;
 
     ReportHandler(
@@ -45,14 +45,14 @@
             RunNumbers numbers,
             JobLifecycle lifecycle,
             WorkerLossHandler losses,
-            RunTimeEstimator runTimes,
+            Backlog backlog,
             Consumer<SchedulerEvent> events) {
         this.jobs = jobs;
         this.runs = runs;
         this.numbers = numbers;
         this.lifecycle = lifecycle;
         this.losses = losses;
-        this.runTimes = runTimes;
+        this.backlog = backlog;
         this.events = events;
     }
 
@@ -200,6 +200,7 @@
         boolean longRunning = task.step().spec().longRunning();
         if (ended.end() == RunEnd.DONE && !longRunning) {
             worker.recordSuccess();
+            backlog.recordDone(task, worker.pool(), now);
             task.step().job().recordSuccess();
             lifecycle.taskDone(task, now);
         } else if (ended.end() == RunEnd.FAILED) {
@@ -220,10 +221,7 @@
 
     private void recordRunTime(TaskEntry task, Run run, long now) {
         if (run.startedAt() > 0) {
-            runTimes.recordRunTime(
-                    task.step().job().policy().queue(),
-                    task.step().spec().estimatedMillis(),
-                    now - run.startedAt());
+            backlog.recordRunTime(task, now - run.startedAt());
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -44,6 +44,8 @@
     private final RunRegistry runs = new RunRegistry();
     private final RunTimeEstimator runTimes = new RunTimeEstimator();
     private final JobRanking ranking = new JobRanking(runTimes);
+    private final Backlog backlog =
+            new Backlog(liveJobs, workers.values(), () -> this.manifest, ranking, runTimes);
     private final ArrivalRates arrivalRates = new ArrivalRates();
     private final ProgressChanges changes;
     private final EndAcknowledger acknowledger = new EndAcknowledger();
@@ -83,7 +85,7 @@
         this.restorer = new ProgressRestorer(lifecycle, inheritedStarts, numbers);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
         this.reportHandler =
-                new ReportHandler(jobs, runs, numbers, lifecycle, losses, runTimes, events);
+                new ReportHandler(jobs, runs, numbers, lifecycle, losses, backlog, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
@@ -211,11 +213,12 @@
      * <p>A job counts until a worker has reported a run, as an order may be refused or lost.
      */
     public Map<String, Integer> pendingByQueue() {
-        Map<String, Integer> pending = new HashMap<>();
-        liveJobs.stream()
-                .filter(j -> !j.hasRun())
-                .forEach(j -> pending.merge(j.policy().queue(), 1, Integer::sum));
-        return pending;
+        return backlog.pendingByQueue();
+    }
+
+    /** Returns what tells how much work waits and is finished, for the admission of jobs. */
+    public Backlog backlog() {
+        return backlog;
     }
 
     /** Adds a worker on which an earlier holder may have started tasks. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderBoard.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderBoard.java
@@ -2,6 +2,7 @@
 
 import org.chervillift.api.Checks;
 import org.chervillift.core.tasks.TaskScheduler;
+import org.chervillift.core.tasks.admission.FleetFigures;
 
 /**
  * The task board of a process that is certain to hold the lease.
@@ -17,10 +18,10 @@
         Checks.notNull("basis", basis);
     }
 
-    /** Returns the number of jobs of each queue that have not started, for other processes. */
-    PendingCounts pendingCounts(StoreClock storeClock) {
+    /** Returns what other processes need to answer callers. */
+    PendingCounts pendingCounts(StoreClock storeClock, FleetFigures figures) {
         long asOfStoreMillis =
                 storeClock.isKnown() ? storeClock.earliestStoreMillis(completeUntil) : 0;
-        return PendingCounts.of(board.pendingByQueue(), asOfStoreMillis);
+        return PendingCounts.of(board.pendingByQueue(), asOfStoreMillis, figures);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -90,7 +90,8 @@
         this.finishedJobs = new FinishedJobRemover(context, board, progress);
         this.advice = new AdviceRequester(context, board, this::replanSoon);
         this.vmController = new VmController(context, board, manifests);
-        this.statusPublisher = new HolderStatusPublisher(context, board, this::currentBoard);
+        this.statusPublisher =
+                new HolderStatusPublisher(context, this::currentBoard, vmController.figures());
         this.jobsFollower =
                 new TableFollower(
                         context.store(),
@@ -188,6 +189,7 @@
         readWithRetry(
                 () -> context.fencedStore().scan(StoreLayout.WORKERS_KEY.table(), KeyRange.ALL),
                 page -> {
+                    page.rows().forEach(statusPublisher::restore);
                     page.rows().stream()
                             .filter(r -> r.key().equals(StoreLayout.WORKERS_KEY))
                             .forEach(this::addPredecessorWorkers);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.Supplier;
 import org.chervillift.api.Checks;
+import org.chervillift.api.platform.Row;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.TaskScheduler;
@@ -21,20 +22,28 @@
     private static final String COUNTS_LOOP = "pending counts";
 
     private final HolderContext context;
-    private final TaskScheduler board;
     private final Supplier<HolderBoard> holderBoard;
+    private final FigureCollector figures;
     private boolean stopped;
 
     /**
      * Creates a publisher.
      *
      * @param holderBoard returns the board with its age
+     * @param figures collects what decides on submissions
      */
     HolderStatusPublisher(
-            HolderContext context, TaskScheduler board, Supplier<HolderBoard> holderBoard) {
+            HolderContext context, Supplier<HolderBoard> holderBoard, FigureCollector figures) {
         this.context = Checks.notNull("context", context);
-        this.board = Checks.notNull("board", board);
         this.holderBoard = Checks.notNull("holderBoard", holderBoard);
+        this.figures = Checks.notNull("figures", figures);
+    }
+
+    /** Takes over a row of an earlier holder, if it is the one that is published. */
+    void restore(Row row) {
+        if (row.key().equals(StoreLayout.PENDING_COUNTS_KEY)) {
+            figures.restore(row);
+        }
     }
 
     /** Starts publishing; called once all jobs are on the board. */
@@ -49,6 +58,7 @@
     }
 
     private void publishLoads() {
+        TaskScheduler board = holderBoard.get().board();
         board.poolLoads(context.nowMillis()).forEach(this::publishLoad);
         context.metrics().setPendingJobs(board.pendingByQueue());
     }
@@ -71,10 +81,12 @@
 
     /** Writes the pending job counts, also when they are unchanged, since their age matters. */
     private void writePendingCounts() {
-        Write write =
-                Write.put(
-                        StoreLayout.PENDING_COUNTS_KEY,
-                        Json.encode(holderBoard.get().pendingCounts(context.storeClock().get())));
+        PendingCounts counts =
+                holderBoard
+                        .get()
+                        .pendingCounts(
+                                context.storeClock().get(), figures.collect(context.nowMillis()));
+        Write write = Write.put(StoreLayout.PENDING_COUNTS_KEY, Json.encode(counts));
         context.supervision()
                 .whenAnswered(
                         COUNTS_LOOP,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -1,6 +1,5 @@
 package org.chervillift.daemon.tasks;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -19,7 +18,6 @@
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
-import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
@@ -27,7 +25,7 @@
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
-import org.chervillift.core.tasks.JobSizeLimits;
+import org.chervillift.core.tasks.admission.RetryTimes;
 import org.chervillift.daemon.tasks.KnownJobs.KnownJob;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
@@ -38,20 +36,16 @@
 final class JobRequestHandler {
 
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-    private static final String ROW_TOO_LARGE_MESSAGE =
-            "The job is too large for a row of the store; it was not stored and has not run.";
-    private static final String NOT_STORED_MESSAGE = "The job was not stored and has not run.";
 
     private final MonitoredStore store;
     private final Scheduler scheduler;
     private final ManifestTracker manifests;
     private final BooleanSupplier isFollowing;
-    private final JobIntake intake;
     private final Supplier<Optional<HolderBoard>> holderBoard;
     private final PendingCountHandler pendingCounts;
     private final TaskMetrics metrics;
     private final KnownJobs knownJobs;
+    private final JobSubmitter submitter;
 
     /** The queue route, the customer and the job of a request. */
     private record RequestContext(QueueRoute route, Optional<Customer> customer, String jobId) {}
@@ -75,11 +69,18 @@
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.manifests = Checks.notNull("manifests", manifests);
         this.isFollowing = Checks.notNull("isFollowing", isFollowing);
-        this.intake = Checks.notNull("intake", intake);
         this.holderBoard = Checks.notNull("board", board);
         this.knownJobs = Checks.notNull("knownJobs", knownJobs);
         this.pendingCounts = new PendingCountHandler(store, scheduler, board);
         this.metrics = Checks.notNull("metrics", metrics);
+        this.submitter =
+                new JobSubmitter(
+                        store,
+                        scheduler,
+                        intake,
+                        new JobAdmission(store, scheduler, manifests, isFollowing, metrics),
+                        knownJobs,
+                        this::findJob);
     }
 
     /** Answers a request. */
@@ -123,29 +124,33 @@
                         && e.code() == ErrorCode.OUTCOME_UNKNOWN;
         return mayHaveTakenEffect
                 ? new JobAnswer.OutcomeUnknown()
-                : unavailable("The store does not respond.");
+                : unavailable("The store does not respond.", request.path());
     }
 
-    private static JobAnswer unavailable(String why) {
-        return new JobAnswer.Unavailable(why, RETRY_AFTER);
+    /** Returns that a request, as identified by its path or its job, cannot be served now. */
+    private JobAnswer unavailable(String why, String request) {
+        return new JobAnswer.Unavailable(
+                why, RetryTimes.afterOutage(request, store.unresponsiveMillis()));
     }
 
     private CompletionStage<AnswerWithBasis> route(JobRequest request) {
         Optional<Manifest> manifest = manifests.manifest();
         if (manifest.isEmpty()) {
-            return completed(unavailable("No manifest has been read yet."));
+            return completed(unavailable("No manifest has been read yet.", request.path()));
         }
         Optional<QueueRoute> route = manifest.get().routeOf(request.host(), request.path());
         if (route.isEmpty()) {
-            return completed(refuseIfCurrent(new JobAnswer.NoSuchQueue()));
+            return completed(refuseIfCurrent(new JobAnswer.NoSuchQueue(), request));
         }
         Optional<Customer> customer = request.key().flatMap(manifest.get()::customerOf);
         if (!route.get().openToAll() && customer.isEmpty()) {
-            return completed(refuseIfCurrent(new JobAnswer.KeyRefused()));
+            return completed(refuseIfCurrent(new JobAnswer.KeyRefused(), request));
         }
         if (store.isUnresponsive()) {
             return completed(
-                    unavailable("The store does not respond; the request was not processed."));
+                    unavailable(
+                            "The store does not respond; the request was not processed.",
+                            request.path()));
         }
         String jobId = request.path().substring(route.get().pathPrefix().length());
         RequestContext context = new RequestContext(route.get(), customer, jobId);
@@ -169,10 +174,10 @@
     }
 
     /** Returns a refusal that follows from the configuration, unless that may be out of date. */
-    private JobAnswer refuseIfCurrent(JobAnswer refusal) {
+    private JobAnswer refuseIfCurrent(JobAnswer refusal, JobRequest request) {
         return isFollowing.getAsBoolean()
                 ? refusal
-                : unavailable("The configuration may be out of date.");
+                : unavailable("The configuration may be out of date.", request.path());
     }
 
     private static CompletionStage<AnswerWithBasis> completed(JobAnswer answer) {
@@ -190,37 +195,9 @@
         } catch (ChervilliftException e) {
             return completed(new JobAnswer.Malformed(e.getMessage()));
         }
-        Optional<JobFailure> tooLarge = JobSizeLimits.failureOf(spec);
-        if (tooLarge.isPresent()) {
-            return completed(
-                    new JobAnswer.TooLarge(tooLarge.get().sentence() + " The job was not stored."));
-        }
-        if (knownJobs.find(context.jobId(), nowMillis()).isPresent()) {
-            return completed(new JobAnswer.Accepted());
-        }
-        String customer = context.customer().map(Customer::name).orElse("");
-        AcceptedJob job =
-                new AcceptedJob(
-                        spec, context.route().policy(), customer, System.currentTimeMillis());
-        return intake.store(job)
-                .thenApply(
-                        result ->
-                                switch (result) {
-                                    case STORED -> {
-                                        knownJobs.remember(
-                                                job.id(),
-                                                new KnownJob(customer, Optional.empty()),
-                                                nowMillis());
-                                        yield AnswerWithBasis.of(new JobAnswer.Accepted());
-                                    }
-                                    case TOO_LARGE ->
-                                            AnswerWithBasis.of(
-                                                    new JobAnswer.TooLarge(ROW_TOO_LARGE_MESSAGE));
-                                    case NOT_STORED ->
-                                            AnswerWithBasis.of(unavailable(NOT_STORED_MESSAGE));
-                                    case UNKNOWN ->
-                                            AnswerWithBasis.of(new JobAnswer.OutcomeUnknown());
-                                });
+        return submitter
+                .submit(spec, context.route().policy(), context.customer())
+                .thenApply(AnswerWithBasis::of);
     }
 
     private CompletionStage<AnswerWithBasis> read(RequestContext context) {
--- /dev/null
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobSubmitter.java
@@ -0,0 +1,119 @@
+package org.chervillift.daemon.tasks;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.chervillift.api.Checks;
+import org.chervillift.api.tasks.AcceptedJob;
+import org.chervillift.api.tasks.Customer;
+import org.chervillift.api.tasks.JobAnswer;
+import org.chervillift.api.tasks.JobSpec;
+import org.chervillift.api.tasks.QueuePolicy;
+import org.chervillift.core.tasks.admission.Rejection;
+import org.chervillift.core.tasks.admission.RetryTimes;
+import org.chervillift.daemon.tasks.KnownJobs.KnownJob;
+import org.chervillift.runtime.supervision.Scheduler;
+
+/** Stores submitted jobs, or rejects them. */
+final class JobSubmitter {
+
+    private static final String ROW_TOO_LARGE_MESSAGE =
+            "The job is too large for a row of the store; it was not stored and has not run.";
+    private static final String NOT_STORED_MESSAGE = "The job was not stored and has not run.";
+
+    private final MonitoredStore store;
+    private final Scheduler scheduler;
+    private final JobIntake intake;
+    private final JobAdmission admission;
+    private final KnownJobs knownJobs;
+    private final Function<String, CompletionStage<Optional<KnownJob>>> findJob;
+    private final OpenSubmissions submissions = new OpenSubmissions();
+
+    /**
+     * Creates a submitter.
+     *
+     * @param findJob looks a job up by its identifier
+     */
+    JobSubmitter(
+            MonitoredStore store,
+            Scheduler scheduler,
+            JobIntake intake,
+            JobAdmission admission,
+            KnownJobs knownJobs,
+            Function<String, CompletionStage<Optional<KnownJob>>> findJob) {
+        this.store = Checks.notNull("store", store);
+        this.scheduler = Checks.notNull("scheduler", scheduler);
+        this.intake = Checks.notNull("intake", intake);
+        this.admission = Checks.notNull("admission", admission);
+        this.knownJobs = Checks.notNull("knownJobs", knownJobs);
+        this.findJob = Checks.notNull("findJob", findJob);
+    }
+
+    /** Handles the submission of a job to a queue. */
+    CompletionStage<JobAnswer> submit(
+            JobSpec spec, QueuePolicy queue, Optional<Customer> customer) {
+        if (knownJobs.find(spec.id(), nowMillis()).isPresent()) {
+            return CompletableFuture.completedFuture(new JobAnswer.Accepted());
+        }
+        String owner = customer.map(Customer::name).orElse("");
+        AcceptedJob job = new AcceptedJob(spec, queue, owner, System.currentTimeMillis());
+        return admission
+                .check(spec, queue, customer)
+                .thenCompose(r -> r.isEmpty() ? store(job) : rejectUnlessStored(job, r.get()));
+    }
+
+    private long nowMillis() {
+        return scheduler.now().toEpochMilli();
+    }
+
+    /**
+     * Rejects a job that is not stored, so that it is true that it has not run. A job that is
+     * stored, or may be, and one of which that cannot be read, is treated as an accepted one.
+     */
+    private CompletionStage<JobAnswer> rejectUnlessStored(AcceptedJob job, Rejection rejection) {
+        if (submissions.mayStore(job.id(), nowMillis())) {
+            return store(job);
+        }
+        return findJob.apply(job.id())
+                .handle(
+                        (found, fault) -> {
+                            if (fault != null || submissions.mayStore(job.id(), nowMillis())) {
+                                return store(job);
+                            }
+                            return CompletableFuture.completedStage(
+                                    found.isPresent()
+                                            ? new JobAnswer.Accepted()
+                                            : admission.reject(rejection, job.policy()));
+                        })
+                .thenCompose(Function.identity());
+    }
+
+    private CompletionStage<JobAnswer> store(AcceptedJob job) {
+        submissions.begin(job.id());
+        return intake.store(job)
+                .whenComplete(
+                        (result, fault) ->
+                                submissions.end(
+                                        job.id(),
+                                        fault == null && result != JobIntake.Result.UNKNOWN,
+                                        nowMillis()))
+                .thenApply(result -> toAnswer(result, job));
+    }
+
+    private JobAnswer toAnswer(JobIntake.Result result, AcceptedJob job) {
+        return switch (result) {
+            case STORED -> {
+                KnownJob known = new KnownJob(job.customer(), Optional.empty());
+                knownJobs.remember(job.id(), known, nowMillis());
+                yield new JobAnswer.Accepted();
+            }
+            case TOO_LARGE -> new JobAnswer.TooLarge(ROW_TOO_LARGE_MESSAGE);
+            case NOT_STORED ->
+                    new JobAnswer.Unavailable(
+                            NOT_STORED_MESSAGE,
+                            RetryTimes.afterOutage(job.id(), store.unresponsiveMillis()));
+            case UNKNOWN -> new JobAnswer.OutcomeUnknown();
+        };
+    }
+}
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/MonitoredStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/MonitoredStore.java
@@ -31,6 +31,7 @@
     private StoreClock clock = StoreClock.UNKNOWN;
     private long nextChangeLogAt = Long.MIN_VALUE;
     private boolean unresponsive;
+    private long unresponsiveSince;
 
     /** The store's time and its newest version in an answer; 0 if it contains none. */
     private record StoreTime(long millis, long version) {
@@ -47,6 +48,11 @@
         return unresponsive;
     }
 
+    /** Returns for how long calls have failed, in milliseconds; 0 if the last one did not. */
+    long unresponsiveMillis() {
+        return unresponsive ? nowMillis() - unresponsiveSince : 0;
+    }
+
     /** Returns what the answers of the store tell of its clock. */
     StoreClock clock() {
         return clock;
@@ -127,6 +133,7 @@
             onAnswer();
         } else if (!unresponsive) {
             unresponsive = true;
+            unresponsiveSince = nowMillis();
             EventLog.log(TaskEvent.STORE_UNAVAILABLE, Field.of("why", fault.getMessage()));
             probe();
         }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -87,6 +87,13 @@
     HOLDER_NOT_READY(7076, Level.WARN, "The holder has not read all jobs yet; no task starts."),
     /** Another process holds the lease, or this process may or may not take it now. */
     LEASE_SEEN(7075, Level.INFO, "What this process knows of the fleet lease has changed."),
+    /** Submissions are rejected; logged once in a while for each cause. */
+    SUBMISSIONS_REJECTED(
+            7097,
+            Level.WARN,
+            "Submitted jobs are rejected: they cannot be served, or not in time."),
+    /** No submission has been rejected for a while. */
+    REJECTIONS_ENDED(7098, Level.INFO, "No submitted job is rejected for this cause any more."),
     /** A worker does not respond. */
     WORKER_UNREACHABLE(7040, Level.WARN, "A worker does not respond."),
     /** A worker responds again. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -13,6 +13,7 @@
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.SchedulerEvent;
+import org.chervillift.core.tasks.admission.Rejection;
 
 /** The Prometheus metrics of job requests, task decisions, queues and pools. */
 final class TaskMetrics {
@@ -22,6 +23,7 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter answers;
     private final Histogram answerSeconds;
+    private final Counter rejections = rejectionCounter(registry);
     private final Counter decisions;
     private final Counter loopFailures;
     private final Counter replacements;
@@ -81,11 +83,23 @@
                         .register(registry);
     }
 
+    private static Counter rejectionCounter(PrometheusRegistry registry) {
+        return Counter.builder()
+                .name("chervillift_job_rejections_total")
+                .help("Submitted jobs that were rejected, by cause.")
+                .labelNames("cause")
+                .register(registry);
+    }
+
     void countAnswer(JobRequest.Action action, JobAnswer answer, long millis) {
         answers.labelValues(action.name(), answer.getClass().getSimpleName()).inc();
         answerSeconds.labelValues(action.name()).observe(millis / MILLI_UNITS);
     }
 
+    void countRejection(Rejection.Cause cause) {
+        rejections.labelValues(cause.name()).inc();
+    }
+
     void countDecision(SchedulerEvent.Kind kind) {
         decisions.labelValues(kind.name()).inc();
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -78,6 +78,11 @@
         initialPoolSizes.load();
     }
 
+    /** Returns what collects the figures for submissions, from the VMs as last listed. */
+    FigureCollector figures() {
+        return new FigureCollector(board, manifests, lastListed::values);
+    }
+
     /** Returns whether the recent orders of earlier holders are read. */
     boolean areOrdersLoaded() {
         return recentOrders.isLoaded();
