--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
@@ -2,43 +2,41 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Supplier;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.StepSpec;
+import org.chervillift.core.tasks.admission.FleetFigures;
 import org.chervillift.core.tasks.admission.WaitingWork;
 
 /**
- * Tells how much work goes before a job that is handed in now, and how much has been finished.
+ * Tells how much work waits for room, and how much has been finished.
  *
- * <p>Of the waiting work, counts only work that is sure to go first: tasks that may start at once,
- * of jobs that can still meet their latency objective. Tasks that wait for something else than room
- * are left out.
+ * <p>Of the waiting work, counts only what is sure to go before that of less urgent queues: tasks
+ * that may start at once, of jobs that can still meet their latency objective. Tasks that may wait
+ * for something else than room on any worker are left out.
  */
 public final class Backlog {
 
+    private static final long ON_TIME_STEP_MILLIS = 250;
+
     private final Collection<JobEntry> liveJobs;
-    private final Collection<WorkerRecord> workers;
     private final Supplier<Manifest> manifest;
     private final JobRanking ranking;
     private final RunTimeEstimator runTimes;
     private final FinishedWork finishedWork = new FinishedWork();
 
-    private record Source(String queue, String customer) {}
+    private record Source(String queue, String customer, long onTimeMillis) {}
 
     Backlog(
             Collection<JobEntry> liveJobs,
-            Collection<WorkerRecord> workers,
             Supplier<Manifest> manifest,
             JobRanking ranking,
             RunTimeEstimator runTimes) {
         this.liveJobs = liveJobs;
-        this.workers = workers;
         this.manifest = manifest;
         this.ranking = ranking;
         this.runTimes = runTimes;
@@ -72,68 +70,64 @@
         return finishedWork.milliCoresByPool(now);
     }
 
-    /** Returns the work that goes before a job that is handed in now, by queue and customer. */
+    /** Returns the work that waits for room, by queue, customer and time. */
     public List<WaitingWork> waitingWork(long now) {
-        Map<String, Set<String>> labels = labelsByPool();
         Map<Source, WaitingWork> bySource = new HashMap<>();
         for (JobEntry job : liveJobs) {
-            WaitingWork work = workOf(job, labels, now);
+            WaitingWork work = workOf(job, now);
             if (work.work() > 0) {
-                Source source = new Source(work.queue(), work.customer());
+                Source source = new Source(work.queue(), work.customer(), work.onTimeMillis());
                 bySource.merge(source, work, WaitingWork::plus);
             }
         }
         return List.copyOf(bySource.values());
     }
 
-    private Map<String, Set<String>> labelsByPool() {
-        Map<String, Set<String>> labels = new HashMap<>();
-        for (WorkerRecord worker : workers) {
-            labels.computeIfAbsent(worker.pool(), p -> new HashSet<>())
-                    .addAll(worker.entry().labels());
-        }
-        return labels;
-    }
-
-    private WaitingWork workOf(JobEntry job, Map<String, Set<String>> labels, long now) {
+    private WaitingWork workOf(JobEntry job, long now) {
         double expected = 0;
         double estimated = 0;
+        long startBy = Long.MAX_VALUE;
+        Resources largest = Resources.NONE;
         String queue = job.policy().queue();
-        for (StepEntry step : job.steps().filter(s -> goesFirst(s, labels, now)).toList()) {
+        for (StepEntry step : job.steps().filter(s -> waitsForRoom(s, now)).toList()) {
             StepSpec spec = step.spec();
             double cores =
                     (double) spec.footprint().milliCores()
                             * Math.min(step.tasks().waitingCount(), JobSizeLimits.MAX_BEGUN_TASKS);
             expected += cores * runTimes.estimateMillis(queue, spec.estimatedMillis());
             estimated += cores * spec.estimatedMillis();
+            largest = FleetFigures.largerOf(largest, spec.footprint());
+            startBy = Math.min(startBy, ranking.startBy(step));
         }
         return new WaitingWork(
                 queue,
                 job.policy().pool(),
                 job.policy().priority(),
                 job.job().customer(),
+                roundedDown(startBy - now),
+                largest,
                 expected,
-                estimated,
-                1);
+                estimated);
     }
 
-    private boolean goesFirst(StepEntry step, Map<String, Set<String>> labels, long now) {
+    /** Rounds a time, so that the work of many jobs is one entry. */
+    private static long roundedDown(long millis) {
+        return millis / ON_TIME_STEP_MILLIS * ON_TIME_STEP_MILLIS;
+    }
+
+    private boolean waitsForRoom(StepEntry step, long now) {
         StepSpec spec = step.spec();
-        boolean waitsForRoom =
+        boolean startable =
                 !step.isDone()
                         && step.isReady()
                         && !spec.longRunning()
                         && spec.maxPerWorker() == 0
                         && !step.job().policy().advised()
-                        && hasLabel(step, labels)
-                        && LoadCalculator.canEverStart(step, limitOf(step.job()));
-        return waitsForRoom && !ranking.rankOf(step, now).late();
-    }
-
-    private static boolean hasLabel(StepEntry step, Map<String, Set<String>> labels) {
-        String label = step.spec().requiredLabel();
-        return label.isEmpty()
-                || labels.getOrDefault(step.job().policy().pool(), Set.of()).contains(label);
+                        && !spec.gang()
+                        && spec.requiredLabel().isEmpty()
+                        && spec.dataRack().isEmpty()
+                        && spec.request().fitsInLimit(limitOf(step.job()));
+        return startable && ranking.startBy(step) >= now;
     }
 
     private Resources limitOf(JobEntry job) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -70,19 +70,24 @@
     Rank rankOf(StepEntry step, long now) {
         JobEntry job = step.job();
         List<StepEntry> steps = job.occurrence(step.occurrence());
-        long remainingMillis = longestChainMillis(steps, s -> s.isDone() ? 0 : expectedMillis(s));
-        long totalMillis = longestChainMillis(steps, this::expectedMillis);
-        double objectiveMillis =
-                job.policy().targetLatencyMillis() + job.policy().stretchFactor() * totalMillis;
-        long startBy =
-                job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
         return new Rank(
                 step.spec().longRunning(),
                 job.policy().priority(),
-                now > startBy,
+                now > startBy(step),
                 valuePerWork(job, steps));
     }
 
+    /** Returns until when a step must start for its job to meet its objective, in milliseconds. */
+    long startBy(StepEntry step) {
+        JobEntry job = step.job();
+        List<StepEntry> steps = job.occurrence(step.occurrence());
+        long remainingMillis = longestChainMillis(steps, s -> s.isDone() ? 0 : expectedMillis(s));
+        long totalMillis = longestChainMillis(steps, this::expectedMillis);
+        double objectiveMillis =
+                job.policy().targetLatencyMillis() + job.policy().stretchFactor() * totalMillis;
+        return job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
+    }
+
     private double valuePerWork(JobEntry job, List<StepEntry> steps) {
         double totalWork = 0;
         double remainingWork = 0;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/LoadCalculator.java
@@ -98,7 +98,7 @@
     }
 
     /** Returns whether a customer's limit allows a step; a gang starts as a whole or not at all. */
-    static boolean canEverStart(StepEntry step, Resources limit) {
+    private static boolean canEverStart(StepEntry step, Resources limit) {
         return !step.spec().gang()
                 || step.spec().request().times(step.tasks().count()).fitsInLimit(limit);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/AdmissionPolicy.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/AdmissionPolicy.java
@@ -117,7 +117,8 @@
             return Optional.empty();
         }
         return figures.forecastOf(queue.queue())
-                .map(f -> startMillis(job, f) - valuableMillis(job, queue, f))
+                .filter(f -> findsNoRoomBeside(job, f))
+                .map(f -> f.startMillis() - valuableMillis(job, queue, f))
                 .filter(excess -> excess > 0)
                 .map(excess -> new Rejection.Later(RetryTimes.afterBacklog(job.id(), excess)));
     }
@@ -128,18 +129,11 @@
                 && job.steps().stream().allMatch(s -> !s.longRunning() && s.estimatedMillis() > 0);
     }
 
-    /** Returns when a job would start; one that is smaller than the others goes before them. */
-    private static long startMillis(JobSpec job, QueueForecast forecast) {
-        long work =
-                job.steps().stream()
-                        .mapToLong(AdmissionPolicy::workOf)
-                        .reduce(0, SaturatedMath::add);
-        return work < forecast.meanWork() ? forecast.urgentMillis() : forecast.startMillis();
-    }
-
-    private static long workOf(StepSpec step) {
-        long task = SaturatedMath.multiply(step.request().milliCores(), step.estimatedMillis());
-        return SaturatedMath.multiply(task, step.count());
+    /** Returns whether no task of a job may start where none of those that go first fits. */
+    private static boolean findsNoRoomBeside(JobSpec job, QueueForecast forecast) {
+        return job.steps().stream()
+                .filter(s -> s.after().isEmpty())
+                .allMatch(s -> forecast.largest().fitsIn(s.footprint()));
     }
 
     /** Returns until when the start of a job is of value, in milliseconds from now. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/FleetFigures.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/FleetFigures.java
@@ -29,7 +29,7 @@
     }
 
     /** Returns the larger amount of each resource. */
-    static Resources largerOf(Resources a, Resources b) {
+    public static Resources largerOf(Resources a, Resources b) {
         return new Resources(
                 Math.max(a.milliCores(), b.milliCores()),
                 Math.max(a.memoryMb(), b.memoryMb()),
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/QueueForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/QueueForecast.java
@@ -1,22 +1,20 @@
 package org.chervillift.core.tasks.admission;
 
 import org.chervillift.api.Checks;
+import org.chervillift.api.tasks.Resources;
 
 /**
- * When a job that is handed in to a queue now is expected to start at the earliest.
+ * When a job that is handed in to a queue now starts at the earliest.
  *
  * @param queue the queue
- * @param startMillis the time until its start behind all work of the pool that goes first, in
- *     milliseconds
- * @param urgentMillis the same behind work of queues that are more urgent only; a job that is
- *     smaller than the others goes before work of the same urgency
- * @param meanWork the mean work of the jobs of the same urgency that go first, in thousandths of a
- *     core times milliseconds, as estimated by callers
+ * @param startMillis the time until then, in milliseconds
+ * @param largest the most that a task that goes first needs of each resource; a job of smaller
+ *     tasks may find room beside those that wait
  * @param runTimePercent the expected run times of the queue's tasks, in percent of what callers
  *     estimate
  */
 public record QueueForecast(
-        String queue, long startMillis, long urgentMillis, long meanWork, long runTimePercent) {
+        String queue, long startMillis, Resources largest, long runTimePercent) {
 
     /** Run times as callers estimate them. */
     static final long AS_ESTIMATED_PERCENT = 100;
@@ -24,8 +22,7 @@
     public QueueForecast {
         Checks.notBlank("queue", queue);
         Checks.notNegative("startMillis", startMillis);
-        Checks.notNegative("urgentMillis", urgentMillis);
-        Checks.notNegative("meanWork", meanWork);
+        Checks.notNull("largest", largest);
         Checks.notNegative("runTimePercent", runTimePercent);
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
@@ -12,18 +12,22 @@
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.QueueRoute;
+import org.chervillift.api.tasks.Resources;
 
 /**
- * Forecasts for each queue when a job would start that is handed in now.
+ * Forecasts for each queue when a job would start at the earliest that is handed in now.
  *
- * <p>Addresses surges: work that waits divided by the rate at which the pool works it off. The work
- * of a customer with a limit takes no more of that rate than its limit, and the rest of it waits
- * behind the new job.
+ * <p>Addresses surges of more urgent work, divided by the rate at which the pool works it off. Such
+ * work goes first while its job is on time; which job of the same urgency goes first is not sure.
+ * The work of a customer with a limit takes no more of the rate than its limit.
  */
 public final class StartForecaster {
 
-    /** The forecast converges from above by the part that unlimited customers have of the rate. */
-    private static final int ITERATIONS = 30;
+    /** Times are looked at in steps that grow; a forecast is too early by at most this factor. */
+    private static final double STEP_FACTOR = 1.2;
+
+    private static final long FIRST_STEP_MILLIS = 100;
+    private static final long LONGEST_MILLIS = 3_600_000;
 
     private static final double PERCENT = 100;
 
@@ -65,14 +69,15 @@
     }
 
     private QueueForecast forecastOf(QueuePolicy queue) {
-        List<WaitingWork> same = waitingFor(queue, w -> w.priority() == queue.priority());
-        double jobs = same.stream().mapToInt(WaitingWork::jobs).sum();
-        double estimated = same.stream().mapToDouble(WaitingWork::estimatedWork).sum();
+        List<WaitingWork> ahead = waitingFor(queue, w -> w.priority() < queue.priority());
+        Resources largest =
+                ahead.stream()
+                        .map(WaitingWork::largest)
+                        .reduce(Resources.NONE, FleetFigures::largerOf);
         return new QueueForecast(
                 queue.queue(),
-                startMillis(queue, waitingFor(queue, w -> w.priority() <= queue.priority())),
-                startMillis(queue, waitingFor(queue, w -> w.priority() < queue.priority())),
-                Math.round(estimated / Math.max(1, jobs)),
+                startMillis(queue, ahead),
+                largest,
                 runTimePercent(waitingFor(queue, w -> w.queue().equals(queue.queue()))));
     }
 
@@ -80,24 +85,39 @@
         return waitingByPool.getOrDefault(queue.pool(), List.of()).stream().filter(which).toList();
     }
 
+    /**
+     * Returns a time before which a job does not start: up to then, more work remains that still
+     * goes first than the pool can have worked off, even if it takes first what goes first longest.
+     */
     private long startMillis(QueuePolicy queue, List<WaitingWork> ahead) {
-        long rate = rates.get(queue.pool());
-        Map<String, Double> workByCustomer = new HashMap<>();
-        ahead.forEach(w -> workByCustomer.merge(w.customer(), w.work(), Double::sum));
-        double millis = workByCustomer.values().stream().mapToDouble(w -> w).sum() / rate;
-        for (int i = 0; i < ITERATIONS; i++) {
-            double until = millis;
-            millis =
-                    workByCustomer.entrySet().stream()
-                                    .mapToDouble(
-                                            e ->
-                                                    Math.min(
-                                                            e.getValue(),
-                                                            limitOf(e.getKey()) * until))
-                                    .sum()
-                            / rate;
+        double rate = rates.get(queue.pool());
+        long start = 0;
+        for (long millis = FIRST_STEP_MILLIS; millis < LONGEST_MILLIS; millis = next(millis)) {
+            if (workUntil(millis, ahead) <= rate * millis) {
+                return start;
+            }
+            start = millis;
+        }
+        return start;
+    }
+
+    private static long next(long millis) {
+        return (long) (millis * STEP_FACTOR);
+    }
+
+    /**
+     * Returns the work that still goes first at a time, as far as it could be running until then.
+     */
+    private double workUntil(long millis, List<WaitingWork> ahead) {
+        Map<String, Double> byCustomer = new HashMap<>();
+        for (WaitingWork work : ahead) {
+            if (work.onTimeMillis() >= millis) {
+                byCustomer.merge(work.customer(), work.work(), Double::sum);
+            }
         }
-        return (long) millis;
+        return byCustomer.entrySet().stream()
+                .mapToDouble(e -> Math.min(e.getValue(), limitOf(e.getKey()) * millis))
+                .sum();
     }
 
     /** Returns the most that may run for a customer at once, in thousandths of a core. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
@@ -1,41 +1,46 @@
 package org.chervillift.core.tasks.admission;
 
 import org.chervillift.api.Checks;
+import org.chervillift.api.tasks.Resources;
 
 /**
- * The work of a customer that waits in a queue and goes before a job that is handed in now.
+ * The work of a customer that waits in a queue, of jobs that are on time.
  *
  * @param queue the queue
  * @param pool the pool of the queue
  * @param priority the rank of the queue, where 0 goes first
  * @param customer the customer, or empty
+ * @param onTimeMillis for how long its jobs are on time; late ones go after those of other queues
+ * @param largest the most that a task of it needs of each resource
  * @param work the expected work, in thousandths of a core times milliseconds
  * @param estimatedWork the same as estimated by callers
- * @param jobs the number of jobs
  */
 public record WaitingWork(
         String queue,
         String pool,
         int priority,
         String customer,
+        long onTimeMillis,
+        Resources largest,
         double work,
-        double estimatedWork,
-        int jobs) {
+        double estimatedWork) {
     public WaitingWork {
         Checks.notBlank("queue", queue);
         Checks.notBlank("pool", pool);
         Checks.notNull("customer", customer);
+        Checks.notNull("largest", largest);
     }
 
-    /** Returns the sum of the work of two jobs of the same queue and customer. */
+    /** Returns the sum of the work of jobs of the same queue and customer. */
     public WaitingWork plus(WaitingWork other) {
         return new WaitingWork(
                 queue,
                 pool,
                 priority,
                 customer,
+                Math.min(onTimeMillis, other.onTimeMillis),
+                FleetFigures.largerOf(largest, other.largest),
                 work + other.work,
-                estimatedWork + other.estimatedWork,
-                jobs + other.jobs);
+                estimatedWork + other.estimatedWork);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderStatusPublisher.java
@@ -7,6 +7,7 @@
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.TaskScheduler;
+import org.chervillift.core.tasks.admission.FleetFigures;
 import org.chervillift.http.Json;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
@@ -24,6 +25,7 @@
     private final HolderContext context;
     private final Supplier<HolderBoard> holderBoard;
     private final FigureCollector figures;
+    private FleetFigures latestFigures = FleetFigures.UNKNOWN;
     private boolean stopped;
 
     /**
@@ -81,11 +83,11 @@
 
     /** Writes the pending job counts, also when they are unchanged, since their age matters. */
     private void writePendingCounts() {
+        // A failure of the figures does not keep the counts from callers.
+        latestFigures = FleetFigures.UNKNOWN;
+        context.supervision().run("figures for submissions", this::collectFigures);
         PendingCounts counts =
-                holderBoard
-                        .get()
-                        .pendingCounts(
-                                context.storeClock().get(), figures.collect(context.nowMillis()));
+                holderBoard.get().pendingCounts(context.storeClock().get(), latestFigures);
         Write write = Write.put(StoreLayout.PENDING_COUNTS_KEY, Json.encode(counts));
         context.supervision()
                 .whenAnswered(
@@ -95,6 +97,10 @@
                         () -> {});
     }
 
+    private void collectFigures() {
+        latestFigures = figures.collect(context.nowMillis());
+    }
+
     private void publishPendingCountsLater() {
         context.scheduler().schedule(PENDING_COUNT_INTERVAL, this::publishPendingCounts);
     }
