Compute once until when a waiting step is on time

Cause: the forecast computed it twice for each waiting step. Tested: SurgeAdmissionTest, StartForecasterTest.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
@@ -89,7 +89,12 @@
         long startBy = Long.MAX_VALUE;
         Resources largest = Resources.NONE;
         String queue = job.policy().queue();
-        for (StepEntry step : job.steps().filter(s -> waitsForRoom(s, now)).toList()) {
+        for (StepEntry step : job.steps().filter(this::waitsForRoom).toList()) {
+            long stepStartBy = ranking.startBy(step);
+            if (stepStartBy < now) {
+                continue;
+            }
+            startBy = Math.min(startBy, stepStartBy);
             StepSpec spec = step.spec();
             double cores =
                     (double) spec.footprint().milliCores()
@@ -97,7 +102,6 @@
             expected += cores * runTimes.estimateMillis(queue, spec.estimatedMillis());
             estimated += cores * spec.estimatedMillis();
             largest = FleetFigures.largerOf(largest, spec.footprint());
-            startBy = Math.min(startBy, ranking.startBy(step));
         }
         return new WaitingWork(
                 queue,
@@ -115,19 +119,17 @@
         return millis / ON_TIME_STEP_MILLIS * ON_TIME_STEP_MILLIS;
     }
 
-    private boolean waitsForRoom(StepEntry step, long now) {
+    private boolean waitsForRoom(StepEntry step) {
         StepSpec spec = step.spec();
-        boolean startable =
-                !step.isDone()
-                        && step.isReady()
-                        && !spec.longRunning()
-                        && spec.maxPerWorker() == 0
-                        && !step.job().policy().advised()
-                        && !spec.gang()
-                        && spec.requiredLabel().isEmpty()
-                        && spec.dataRack().isEmpty()
-                        && spec.request().fitsInLimit(limitOf(step.job()));
-        return startable && ranking.startBy(step) >= now;
+        return !step.isDone()
+                && step.isReady()
+                && !spec.longRunning()
+                && spec.maxPerWorker() == 0
+                && !step.job().policy().advised()
+                && !spec.gang()
+                && spec.requiredLabel().isEmpty()
+                && spec.dataRack().isEmpty()
+                && spec.request().fitsInLimit(limitOf(step.job()));
     }
 
     private Resources limitOf(JobEntry job) {
