--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/package-info.java
@@ -0,0 +1,2 @@
+/** Checks a configuration before an operator sends it. */
+package org.chervillift.core.tasks.manifests;
