Add the command check-config

Change: chervillift check-config FILE [--in-force FILE] [--json] reads the operator's JSON through the platform's codec, prints findings and differences without keys, and asks no daemon. max_attempts below 1 and limits that are rounded to 0 are found in the text, since the codec replaces them. Whether a cap is below what a task needs is not in the configuration, and is not checked. Tested: CheckConfigTest, ManifestCheckTest, CliMainTest, PlatformProtocolNamesTest.

--- a/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
+++ b/chervillift-cli/src/main/java/org/chervillift/cli/CliMain.java
@@ -16,10 +16,12 @@
 import org.chervillift.api.ChervilliftException;
 import org.chervillift.api.ErrorCode;
 import org.chervillift.cli.internal.ApplyCommand;
+import org.chervillift.cli.internal.CheckConfigCommand;
 import org.chervillift.cli.internal.Command;
 import org.chervillift.cli.internal.GetCommand;
 import org.chervillift.cli.internal.GrantKeyCommand;
 import org.chervillift.cli.internal.HistoryCommand;
+import org.chervillift.cli.internal.LocalCommand;
 import org.chervillift.cli.internal.MembersCommand;
 import org.chervillift.cli.internal.OperatorClient;
 import org.chervillift.cli.internal.Outcome;
@@ -49,7 +51,8 @@
                     new MembersCommand(),
                     new WaveCommand(),
                     VmCommand.drain(),
-                    VmCommand.restore());
+                    VmCommand.restore(),
+                    new CheckConfigCommand());
     private static final String TEXT = "text";
     private static final String JSON = "json";
     private static final List<String> OUTPUTS = List.of(TEXT, JSON);
@@ -80,7 +83,9 @@
         try {
             String[] rest = Arrays.copyOfRange(args, 1, args.length);
             CommandLine line = parse(command.get(), rest);
-            return runCommand(command.get(), line, environment, out, err);
+            return command.get() instanceof LocalCommand local
+                    ? runLocally(local, line, out)
+                    : runCommand(command.get(), line, environment, out, err);
         } catch (ParseException e) {
             err.println(e.getMessage());
             return Outcome.USAGE;
@@ -114,6 +119,15 @@
         return Outcome.UNKNOWN;
     }
 
+    /** Runs a command that asks no daemon; what it finds is its result, whatever the exit code. */
+    private static int runLocally(LocalCommand command, CommandLine line, PrintStream out)
+            throws ParseException {
+        Outcome outcome = command.run(line);
+        boolean json = command.wantsJson(line) || output(line).equals(JSON);
+        out.println(json ? outcome.json() : outcome.text());
+        return outcome.exitCode();
+    }
+
     private static int runCommand(
             Command command,
             CommandLine line,
