Test that a node tells callers when to come back

Tested: AdmissionNodeTest, SurgeAdmissionTest; the latter also compares the starts of a load that calls for no rejection with and without the part.

--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SurgeAdmissionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SurgeAdmissionTest.java
@@ -160,6 +160,8 @@
     /** The less urgent queue alone has five times what the pool works off: any may be served. */
     @Test
     void noJobIsRejectedThatOnlyJobsOfItsOwnQueueKeepWaiting() {
-        assertThat(new Replay(Integer.MAX_VALUE, true).rejected).isEmpty();
+        Replay with = new Replay(Integer.MAX_VALUE, true);
+        assertThat(with.rejected).isEmpty();
+        assertThat(with.waits).isEqualTo(new Replay(Integer.MAX_VALUE, false).waits);
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,8 @@
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.Manifest;
+import org.chervillift.api.tasks.QueuePolicy;
+import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.core.tasks.admission.FleetFigures;
@@ -24,6 +27,7 @@
 /** Tests which submissions processes reject, from what the holder and the operator tell them. */
 class AdmissionNodeTest {
 
+    private static final Duration SECOND = Duration.ofSeconds(1);
     private static final String JOB = "5c0e7a21d94b36f8";
     private static final String STANDBY_POOL = "spare";
     private static final Resources LIMIT = new Resources(2_000, 0, 0);
@@ -36,11 +40,15 @@
     }
 
     private JobAnswer submit(TaskNode node, String id, long milliCores) {
+        return submit(node, "/q/", id, milliCores);
+    }
+
+    private JobAnswer submit(TaskNode node, String prefix, String id, long milliCores) {
         JobRequest request =
                 new JobRequest(
                         JobRequest.Action.SUBMIT,
                         "h.example",
-                        "/q/" + id,
+                        prefix + id,
                         Optional.of(NodeFixture.KEY),
                         i ->
                                 new JobSpec(
@@ -158,6 +166,38 @@
         assertThat(submit(node, JOB, 3_000)).isEqualTo(new JobAnswer.Accepted());
     }
 
+    /** Jobs of a less urgent queue were accepted, and started when they had no more value. */
+    @Test
+    void aJobThatUrgentWorkLeavesNoTimeForIsToldToComeBackUntilThatWorkIsDone() {
+        Manifest plain = fixture.manifest(2, Set.of(NodeFixture.KEY));
+        QueuePolicy urgent = new QueuePolicy("urgent", NodeFixture.POOL, 0, 2, 1.6, 60_000, false);
+        QueuePolicy later = new QueuePolicy("later", NodeFixture.POOL, 1, 2, 1.6, 600, false);
+        fixture.configure(
+                Manifest.of(
+                        2,
+                        List.of(
+                                new QueueRoute("h.example", "/q/", false, urgent),
+                                new QueueRoute("h.example", "/l/", false, later)),
+                        List.copyOf(plain.pools().values()),
+                        List.copyOf(plain.customers().values()),
+                        plain.maxBodyBytes()));
+        fixture.startNodeAndWait("a");
+        TaskNode other = fixture.startNodeAndWait("b");
+        for (int i = 0; i < 100; i++) {
+            String id = String.format("%016x", i);
+            assertThat(submit(other, id, 1_000)).isEqualTo(new JobAnswer.Accepted());
+        }
+        fixture.advanceMillis(1_000);
+        JobAnswer answer = submit(other, "/l/", JOB, 1_000);
+        assertThat(answer).isInstanceOf(JobAnswer.TooBusy.class);
+        assertThat(((JobAnswer.TooBusy) answer).retryAfter())
+                .isBetween(SECOND, SECOND.multipliedBy(30));
+        assertThat(fixture.ask(other, JobRequest.Action.READ, JOB))
+                .isEqualTo(new JobAnswer.NoSuchJob());
+        fixture.advanceMillis(13_000);
+        assertThat(submit(other, "/l/", JOB, 1_000)).isEqualTo(new JobAnswer.Accepted());
+    }
+
     private static FleetFigures figures(int queues) {
         List<QueueForecast> forecasts = new ArrayList<>();
         for (int i = 0; i < queues; i++) {
