Publish no figures while the capacity of a VM is unknown

Cause: a list need not tell the capacity of a VM that is off; it would count as nothing, and jobs that only it can run would be rejected. Change: FigureCollector publishes no figures while a listed VM has no cores. Tested: AdmissionNodeTest, red without the change.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FigureCollector.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FigureCollector.java
@@ -53,10 +53,10 @@
         }
     }
 
-    /** Returns the figures; unknown ones until a list of VMs has been read. */
+    /** Returns the figures; unknown ones until the capacity of each VM is known from a list. */
     FleetFigures collect(long now) {
         Collection<ListedFleetVm> vms = listedVms.get();
-        if (vms.isEmpty()) {
+        if (vms.isEmpty() || vms.stream().anyMatch(v -> v.capacity().milliCores() == 0)) {
             return FleetFigures.UNKNOWN;
         }
         capacities.observe(vms, board.listedWorkers());
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
@@ -96,6 +96,15 @@
         assertThat(submit(node, JOB, 9_000)).isEqualTo(new JobAnswer.Accepted());
     }
 
+    /** A list need not tell the capacity of a VM that is off. */
+    @Test
+    void nothingIsRejectedWhileTheCapacityOfAVmIsUnknown() {
+        fixture.addWorker("s", "vm-s", STANDBY_POOL, 0);
+        TaskNode node = fixture.startNodeAndWait("a");
+        fixture.advanceMillis(1_000);
+        assertThat(submit(node, JOB, 4_001)).isEqualTo(new JobAnswer.Accepted());
+    }
+
     /** The largest VM is gone for a while, and another process becomes the holder. */
     @Test
     void aTaskThatFitsOnAVmSeenByAFormerHolderIsAccepted() {
