--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SurgeAdmissionTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SurgeAdmissionTest.java
@@ -28,7 +28,7 @@
 
 /**
  * Replays surges of 8 s on a pool that serves 8 jobs a second, with and without admission: one of
- * an urgent queue, whose jobs stay on time for 30 s, and one job of another queue in each step.
+ * an urgent queue, whose jobs stay on time for 30 s, and one of another queue.
  */
 class SurgeAdmissionTest {
 
@@ -65,7 +65,7 @@
         private final Map<TaskId, Long> endsAt = new HashMap<>();
         private PublishedFigures published = PublishedFigures.NONE;
 
-        Replay(int stepsPerUrgentJob, boolean admits) {
+        Replay(int jobsPerStep, int stepsPerUrgentJob, boolean admits) {
             this.admits = admits;
             fixture.scheduler.configure(MANIFEST);
             fixture.addWorker("w", 4_000);
@@ -75,8 +75,8 @@
                 if (millis % FIGURES_MILLIS == 0) {
                     published = new PublishedFigures(figures(), fixture.now);
                 }
-                if (millis < SURGE_MILLIS) {
-                    handIn(String.format("%016x", millis), LATER);
+                for (int i = 0; millis < SURGE_MILLIS && i < jobsPerStep; i++) {
+                    handIn(String.format("%08x%08x", i, millis), LATER);
                 }
                 if (millis < SURGE_MILLIS && millis / STEP_MILLIS % stepsPerUrgentJob == 0) {
                     handIn(String.format("f%015x", millis), URGENT);
@@ -147,8 +147,8 @@
     /** Most jobs of the less urgent queue were accepted, and started when they had no value. */
     @Test
     void jobsThatASurgeLeavesNoTimeForAreToldAtOnceAndNoOthers() {
-        Replay without = new Replay(2, false);
-        Replay with = new Replay(2, true);
+        Replay without = new Replay(1, 2, false);
+        Replay with = new Replay(1, 2, true);
         assertThat(with.rejected).hasSizeGreaterThan(100);
         assertThat(with.rejected.keySet()).noneMatch(without::isValuable);
         assertThat(with.rejected.keySet()).allMatch(id -> id.startsWith("0"));
@@ -157,11 +157,11 @@
         assertThat(times).as("callers do not come back together").hasSizeGreaterThan(1);
     }
 
-    /** The less urgent queue alone has five times what the pool works off: any may be served. */
+    /** The less urgent queue alone has ten times what the pool works off: any may be served. */
     @Test
     void noJobIsRejectedThatOnlyJobsOfItsOwnQueueKeepWaiting() {
-        Replay with = new Replay(Integer.MAX_VALUE, true);
+        Replay with = new Replay(2, Integer.MAX_VALUE, true);
         assertThat(with.rejected).isEmpty();
-        assertThat(with.waits).isEqualTo(new Replay(Integer.MAX_VALUE, false).waits);
+        assertThat(with.waits).isEqualTo(new Replay(2, Integer.MAX_VALUE, false).waits);
     }
 }
