Count no work that its customer's limit keeps waiting

Cause: the forecast let the waiting work of a customer take its whole limit, also if runs of the customer, such as services, use it up. Such work does not go before others; jobs could have been rejected for it. Change: Backlog tells what the limit leaves beside the runs; work of customers with a limit on memory or accelerators is not counted. Tested: BacklogTest, StartForecasterTest, SurgeAdmissionTest, AdmissionNodeTest.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
@@ -25,6 +25,7 @@
 
     private final Collection<JobEntry> liveJobs;
     private final Supplier<Manifest> manifest;
+    private final RunRegistry runs;
     private final JobRanking ranking;
     private final RunTimeEstimator runTimes;
     private final FinishedWork finishedWork = new FinishedWork();
@@ -34,10 +35,12 @@
     Backlog(
             Collection<JobEntry> liveJobs,
             Supplier<Manifest> manifest,
+            RunRegistry runs,
             JobRanking ranking,
             RunTimeEstimator runTimes) {
         this.liveJobs = liveJobs;
         this.manifest = manifest;
+        this.runs = runs;
         this.ranking = ranking;
         this.runTimes = runTimes;
     }
@@ -108,6 +111,7 @@
                 job.policy().pool(),
                 job.policy().priority(),
                 job.job().customer(),
+                milliCoresFor(job),
                 roundedDown(startBy - now),
                 largest,
                 expected,
@@ -132,6 +136,19 @@
                 && spec.request().fitsInLimit(limitOf(step.job()));
     }
 
+    /**
+     * Returns what may start for the customer of a job; nothing is sure if memory or accelerators
+     * are limited, since these may keep its tasks waiting.
+     */
+    private long milliCoresFor(JobEntry job) {
+        Resources limit = limitOf(job);
+        if (limit.equals(Resources.NONE)) {
+            return Long.MAX_VALUE;
+        }
+        boolean onlyCores = limit.memoryMb() == 0 && limit.gpus() == 0;
+        return onlyCores ? limit.minus(runs.usageOf(job.job().customer())).milliCores() : 0;
+    }
+
     private Resources limitOf(JobEntry job) {
         Customer customer = manifest.get().customers().get(job.job().customer());
         return customer == null ? Resources.NONE : customer.limit();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -44,7 +44,8 @@
     private final RunRegistry runs = new RunRegistry();
     private final RunTimeEstimator runTimes = new RunTimeEstimator();
     private final JobRanking ranking = new JobRanking(runTimes);
-    private final Backlog backlog = new Backlog(liveJobs, () -> this.manifest, ranking, runTimes);
+    private final Backlog backlog =
+            new Backlog(liveJobs, () -> this.manifest, runs, ranking, runTimes);
     private final ArrivalRates arrivalRates = new ArrivalRates();
     private final ProgressChanges changes;
     private final EndAcknowledger acknowledger = new EndAcknowledger();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
@@ -8,7 +8,6 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.QueueRoute;
@@ -19,7 +18,8 @@
  *
  * <p>Addresses surges of more urgent work, divided by the rate at which the pool works it off. Such
  * work goes first while its job is on time; which job of the same urgency goes first is not sure.
- * The work of a customer with a limit takes no more of the rate than its limit.
+ * The work of a customer with a limit takes no more of the rate than its limit leaves beside what
+ * runs for it.
  */
 public final class StartForecaster {
 
@@ -31,13 +31,10 @@
 
     private static final double PERCENT = 100;
 
-    private final Manifest manifest;
     private final Map<String, Long> rates;
     private final Map<String, List<WaitingWork>> waitingByPool;
 
-    private StartForecaster(
-            Manifest manifest, Map<String, Long> rates, Collection<WaitingWork> waiting) {
-        this.manifest = manifest;
+    private StartForecaster(Map<String, Long> rates, Collection<WaitingWork> waiting) {
         this.rates = rates;
         this.waitingByPool = waiting.stream().collect(Collectors.groupingBy(WaitingWork::pool));
     }
@@ -50,7 +47,7 @@
      */
     public static List<QueueForecast> forecast(
             Manifest manifest, Map<String, Long> rates, Collection<WaitingWork> waiting) {
-        StartForecaster forecaster = new StartForecaster(manifest, rates, waiting);
+        StartForecaster forecaster = new StartForecaster(rates, waiting);
         Map<String, QueuePolicy> queues = new TreeMap<>();
         for (QueueRoute route : manifest.routes()) {
             queues.putIfAbsent(route.policy().queue(), route.policy());
@@ -110,23 +107,18 @@
      */
     private double workUntil(long millis, List<WaitingWork> ahead) {
         Map<String, Double> byCustomer = new HashMap<>();
+        Map<String, Double> limits = new HashMap<>();
         for (WaitingWork work : ahead) {
             if (work.onTimeMillis() >= millis) {
                 byCustomer.merge(work.customer(), work.work(), Double::sum);
+                limits.put(work.customer(), (double) work.customerMilliCores() * millis);
             }
         }
         return byCustomer.entrySet().stream()
-                .mapToDouble(e -> Math.min(e.getValue(), limitOf(e.getKey()) * millis))
+                .mapToDouble(e -> Math.min(e.getValue(), limits.get(e.getKey())))
                 .sum();
     }
 
-    /** Returns the most that may run for a customer at once, in thousandths of a core. */
-    private double limitOf(String name) {
-        Customer customer = manifest.customers().get(name);
-        boolean hasLimit = customer != null && customer.limit().milliCores() > 0;
-        return hasLimit ? customer.limit().milliCores() : Double.POSITIVE_INFINITY;
-    }
-
     private static long runTimePercent(List<WaitingWork> ofQueue) {
         double estimated = ofQueue.stream().mapToDouble(WaitingWork::estimatedWork).sum();
         double expected = ofQueue.stream().mapToDouble(WaitingWork::work).sum();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
@@ -10,6 +10,8 @@
  * @param pool the pool of the queue
  * @param priority the rank of the queue, where 0 goes first
  * @param customer the customer, or empty
+ * @param customerMilliCores what may start for the customer beside what runs, in thousandths of a
+ *     core; the largest long if nothing limits it
  * @param onTimeMillis for how long its jobs are on time; late ones go after those of other queues
  * @param largest the most that a task of it needs of each resource
  * @param work the expected work, in thousandths of a core times milliseconds
@@ -20,6 +22,7 @@
         String pool,
         int priority,
         String customer,
+        long customerMilliCores,
         long onTimeMillis,
         Resources largest,
         double work,
@@ -38,6 +41,7 @@
                 pool,
                 priority,
                 customer,
+                customerMilliCores,
                 Math.min(onTimeMillis, other.onTimeMillis),
                 FleetFigures.largerOf(largest, other.largest),
                 work + other.work,
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/admission/StartForecasterTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/admission/StartForecasterTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.ListedFleetVm;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueuePolicy;
@@ -29,15 +28,15 @@
     }
 
     private static final Manifest MANIFEST =
-            Manifest.of(
-                    1,
-                    List.of(route("urgent", 0), route("later", 3)),
-                    List.of(),
-                    List.of(new Customer("capped", Set.of("k"), 1, new Resources(4_000, 0, 0))),
-                    1);
+            Manifest.of(1, List.of(route("urgent", 0), route("later", 3)), List.of(), List.of(), 1);
+
+    private static long limit(String customer) {
+        return customer.equals("capped") ? 4_000 : Long.MAX_VALUE;
+    }
 
     private static WaitingWork work(String queue, int priority, String customer, double work) {
-        return new WaitingWork(queue, "p", priority, customer, ON_TIME_MILLIS, TASK, work, work);
+        return new WaitingWork(
+                queue, "p", priority, customer, limit(customer), ON_TIME_MILLIS, TASK, work, work);
     }
 
     private static List<QueueForecast> forecast(WaitingWork... waiting) {
@@ -68,7 +67,10 @@
     /** A job that is late goes after a new one, however much work there is of such jobs. */
     @Test
     void workThatWillBeLateDelaysAJobOnlyUntilThen() {
-        assertStarts(forecast(new WaitingWork("urgent", "p", 0, "", 900, TASK, 5e8, 5e8)), 900);
+        assertStarts(
+                forecast(
+                        new WaitingWork("urgent", "p", 0, "", Long.MAX_VALUE, 900, TASK, 5e8, 5e8)),
+                900);
     }
 
     /** VMs of standby pools, and those that another pool does not need, may still move. */
