--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -44,6 +44,8 @@
     private final RunRegistry runs = new RunRegistry();
     private final RunTimeEstimator runTimes = new RunTimeEstimator();
     private final JobRanking ranking = new JobRanking(runTimes);
+    private final Backlog backlog =
+            new Backlog(liveJobs, () -> this.manifest, runs, ranking, runTimes);
     private final ArrivalRates arrivalRates = new ArrivalRates();
     private final ProgressChanges changes;
     private final EndAcknowledger acknowledger = new EndAcknowledger();
@@ -86,7 +88,7 @@
         this.restorer = new ProgressRestorer(lifecycle, inheritedStarts, numbers);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
         this.reportHandler =
-                new ReportHandler(jobs, runs, numbers, lifecycle, losses, runTimes, events);
+                new ReportHandler(jobs, runs, numbers, lifecycle, losses, backlog, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
         this.stopPlanner = new StopPlanner(events);
         this.evacuationPlanner = new EvacuationPlanner(evacuation, stopPlanner, events);
@@ -216,7 +218,12 @@
      * <p>A job counts until a worker has reported a run, as an order may be refused or lost.
      */
     public Map<String, Integer> pendingByQueue() {
-        return LoadCalculator.pendingByQueue(liveJobs);
+        return backlog.pendingByQueue();
+    }
+
+    /** Returns what tells how much work waits and is finished, for the admission of jobs. */
+    public Backlog backlog() {
+        return backlog;
     }
 
     /** Adds a worker on which an earlier holder may have started tasks. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -1,6 +1,5 @@
 package org.chervillift.daemon.tasks;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -20,7 +19,6 @@
 import org.chervillift.api.tasks.AcceptedJob;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
-import org.chervillift.api.tasks.JobFailure;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.JobState;
@@ -28,7 +26,7 @@
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
-import org.chervillift.core.tasks.JobSizeLimits;
+import org.chervillift.core.tasks.admission.RetryTimes;
 import org.chervillift.core.tasks.relay.RelayCause;
 import org.chervillift.daemon.tasks.KnownJobs.KnownJob;
 import org.chervillift.daemon.tasks.relay.RelayedAnswer;
@@ -41,21 +39,17 @@
 final class JobRequestHandler {
 
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-    private static final String ROW_TOO_LARGE_MESSAGE =
-            "The job is too large for a row of the store; it was not stored and has not run.";
-    private static final String NOT_STORED_MESSAGE = "The job was not stored and has not run.";
 
     private final MonitoredStore store;
     private final Scheduler scheduler;
     private final ManifestTracker manifests;
     private final BooleanSupplier isFollowing;
-    private final JobIntake intake;
     private final Supplier<Optional<HolderBoard>> holderBoard;
     private final PendingCountHandler pendingCounts;
     private final TaskMetrics metrics;
     private final KnownJobs knownJobs;
     private final Relay relay;
+    private final JobSubmitter submitter;
 
     /** The queue route, the customer and the job of a request. */
     private record RequestContext(QueueRoute route, Optional<Customer> customer, String jobId) {}
@@ -81,12 +75,19 @@
         this.scheduler = Checks.notNull("scheduler", scheduler);
         this.manifests = Checks.notNull("manifests", manifests);
         this.isFollowing = Checks.notNull("isFollowing", isFollowing);
-        this.intake = Checks.notNull("intake", intake);
         this.holderBoard = Checks.notNull("board", board);
         this.knownJobs = Checks.notNull("knownJobs", knownJobs);
         this.relay = Checks.notNull("relay", relay);
         this.pendingCounts = new PendingCountHandler(store, scheduler, board);
         this.metrics = Checks.notNull("metrics", metrics);
+        this.submitter =
+                new JobSubmitter(
+                        store,
+                        scheduler,
+                        intake,
+                        new JobAdmission(store, scheduler, manifests, isFollowing, metrics),
+                        knownJobs,
+                        this::findJob);
     }
 
     /** Answers a request of a caller. */
@@ -148,34 +149,38 @@
         JobAnswer answer =
                 mayHaveTakenEffect
                         ? new JobAnswer.OutcomeUnknown()
-                        : unavailable("The store does not respond.");
+                        : unavailable("The store does not respond.", request.path());
         return cause instanceof StoreException
                 ? AnswerWithBasis.relayable(answer, RelayCause.STORE_UNRESPONSIVE)
                 : AnswerWithBasis.of(answer);
     }
 
-    private static JobAnswer unavailable(String why) {
-        return new JobAnswer.Unavailable(why, RETRY_AFTER);
+    /** Returns that a request, as identified by its path or its job, cannot be served now. */
+    private JobAnswer unavailable(String why, String request) {
+        return new JobAnswer.Unavailable(
+                why, RetryTimes.afterOutage(request, store.unresponsiveMillis()));
     }
 
     private CompletionStage<AnswerWithBasis> route(JobRequest request) {
         Optional<Manifest> manifest = manifests.manifest();
         if (manifest.isEmpty()) {
             return relayable(
-                    unavailable("No manifest has been read yet."),
+                    unavailable("No manifest has been read yet.", request.path()),
                     RelayCause.CONFIGURATION_OUTDATED);
         }
         Optional<QueueRoute> route = manifest.get().routeOf(request.host(), request.path());
         if (route.isEmpty()) {
-            return refuseIfCurrent(new JobAnswer.NoSuchQueue());
+            return refuseIfCurrent(new JobAnswer.NoSuchQueue(), request);
         }
         Optional<Customer> customer = request.key().flatMap(manifest.get()::customerOf);
         if (!route.get().openToAll() && customer.isEmpty()) {
-            return refuseIfCurrent(new JobAnswer.KeyRefused());
+            return refuseIfCurrent(new JobAnswer.KeyRefused(), request);
         }
         if (store.isUnresponsive()) {
             return relayable(
-                    unavailable("The store does not respond; the request was not processed."),
+                    unavailable(
+                            "The store does not respond; the request was not processed.",
+                            request.path()),
                     RelayCause.STORE_UNRESPONSIVE);
         }
         String jobId = request.path().substring(route.get().pathPrefix().length());
@@ -200,11 +205,12 @@
     }
 
     /** Returns a refusal that follows from the configuration, unless that may be out of date. */
-    private CompletionStage<AnswerWithBasis> refuseIfCurrent(JobAnswer refusal) {
+    private CompletionStage<AnswerWithBasis> refuseIfCurrent(
+            JobAnswer refusal, JobRequest request) {
         return isFollowing.getAsBoolean()
                 ? completed(refusal)
                 : relayable(
-                        unavailable("The configuration may be out of date."),
+                        unavailable("The configuration may be out of date.", request.path()),
                         RelayCause.CONFIGURATION_OUTDATED);
     }
 
@@ -227,43 +233,7 @@
         } catch (ChervilliftException e) {
             return completed(new JobAnswer.Malformed(e.getMessage()));
         }
-        Optional<JobFailure> tooLarge = JobSizeLimits.failureOf(spec);
-        if (tooLarge.isPresent()) {
-            return completed(
-                    new JobAnswer.TooLarge(tooLarge.get().sentence() + " The job was not stored."));
-        }
-        if (knownJobs.find(context.jobId(), nowMillis()).isPresent()) {
-            return completed(new JobAnswer.Accepted());
-        }
-        String customer = context.customer().map(Customer::name).orElse("");
-        AcceptedJob job =
-                new AcceptedJob(
-                        spec, context.route().policy(), customer, System.currentTimeMillis());
-        return intake.store(job)
-                .thenApply(
-                        result ->
-                                switch (result) {
-                                    case STORED -> {
-                                        knownJobs.remember(
-                                                job.id(),
-                                                new KnownJob(customer, Optional.empty()),
-                                                nowMillis());
-                                        yield AnswerWithBasis.of(new JobAnswer.Accepted());
-                                    }
-                                    case TOO_LARGE ->
-                                            AnswerWithBasis.of(
-                                                    new JobAnswer.TooLarge(ROW_TOO_LARGE_MESSAGE));
-                                    case QUEUE_FULL ->
-                                            AnswerWithBasis.of(unavailable(NOT_STORED_MESSAGE));
-                                    case NOT_STORED ->
-                                            AnswerWithBasis.relayable(
-                                                    unavailable(NOT_STORED_MESSAGE),
-                                                    RelayCause.NOT_WRITTEN);
-                                    case UNKNOWN ->
-                                            AnswerWithBasis.relayable(
-                                                    new JobAnswer.OutcomeUnknown(),
-                                                    RelayCause.STORE_UNRESPONSIVE);
-                                });
+        return submitter.submit(spec, context.route().policy(), context.customer());
     }
 
     private CompletionStage<AnswerWithBasis> read(RequestContext context) {
