--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -1,6 +1,5 @@
 package org.chervillift.core.tasks;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -53,17 +52,13 @@
     private final ReportHandler reportHandler;
     private final OrderAnswerHandler answerHandler;
     private final StartPlanner startPlanner;
-    private final StopPlanner stopPlanner;
-    private final PreemptionPlanner preemption;
+    private final RunStops stops;
     private final WorkerLossHandler losses;
-    private final StalledRunDetector stalledRunDetector;
-    private final UnansweredStartDetector unansweredStarts;
     private final PaceControl paceControl;
     private final StartGate startGate;
     private final WorkerLeases leases;
     private final StandstillDetector standstills;
     private final Evacuation evacuation = new Evacuation(workers.values());
-    private final EvacuationPlanner evacuationPlanner;
     private Manifest manifest;
 
     /**
@@ -90,12 +85,13 @@
         this.reportHandler =
                 new ReportHandler(jobs, runs, numbers, lifecycle, losses, backlog, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
-        this.stopPlanner = new StopPlanner(events);
-        this.evacuationPlanner = new EvacuationPlanner(evacuation, stopPlanner, events);
-        this.preemption = new PreemptionPlanner(startPlanner, ranking, runTimes, settings, events);
+        this.stops =
+                new RunStops(
+                        startPlanner,
+                        new PreemptionPlanner(startPlanner, ranking, runTimes, settings, events),
+                        evacuation,
+                        events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
-        this.stalledRunDetector = new StalledRunDetector(events);
-        this.unansweredStarts = new UnansweredStartDetector(events);
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(changes, runs, this::runOf, events);
         this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
@@ -377,11 +373,7 @@
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
-        if (preemption.stopRuns(startPlanner.blockedUrgent(), workers.values(), now)) {
-            orders.addAll(stopPlanner.planStops(workers.values(), now));
-        }
-        // After the starts, so that tasks that wait already have the room that they can get.
-        orders.addAll(evacuationPlanner.planStops(workers.values(), now));
+        orders.addAll(stops.planAfterStarts(workers.values(), now));
         return orders;
     }
 
@@ -393,10 +385,8 @@
      */
     public List<Order> planWithoutStarts(long now, long wallMillis) {
         leases.closeExpired(now);
-        stalledRunDetector.check(workers.values(), now);
-        unansweredStarts.check(workers.values(), now);
         liveJobs.forEach(j -> j.createDueOccurrences(wallMillis));
-        List<Order> orders = new ArrayList<>(stopPlanner.planStops(workers.values(), now));
+        List<Order> orders = stops.planBeforeStarts(workers.values(), now);
         orders.addAll(paceControl.decide(workers.values(), now));
         return orders;
     }
