Stop only runs whose room an urgent task needs, and look at more tasks

Cause: a small run that loses little was stopped beside the large one that made the room, and tasks that wait for an end in time kept further urgent tasks from being looked at. Change: runs without which there is room as well are left out. A plan looks at 64 waiting urgent tasks of a pool, and chooses stops for 8 of them.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.chervillift.api.tasks.TaskId;
@@ -30,8 +29,11 @@
 
     private static final int MAX_PREEMPTIONS_PER_TASK = 2;
 
-    /** Bounds the cost of a plan; the next tasks follow in the next plan, some 50 ms later. */
-    private static final int MAX_TASKS_PER_PLAN = 8;
+    /** Bounds the cost of a plan; further tasks follow in later plans. */
+    private static final int MAX_TASKS_PER_PLAN = 64;
+
+    /** Bounds the cost of a plan; each of them compares all runs of the pool. */
+    private static final int MAX_TASKS_WITHOUT_END_PER_PLAN = 8;
 
     private static final long FAR_AHEAD = Long.MAX_VALUE;
 
@@ -91,15 +93,27 @@
             return false;
         }
         PreemptionRound round = new PreemptionRound(endsIn(pool, now), victims, claimedRuns());
+        List<TaskEntry> withoutEnd =
+                firstTasks(steps, now).stream()
+                        .filter(t -> !findsEndInTime(t, round, now))
+                        .limit(MAX_TASKS_WITHOUT_END_PER_PLAN)
+                        .toList();
         boolean any = false;
-        for (TaskEntry task : firstTasks(steps, now)) {
-            List<Run> runs = chooseStops(task, round, now);
+        for (TaskEntry task : withoutEnd) {
+            StepEntry step = task.step();
+            long backAt = now + forecast.expectedMillis(step);
+            List<Run> runs = round.claimStops(step, w -> isUsable(task, w, now), backAt);
             runs.forEach(r -> stop(r, task, now));
             any |= !runs.isEmpty();
         }
         return any;
     }
 
+    private boolean findsEndInTime(TaskEntry task, PreemptionRound round, long now) {
+        StepEntry step = task.step();
+        return round.claimEndBefore(step, w -> isUsable(task, w, now), ranking.latestStart(step));
+    }
+
     private List<TaskEntry> firstTasks(List<StepEntry> steps, long now) {
         List<TaskEntry> tasks = new ArrayList<>();
         for (StepEntry step : steps) {
@@ -123,15 +137,6 @@
         return claimed;
     }
 
-    private List<Run> chooseStops(TaskEntry task, PreemptionRound round, long now) {
-        StepEntry step = task.step();
-        BiPredicate<StepEntry, WorkerRecord> usable = (s, w) -> isUsable(task, w, now);
-        if (round.claimEndBefore(step, usable, ranking.latestStart(step))) {
-            return List.of();
-        }
-        return round.claimStops(step, usable, now + forecast.expectedMillis(step));
-    }
-
     /** Returns whether a worker may run a task and only lacks the room for it. */
     private boolean isUsable(TaskEntry task, WorkerRecord worker, long now) {
         return Placement.isEligible(task.step(), worker, now)
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionRound.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionRound.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.chervillift.api.tasks.Resources;
 
 /** Finds room for the urgent tasks of one pool at one moment: by waiting, or by stopping runs. */
@@ -34,8 +34,17 @@
      */
     record Victim(Run run, double lostWork, long latestStart) {}
 
-    /** Runs of one worker whose stop makes room, and the work that is lost. */
-    private record Option(List<Run> runs, double lostWork) {}
+    /** Runs of one worker whose stop makes room. */
+    private record Option(List<Victim> victims) {
+
+        List<Run> runs() {
+            return victims.stream().map(Victim::run).toList();
+        }
+
+        double lostWork() {
+            return victims.stream().mapToDouble(Victim::lostWork).sum();
+        }
+    }
 
     /**
      * Creates a round.
@@ -58,11 +67,10 @@
      * Returns whether a task finds room in time by waiting for the end of a run for which no other
      * urgent task waits.
      *
-     * @param usable whether a worker may run a task of the step
+     * @param usable whether a worker may run the task
      * @param latestStart until when the task must start, in milliseconds
      */
-    boolean claimEndBefore(
-            StepEntry step, BiPredicate<StepEntry, WorkerRecord> usable, long latestStart) {
+    boolean claimEndBefore(StepEntry step, Predicate<WorkerRecord> usable, long latestStart) {
         for (ExpectedEnd end : ends) {
             if (end.at() > latestStart) {
                 return false;
@@ -71,7 +79,7 @@
             Resources room = worker.freeResources().plus(end.run().footprint());
             if (!claimed.contains(end.run())
                     && step.spec().footprint().fitsIn(room)
-                    && usable.test(step, worker)) {
+                    && usable.test(worker)) {
                 claimed.add(end.run());
                 return true;
             }
@@ -84,10 +92,10 @@
      *
      * @param backAt when the tasks of the runs can start again at the earliest, in milliseconds
      */
-    List<Run> claimStops(StepEntry step, BiPredicate<StepEntry, WorkerRecord> usable, long backAt) {
+    List<Run> claimStops(StepEntry step, Predicate<WorkerRecord> usable, long backAt) {
         Optional<Option> best =
                 victims.entrySet().stream()
-                        .filter(e -> usable.test(step, e.getKey()))
+                        .filter(e -> usable.test(e.getKey()))
                         .flatMap(e -> optionOn(e.getKey(), e.getValue(), step, backAt).stream())
                         .min(Comparator.comparingDouble(Option::lostWork));
         best.ifPresent(o -> claimed.addAll(o.runs()));
@@ -96,20 +104,34 @@
 
     private Optional<Option> optionOn(
             WorkerRecord worker, List<Victim> runsOfWorker, StepEntry step, long backAt) {
+        Resources needed = step.spec().footprint();
         Resources room = worker.freeResources();
-        List<Run> stopped = new ArrayList<>();
-        double lostWork = 0;
+        List<Victim> stopped = new ArrayList<>();
         for (Victim victim : runsOfWorker) {
             if (claimed.contains(victim.run()) || victim.latestStart() < backAt) {
                 continue;
             }
             room = room.plus(victim.run().footprint());
-            stopped.add(victim.run());
-            lostWork += victim.lostWork();
-            if (step.spec().footprint().fitsIn(room)) {
-                return Optional.of(new Option(stopped, lostWork));
+            stopped.add(victim);
+            if (needed.fitsIn(room)) {
+                return Optional.of(new Option(withoutUnneeded(stopped, needed, room)));
             }
         }
         return Optional.empty();
     }
+
+    /** Leaves out runs, those that lose most first, without which there is room as well. */
+    private static List<Victim> withoutUnneeded(
+            List<Victim> stopped, Resources needed, Resources roomOfAll) {
+        List<Victim> kept = new ArrayList<>(stopped);
+        Resources room = roomOfAll;
+        for (Victim victim : stopped.reversed()) {
+            Resources less = room.minus(victim.run().footprint());
+            if (needed.fitsIn(less)) {
+                kept.remove(victim);
+                room = less;
+            }
+        }
+        return kept;
+    }
 }
