--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -38,6 +38,9 @@
         }
         changes.stepChanged(step);
         task.runs().forEach(r -> r.enterPhase(Run.Phase.STOPPING, now));
+        if (step.isDone()) {
+            markFollowersReady(step);
+        }
         if (job.isDone()) {
             end(job, JobState.COMPLETED, now);
         } else if (step.isDone() && job.condenseDoneOccurrences()) {
@@ -45,6 +48,12 @@
         }
     }
 
+    private static void markFollowersReady(StepEntry step) {
+        step.job().occurrence(step.occurrence()).stream()
+                .filter(s -> s.spec().after().contains(step.number()) && s.isReady())
+                .forEach(s -> s.rackWait().markReady());
+    }
+
     void taskFailed(TaskEntry task, int run, long now) {
         JobEntry job = task.step().job();
         if (job.state().isFinal() || task.isDone() || !task.failedRuns().add(run)) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -68,19 +68,23 @@
     }
 
     Rank rankOf(StepEntry step, long now) {
+        JobEntry job = step.job();
+        return new Rank(
+                step.spec().longRunning(),
+                job.policy().priority(),
+                now > latestStart(step),
+                valuePerWork(job, job.occurrence(step.occurrence())));
+    }
+
+    /** Returns the latest start with which a job can meet its objective, in milliseconds. */
+    long latestStart(StepEntry step) {
         JobEntry job = step.job();
         List<StepEntry> steps = job.occurrence(step.occurrence());
         long remainingMillis = longestChainMillis(steps, s -> s.isDone() ? 0 : expectedMillis(s));
         long totalMillis = longestChainMillis(steps, this::expectedMillis);
         double objectiveMillis =
                 job.policy().targetLatencyMillis() + job.policy().stretchFactor() * totalMillis;
-        long startBy =
-                job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
-        return new Rank(
-                step.spec().longRunning(),
-                job.policy().priority(),
-                now > startBy,
-                valuePerWork(job, steps));
+        return job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
     }
 
     private double valuePerWork(JobEntry job, List<StepEntry> steps) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -11,9 +11,10 @@
  *
  * <p>Best fit keeps room for large tasks in a pool with many small ones: among equal workers, a
  * task goes to the one with the least free cores. Workers in the rack of the task's data come
- * first. Long-running tasks are spread instead: they go to the worker with the most free cores, and
- * avoid workers that a maintenance wave is about to drain, so that they are stopped once only.
- * Tasks that were on a worker when it crashed are kept apart from each other.
+ * first. A clearly slower worker comes after all others, unless a run that is away from its data
+ * takes longer still. Long-running tasks are spread instead: they go to the worker with the most
+ * free cores, and avoid workers that a maintenance wave is about to drain, so that they are stopped
+ * once only. Tasks that were on a worker when it crashed are kept apart from each other.
  */
 final class Placement {
 
@@ -26,17 +27,19 @@
      *
      * @param pool the workers of the pool
      * @param usable whether a worker is not kept free for another task
+     * @param racks what a run away from its rack costs, and the racks that come first
      */
     static Optional<WorkerRecord> choose(
             TaskEntry task,
             Collection<WorkerRecord> pool,
             Predicate<WorkerRecord> usable,
+            RackPreference racks,
             long now) {
         StepEntry step = task.step();
         return pool.stream()
                 .filter(w -> canTake(step, w, now))
                 .filter(usable)
-                .min(preference(task));
+                .min(preference(task, racks));
     }
 
     /** Returns whether a worker may run a task of a step, and has the capacity for it now. */
@@ -96,13 +99,21 @@
                 .thenComparing(w -> w.runs().size());
     }
 
-    private static Comparator<WorkerRecord> preference(TaskEntry task) {
+    /** Returns whether a worker is not in the rack of a task's data. */
+    static boolean isAwayFromData(StepSpec spec, WorkerRecord worker) {
+        return !spec.dataRack().isEmpty() && !worker.rack().equals(spec.dataRack());
+    }
+
+    private static Comparator<WorkerRecord> preference(TaskEntry task, RackPreference racks) {
         StepSpec spec = task.step().spec();
         Comparator<WorkerRecord> failedHere =
                 Comparator.comparing(w -> task.failedWorkers().contains(w.id()));
-        Comparator<WorkerRecord> awayFromData =
-                Comparator.comparing(
-                        w -> !spec.dataRack().isEmpty() && !w.rack().equals(spec.dataRack()));
+        Comparator<WorkerRecord> awayFromData = Comparator.comparing(w -> isAwayFromData(spec, w));
+        Comparator<WorkerRecord> rackPosition =
+                Comparator.comparingInt(w -> racks.positionOf(w.rack()));
+        Comparator<WorkerRecord> runTime =
+                Comparator.comparingDouble(
+                        w -> w.slowness() * (isAwayFromData(spec, w) ? racks.remoteFactor() : 1));
         Comparator<WorkerRecord> besideUserTasks =
                 Comparator.comparing(w -> spec.fillsSpareCapacity() && w.servesUsers());
         Comparator<WorkerRecord> soonDrained =
@@ -113,6 +124,8 @@
         Comparator<WorkerRecord> freeMilliCores =
                 Comparator.comparingLong(w -> w.freeResources().milliCores());
         return failedHere
+                .thenComparing(rackPosition)
+                .thenComparing(runTime)
                 .thenComparing(awayFromData)
                 .thenComparing(soonDrained)
                 .thenComparing(besideUserTasks)
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Places.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Places.java
@@ -21,18 +21,29 @@
             Resources size,
             Collection<WorkerRecord> workers,
             Function<WorkerRecord, Resources> room) {
+        return countUpTo(step, needed, size, workers, room) >= needed;
+    }
+
+    /** Returns how many places workers have for tasks of a step, at most as many as needed. */
+    static int countUpTo(
+            StepEntry step,
+            int needed,
+            Resources size,
+            Collection<WorkerRecord> workers,
+            Function<WorkerRecord, Resources> room) {
         int places = 0;
         for (WorkerRecord worker : workers) {
             if (places >= needed) {
-                return true;
+                return places;
             }
             int most = Math.min(needed - places, allowedMore(step, worker));
             places += countUpTo(most, size, room.apply(worker));
         }
-        return places >= needed;
+        return places;
     }
 
-    private static int allowedMore(StepEntry step, WorkerRecord worker) {
+    /** Returns how many more tasks of a step may run on a worker, by its own bound. */
+    static int allowedMore(StepEntry step, WorkerRecord worker) {
         int maximum = step.spec().maxPerWorker();
         return maximum == 0 ? Integer.MAX_VALUE : (int) Math.max(0, maximum - step.runsOn(worker));
     }
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -0,0 +1,373 @@
+package org.chervillift.core.tasks;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.chervillift.api.tasks.Resources;
+import org.chervillift.api.tasks.StepSpec;
+import org.chervillift.core.tasks.RackForecasts.ExpectedPlaces;
+import org.chervillift.core.tasks.placement.RackWait;
+
+/**
+ * Decides which steps wait for a place in a rack, and which racks tightly coupled steps go to.
+ *
+ * <p>The load that it addresses: many jobs want one rack at a time, while other racks have room.
+ * {@link RackWait} compares the expected wait with what a run elsewhere takes more. A step that
+ * waits holds no worker, so that lower-ranked steps start meanwhile.
+ */
+final class RackPlanner {
+
+    private final RunExpectation expectation;
+    private final JobRanking ranking;
+    private final long termBeganAt;
+    private final Consumer<SchedulerEvent> events;
+    private final RackForecasts forecasts;
+    private final RackPreference anyRack;
+    private final Map<String, Map<String, List<WorkerRecord>>> racksByPool = new HashMap<>();
+    private final Set<StepEntry> startedInRack = new HashSet<>();
+
+    /** The steps that wait since the last round, and when the wait of each ends at the latest. */
+    private Map<StepEntry, Long> waiting = new LinkedHashMap<>();
+
+    private Map<StepEntry, Long> waitedBefore = Map.of();
+    private Optional<Considered> considered = Optional.empty();
+
+    /** The step that is looked at, since its tasks are alike and come one after the other. */
+    private static final class Considered {
+
+        private final StepEntry step;
+        private final RackWait wait;
+        private boolean denied;
+
+        Considered(StepEntry step, RackWait wait) {
+            this.step = step;
+            this.wait = wait;
+        }
+    }
+
+    /**
+     * Creates a planner of which no step waits yet.
+     *
+     * @param termBeganAt when this holder's term began, in milliseconds
+     */
+    RackPlanner(
+            RunExpectation expectation,
+            JobRanking ranking,
+            long termBeganAt,
+            Consumer<SchedulerEvent> events) {
+        this.expectation = expectation;
+        this.ranking = ranking;
+        this.termBeganAt = termBeganAt;
+        this.events = events;
+        this.forecasts = new RackForecasts(expectation);
+        this.anyRack = new RackPreference(expectation.remoteFactor(), List.of());
+    }
+
+    /** Begins a plan of starts. */
+    void beginRound() {
+        forecasts.beginRound();
+        racksByPool.clear();
+        startedInRack.clear();
+        considered = Optional.empty();
+        waitedBefore = waiting;
+        waiting = new LinkedHashMap<>();
+    }
+
+    /** Ends a plan of starts; reports the steps that wait no longer. */
+    void endRound(long now) {
+        waitedBefore.keySet().stream()
+                .filter(s -> !waiting.containsKey(s) && !s.job().isFinal())
+                .forEach(s -> reportEnd(s, now));
+    }
+
+    private void reportEnd(StepEntry step, long now) {
+        SchedulerEvent.Kind kind =
+                startedInRack.contains(step)
+                        ? SchedulerEvent.Kind.RACK_WAIT_PAID
+                        : SchedulerEvent.Kind.RACK_WAIT_IN_VAIN;
+        RackWaitState state = step.rackWait();
+        events.accept(
+                new SchedulerEvent(
+                        kind,
+                        step.job().id(),
+                        step.job().id() + "." + step.occurrence() + "." + step.number(),
+                        "",
+                        "rack="
+                                + state.rack()
+                                + " waitedMillis="
+                                + (now - state.since().orElse(now))));
+    }
+
+    /** Records a start that was decided in this round. */
+    void recordStart(Run run, long now) {
+        forecasts.addRun(run, now);
+        StepEntry step = run.task().step();
+        if (run.worker().rack().equals(step.rackWait().rack())) {
+            startedInRack.add(step);
+        }
+    }
+
+    /** Returns whether a step waits by the last plan, and that wait has not reached its bound. */
+    boolean isWaiting(StepEntry step, long now) {
+        Long endsAt = waiting.get(step);
+        return endsAt != null && now < endsAt;
+    }
+
+    private boolean isEnabled() {
+        return expectation.remoteFactor() > 1;
+    }
+
+    /**
+     * Returns the racks that a step goes to first; empty if it waits for a rack that holds all of
+     * its tasks.
+     *
+     * @param usable whether a worker is not kept free for another step
+     */
+    Optional<RackPreference> choose(
+            StepEntry step, List<WorkerRecord> pool, Predicate<WorkerRecord> usable, long now) {
+        if (!isEnabled() || !belongsTogether(step) || step.runs().findAny().isPresent()) {
+            return Optional.of(anyRack);
+        }
+        int needed = needed(step);
+        Predicate<WorkerRecord> eligible = usable.and(w -> Placement.isEligible(step, w, now));
+        Map<String, List<WorkerRecord>> racks = eligibleRacks(step, pool, eligible);
+        Map<String, Integer> places = new TreeMap<>();
+        racks.forEach((r, w) -> places.put(r, placesNow(step, needed, w)));
+        Optional<String> whole = smallestWhole(step, needed, racks, places);
+        if (whole.isPresent()) {
+            return Optional.of(preferring(List.of(whole.get())));
+        }
+        if (mayStartNow(step, needed, places) && waitsForWhole(step, needed, racks, now)) {
+            return Optional.empty();
+        }
+        return Optional.of(step.spec().tightlyCoupled() ? preferring(byPlaces(places)) : anyRack);
+    }
+
+    /** Returns whether the tasks of a step are to be in one rack. */
+    private static boolean belongsTogether(StepEntry step) {
+        StepSpec spec = step.spec();
+        boolean together = spec.tightlyCoupled() || spec.gang() && !spec.dataRack().isEmpty();
+        return together && !spec.longRunning() && needed(step) > 1;
+    }
+
+    private static int needed(StepEntry step) {
+        return step.spec().gang()
+                ? step.tasks().count()
+                : (int)
+                        Math.min(
+                                step.tasks().waitingCount(), JobSizeLimits.tasksThatMayBegin(step));
+    }
+
+    /** Returns the racks that may hold a step; for a gang that is not coupled that of its data. */
+    private Map<String, List<WorkerRecord>> eligibleRacks(
+            StepEntry step, List<WorkerRecord> pool, Predicate<WorkerRecord> eligible) {
+        Map<String, List<WorkerRecord>> racks = new TreeMap<>();
+        racksOf(step, pool)
+                .forEach((rack, w) -> racks.put(rack, w.stream().filter(eligible).toList()));
+        return racks;
+    }
+
+    private Map<String, List<WorkerRecord>> racksOf(StepEntry step, List<WorkerRecord> pool) {
+        return racksByPool.computeIfAbsent(
+                step.job().policy().pool(),
+                p -> pool.stream().collect(Collectors.groupingBy(WorkerRecord::rack)));
+    }
+
+    private static int placesNow(StepEntry step, int needed, List<WorkerRecord> workers) {
+        Resources size = step.spec().footprint();
+        List<WorkerRecord> withRoom = workers.stream().filter(w -> w.hasRoomFor(size)).toList();
+        return Places.countUpTo(step, needed, size, withRoom, WorkerRecord::freeResources);
+    }
+
+    private static boolean mayStartNow(StepEntry step, int needed, Map<String, Integer> places) {
+        int all = places.values().stream().mapToInt(Integer::intValue).sum();
+        return all >= (step.spec().gang() ? needed : 1);
+    }
+
+    /** Returns a rack that holds a step now: that of its data, or the one with the least room. */
+    private static Optional<String> smallestWhole(
+            StepEntry step,
+            int needed,
+            Map<String, List<WorkerRecord>> racks,
+            Map<String, Integer> places) {
+        Comparator<String> awayFromData =
+                Comparator.comparing(r -> !r.equals(step.spec().dataRack()));
+        return places.keySet().stream()
+                .filter(r -> places.get(r) >= needed && mayHoldWhole(step, r))
+                .min(awayFromData.thenComparingLong(r -> freeMilliCores(racks.get(r))));
+    }
+
+    private static boolean mayHoldWhole(StepEntry step, String rack) {
+        return step.spec().tightlyCoupled() || rack.equals(step.spec().dataRack());
+    }
+
+    private static long freeMilliCores(List<WorkerRecord> workers) {
+        return workers.stream().mapToLong(w -> w.freeResources().milliCores()).sum();
+    }
+
+    private static List<String> byPlaces(Map<String, Integer> places) {
+        return places.entrySet().stream()
+                .filter(e -> e.getValue() > 0)
+                .sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private RackPreference preferring(List<String> order) {
+        return new RackPreference(expectation.remoteFactor(), order);
+    }
+
+    private boolean waitsForWhole(
+            StepEntry step, int needed, Map<String, List<WorkerRecord>> racks, long now) {
+        RackWait wait = waitOf(step, now);
+        if (!wait.mayPay(now)) {
+            return false;
+        }
+        String best = "";
+        Optional<ExpectedPlaces> first = Optional.empty();
+        for (Map.Entry<String, List<WorkerRecord>> rack : racks.entrySet()) {
+            if (!mayHoldWhole(step, rack.getKey()) || !holdsWhole(step, needed, rack.getValue())) {
+                continue;
+            }
+            long latest = first.map(ExpectedPlaces::at).orElse(wait.endsAt());
+            Optional<ExpectedPlaces> places =
+                    forecasts.firstPlaces(step, needed, rack.getValue(), latest, now);
+            best = places.isPresent() ? rack.getKey() : best;
+            first = places.isPresent() ? places : first;
+        }
+        if (first.isEmpty()) {
+            return false;
+        }
+        beginWait(step, wait, best, first.get(), now);
+        return true;
+    }
+
+    private static boolean holdsWhole(StepEntry step, int needed, List<WorkerRecord> workers) {
+        return Places.suffice(
+                step,
+                needed,
+                step.spec().footprint(),
+                workers,
+                WorkerRecord::capacityBesideLongRunning);
+    }
+
+    /**
+     * Where a task goes in this round.
+     *
+     * @param worker the worker that takes it now, if there is one
+     * @param waits whether it waits for a place in its rack instead
+     */
+    record Place(Optional<WorkerRecord> worker, boolean waits) {
+
+        private static final Place WAITS = new Place(Optional.empty(), true);
+    }
+
+    /**
+     * Chooses the worker of a task, or lets it wait. A wait begins only if the task could start
+     * elsewhere; while it goes on, the workers elsewhere need not be looked at.
+     *
+     * @param usable whether a worker is not kept free for another task
+     */
+    Place place(
+            TaskEntry task,
+            List<WorkerRecord> pool,
+            Predicate<WorkerRecord> usable,
+            RackPreference preference,
+            long now) {
+        StepEntry step = task.step();
+        boolean hasWaited = step.rackWait().since().isPresent();
+        if (hasWaited && waitsForDataRack(task, pool, usable, now)) {
+            return Place.WAITS;
+        }
+        Optional<WorkerRecord> worker = Placement.choose(task, pool, usable, preference, now);
+        boolean away = worker.filter(w -> Placement.isAwayFromData(step.spec(), w)).isPresent();
+        return away && !hasWaited && waitsForDataRack(task, pool, usable, now)
+                ? Place.WAITS
+                : new Place(worker, false);
+    }
+
+    /** Returns whether a task waits for a place in the rack of its data. */
+    private boolean waitsForDataRack(
+            TaskEntry task, List<WorkerRecord> pool, Predicate<WorkerRecord> usable, long now) {
+        StepEntry step = task.step();
+        if (!mayWaitForData(task)) {
+            return false;
+        }
+        Considered current = consider(step, now);
+        List<WorkerRecord> rack =
+                racksOf(step, pool).getOrDefault(step.spec().dataRack(), List.of());
+        long endsAt = current.wait.endsAt();
+        current.denied = current.denied || !forecasts.mayHaveRoomBefore(endsAt, step, rack, now);
+        if (current.denied) {
+            return false;
+        }
+        List<WorkerRecord> workers =
+                rack.stream()
+                        .filter(usable)
+                        .filter(w -> Placement.isEligible(step, w, now))
+                        .toList();
+        if (workers.stream().anyMatch(w -> w.hasRoomFor(step.spec().footprint()))) {
+            return false;
+        }
+        Optional<ExpectedPlaces> place = forecasts.firstPlaces(step, 1, workers, endsAt, now);
+        current.denied = place.isEmpty();
+        place.ifPresent(p -> beginWait(step, current.wait, step.spec().dataRack(), p, now));
+        return place.isPresent();
+    }
+
+    private boolean mayWaitForData(TaskEntry task) {
+        StepSpec spec = task.step().spec();
+        return isEnabled()
+                && !spec.dataRack().isEmpty()
+                && !spec.longRunning()
+                && !belongsTogether(task.step())
+                && !task.crashes().isSuspect()
+                && task.failedWorkers().isEmpty();
+    }
+
+    private Considered consider(StepEntry step, long now) {
+        if (considered.isEmpty() || considered.get().step != step) {
+            Considered next = new Considered(step, waitOf(step, now));
+            next.denied = !next.wait.mayPay(now);
+            considered = Optional.of(next);
+        }
+        return considered.get();
+    }
+
+    private void beginWait(
+            StepEntry step, RackWait wait, String rack, ExpectedPlaces places, long now) {
+        step.rackWait().begin(wait.since(), rack);
+        forecasts.reserve(step, places, now);
+        waiting.put(step, wait.endsAt());
+    }
+
+    private RackWait waitOf(StepEntry step, long now) {
+        JobEntry job = step.job();
+        boolean runs = job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
+        return new RackWait(
+                expectation.remoteFactor(),
+                expectation.taskMillis(step),
+                step.rackWait().since().orElseGet(() -> firstSince(step, now)),
+                runs ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
+                ranking.latestStart(step));
+    }
+
+    /**
+     * Returns since when a step counts as waiting that has not waited in this term. An earlier
+     * holder may have let it wait, so that all the time since its job arrived counts.
+     */
+    private long firstSince(StepEntry step, long now) {
+        long arrivedAt = step.job().waitingSince(step.occurrence());
+        return arrivedAt >= termBeganAt || step.rackWait().becameReady() ? now : arrivedAt;
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -36,7 +36,7 @@
     private final RunNumbers numbers;
     private final JobLifecycle lifecycle;
     private final WorkerLossHandler losses;
-    private final RunTimeEstimator runTimes;
+    private final RunExpectation expectation;
     private final Consumer<SchedulerEvent> events;
 
     ReportHandler(
@@ -45,14 +45,14 @@
             RunNumbers numbers,
             JobLifecycle lifecycle,
             WorkerLossHandler losses,
-            RunTimeEstimator runTimes,
+            RunExpectation expectation,
             Consumer<SchedulerEvent> events) {
         this.jobs = jobs;
         this.runs = runs;
         this.numbers = numbers;
         this.lifecycle = lifecycle;
         this.losses = losses;
-        this.runTimes = runTimes;
+        this.expectation = expectation;
         this.events = events;
     }
 
@@ -191,7 +191,7 @@
                         "end=" + ended.end() + " number=" + ended.number()));
         Optional<Run> run = task.run(ended.run(), worker);
         if (ended.end() == RunEnd.DONE && task.checkpoint().isEmpty()) {
-            run.ifPresent(r -> recordRunTime(task, r, now));
+            run.filter(r -> r.startedAt() > 0).ifPresent(r -> expectation.recordDone(r, now));
         }
         run.ifPresent(runs::close);
         task.step().job().recordRun(now);
@@ -218,15 +218,6 @@
         }
     }
 
-    private void recordRunTime(TaskEntry task, Run run, long now) {
-        if (run.startedAt() > 0) {
-            runTimes.recordRunTime(
-                    task.step().job().policy().queue(),
-                    task.step().spec().estimatedMillis(),
-                    now - run.startedAt());
-        }
-    }
-
     /**
      * Applies a run that the worker lists as running; returns the open runs that may be it.
      *
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -33,6 +33,7 @@
     private double gauge;
     private int progressPercent;
     private int pacePercent = 100;
+    private boolean wasPaced;
     private long paceSentAt = Long.MIN_VALUE / 2;
     private long progressClock = NEVER_LISTED;
     private long listedClock = NEVER_LISTED;
@@ -189,6 +190,12 @@
     void setPacePercent(int newPercent) {
         progressClock = pacePercent == 0 ? listedClock : progressClock;
         pacePercent = newPercent;
+        wasPaced = wasPaced || newPercent < 100;
+    }
+
+    /** Returns whether the run has ever been slowed down by an order. */
+    boolean wasPaced() {
+        return wasPaced;
     }
 
     /** Returns whether no order to change the pace is in flight. */
--- /dev/null
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
@@ -0,0 +1,77 @@
+package org.chervillift.core.tasks;
+
+import org.chervillift.core.tasks.placement.RemainingTime;
+import org.chervillift.core.tasks.placement.RoomForecast;
+
+/**
+ * Expects how long runs take: by their queue, the speed of their worker, and their distance from
+ * their data or from the tasks that they are coupled with.
+ */
+final class RunExpectation {
+
+    private final RunTimeEstimator runTimes;
+    private final double remoteFactor;
+    private final long stopTimeoutMillis;
+
+    RunExpectation(RunTimeEstimator runTimes, SchedulerSettings settings) {
+        this.runTimes = runTimes;
+        this.remoteFactor = settings.remoteFactor();
+        this.stopTimeoutMillis = settings.stopTimeoutMillis();
+    }
+
+    /** Returns how many times as long tasks run away from their rack. */
+    double remoteFactor() {
+        return remoteFactor;
+    }
+
+    /** Returns the run time of a task near its data on a usual worker, in milliseconds. */
+    long taskMillis(StepEntry step) {
+        return step.spec().longRunning()
+                ? 0
+                : runTimes.estimateMillis(
+                        step.job().policy().queue(), step.spec().estimatedMillis());
+    }
+
+    /** Returns the run time that is expected of a run, in milliseconds; 0 if it is not known. */
+    private double expectedMillis(Run run) {
+        return taskMillis(run.task().step()) * placeFactor(run);
+    }
+
+    /** Returns when a run is expected to end, in milliseconds; NEVER if that is not known. */
+    long endsAt(Run run, long now) {
+        if (run.phase() == Run.Phase.STOPPING) {
+            return Math.max(now, run.phaseSince() + stopTimeoutMillis);
+        }
+        double expected = expectedMillis(run) * run.worker().speed().factor();
+        long remaining =
+                RemainingTime.millis(Math.round(expected), now - run.openedAt(), run.pacePercent());
+        return remaining == RoomForecast.NEVER ? RoomForecast.NEVER : now + remaining;
+    }
+
+    /** Learns from a run that this holder started and that is done. */
+    void recordDone(Run run, long now) {
+        StepEntry step = run.task().step();
+        double measured = (now - run.startedAt()) / placeFactor(run);
+        if (!run.wasPaced()) {
+            run.worker().speed().recordRun(measured, taskMillis(step));
+        }
+        runTimes.recordRunTime(
+                step.job().policy().queue(), step.spec().estimatedMillis(), Math.round(measured));
+    }
+
+    private double placeFactor(Run run) {
+        return remoteFactor > 1 && (isAwayFromData(run) || isApart(run)) ? remoteFactor : 1;
+    }
+
+    private static boolean isAwayFromData(Run run) {
+        return Placement.isAwayFromData(run.task().step().spec(), run.worker());
+    }
+
+    /** Returns whether another run of a tightly coupled step is in another rack. */
+    private static boolean isApart(Run run) {
+        StepEntry step = run.task().step();
+        String rack = run.worker().rack();
+        return step.spec().tightlyCoupled()
+                && step.runs().anyMatch(r -> !r.worker().rack().equals(rack));
+    }
+}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -44,7 +44,11 @@
         /** A run was lost with its worker. */
         LOST,
         /** A worker's lease has expired. */
-        LEASE_OVER
+        LEASE_OVER,
+        /** Tasks of a step have got the place in a rack that the step waited for. */
+        RACK_WAIT_PAID,
+        /** A step waits no longer for a place in a rack, and has got none. */
+        RACK_WAIT_IN_VAIN
     }
 
     public SchedulerEvent {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerSettings.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerSettings.java
@@ -9,13 +9,20 @@
  * @param predecessorLeaseMillis how long worker leases granted by an earlier holder may last
  * @param stopTimeoutMillis how long a worker may take to stop a run
  * @param vmMoveMillis how long a VM takes to join another pool
+ * @param remoteFactor how many times as long tasks run away from the rack of their data, or spread
+ *     over racks though they are tightly coupled; 1 if a wait for a rack never pays
  */
 public record SchedulerSettings(
-        long term, long predecessorLeaseMillis, long stopTimeoutMillis, long vmMoveMillis) {
+        long term,
+        long predecessorLeaseMillis,
+        long stopTimeoutMillis,
+        long vmMoveMillis,
+        double remoteFactor) {
     public SchedulerSettings {
         Checks.inRange("term", term, 1, Integer.MAX_VALUE);
         Checks.notNegative("predecessorLeaseMillis", predecessorLeaseMillis);
         Checks.notNegative("stopTimeoutMillis", stopTimeoutMillis);
         Checks.notNegative("vmMoveMillis", vmMoveMillis);
+        Checks.that(remoteFactor >= 1, "remoteFactor must be at least 1");
     }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -29,7 +29,8 @@
  * place: a worker of the pool with twice the room that the task takes, beside the runs that workers
  * have confirmed, and a customer with less than half of its limit in use. A holder may see no such
  * place, since it does not reach the worker or counts a run that never began. So places are counted
- * by what runs, and the reason says why the holder does not use them.
+ * by what runs, and the reason says why the holder does not use them. A step that waits for a place
+ * in its rack has no other place until that wait ends.
  */
 public final class StandstillDetector {
 
@@ -46,6 +47,7 @@
     private final Supplier<Manifest> manifest;
     private final LongFunction<Set<String>> unknownPools;
     private final StartGate gate;
+    private final StartPlanner planner;
     private final WaitExplainer explainer;
     private final Map<JobEntry, Long> placeSince = new HashMap<>();
     private OptionalLong lastReportAt = OptionalLong.empty();
@@ -99,6 +101,7 @@
         this.manifest = manifest;
         this.unknownPools = unknownPools;
         this.gate = gate;
+        this.planner = planner;
         this.explainer = new WaitExplainer(planner);
     }
 
@@ -211,7 +214,8 @@
     }
 
     private boolean hasPlace(StepEntry step, Round round) {
-        return isBelowHalfOfLimit(step, round)
+        return !planner.waitsForRack(step, round.now())
+                && isBelowHalfOfLimit(step, round)
                 && Places.suffice(
                         step,
                         StartPlanner.startedAtOnce(step),
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
@@ -24,6 +25,7 @@
     private final RunRegistry runs;
     private final JobLifecycle lifecycle;
     private final JobRanking ranking;
+    private final RackPlanner racks;
     private final RunNumbers numbers;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
@@ -34,11 +36,13 @@
             RunRegistry runs,
             JobLifecycle lifecycle,
             JobRanking ranking,
+            RackPlanner racks,
             SchedulerSettings settings,
             Consumer<SchedulerEvent> events) {
         this.runs = runs;
         this.lifecycle = lifecycle;
         this.ranking = ranking;
+        this.racks = racks;
         this.numbers = new RunNumbers(settings.term());
         this.events = events;
         this.isolation = new IsolationPlanner(settings.vmMoveMillis(), events);
@@ -61,6 +65,7 @@
         Map<String, List<WorkerRecord>> pools =
                 workers.stream().collect(Collectors.groupingBy(WorkerRecord::pool));
         pools.values().forEach(p -> FaultyWorkerLimit.apply(p, now));
+        pools.values().forEach(PoolSpeeds::apply);
         Map<String, List<Candidate>> candidatesByPool =
                 liveJobs.stream()
                         .flatMap(JobEntry::steps)
@@ -69,6 +74,7 @@
                         .map(s -> new Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
         isolation.beginRound(stepsOf(candidatesByPool.values()), now);
+        racks.beginRound();
         keptFree.clear();
         List<Order.Start> orders = new ArrayList<>();
         candidatesByPool.forEach(
@@ -77,6 +83,7 @@
                     startCandidates(
                             candidates, pools.getOrDefault(pool, List.of()), manifest, now, orders);
                 });
+        racks.endRound(now);
         return orders;
     }
 
@@ -137,19 +144,39 @@
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
+        if (!mayStartOneMore(step, manifest)) {
+            return true;
+        }
+        Optional<RackPreference> preference =
+                racks.choose(step, pool, w -> !reserved.contains(w), now);
+        return preference.isEmpty()
+                || startTasks(step, pool, reserved, preference.get(), manifest, now, orders);
+    }
+
+    private boolean startTasks(
+            StepEntry step,
+            List<WorkerRecord> pool,
+            Set<WorkerRecord> reserved,
+            RackPreference preference,
+            Manifest manifest,
+            long now,
+            List<Order.Start> orders) {
         int mayBegin = JobSizeLimits.tasksThatMayBegin(step);
         for (TaskEntry task : step.tasks().waiting()) {
             if (task.notBefore() > now) {
                 continue;
             }
             boolean begins = !step.tasks().isKept(task);
-            if (begins && mayBegin <= 0 || !isWithinOpenRuns(1)) {
+            if (begins && mayBegin <= 0 || !mayStartOneMore(step, manifest)) {
                 return true;
             }
-            if (!isWithinLimit(step, 1, manifest)) {
-                return true;
+            Predicate<WorkerRecord> usable = w -> isUsable(task, w, reserved, now);
+            RackPlanner.Place place = racks.place(task, pool, usable, preference, now);
+            if (place.waits()) {
+                mayBegin -= begins ? 1 : 0;
+                continue;
             }
-            Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
+            Optional<WorkerRecord> worker = place.worker();
             if (worker.isEmpty() && task.crashes().needsIsolation()) {
                 // Waits for a worker of its own, which lower-ranked steps cannot take.
                 continue;
@@ -163,6 +190,10 @@
         return true;
     }
 
+    private boolean mayStartOneMore(StepEntry step, Manifest manifest) {
+        return isWithinOpenRuns(1) && isWithinLimit(step, 1, manifest);
+    }
+
     /** Starts all tasks of a gang or none; returns false if they do not all fit on the workers. */
     private boolean startGang(
             StepEntry step,
@@ -177,12 +208,18 @@
                 || !isWithinLimit(step, tasks.size(), manifest)) {
             return true;
         }
+        Optional<RackPreference> preference =
+                racks.choose(step, pool, w -> !reserved.contains(w), now);
+        if (preference.isEmpty()) {
+            return true;
+        }
         int number = tasks.stream().mapToInt(numbers::next).max().orElse(1);
         String checkpoint =
                 tasks.stream().map(TaskEntry::checkpoint).max(Comparator.naturalOrder()).orElse("");
         List<Run> placed = new ArrayList<>();
         for (TaskEntry task : tasks) {
-            Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
+            Optional<WorkerRecord> worker =
+                    chooseWorker(task, pool, reserved, preference.get(), now);
             if (worker.isEmpty()) {
                 placed.forEach(runs::close);
                 return false;
@@ -197,9 +234,22 @@
     }
 
     private Optional<WorkerRecord> chooseWorker(
-            TaskEntry task, List<WorkerRecord> pool, Set<WorkerRecord> reserved, long now) {
-        return Placement.choose(
-                task, pool, w -> !reserved.contains(w) && isAllowedByIsolation(task, w, now), now);
+            TaskEntry task,
+            List<WorkerRecord> pool,
+            Set<WorkerRecord> reserved,
+            RackPreference preference,
+            long now) {
+        return Placement.choose(task, pool, w -> isUsable(task, w, reserved, now), preference, now);
+    }
+
+    private boolean isUsable(
+            TaskEntry task, WorkerRecord worker, Set<WorkerRecord> reserved, long now) {
+        return !reserved.contains(worker) && isAllowedByIsolation(task, worker, now);
+    }
+
+    /** Returns whether a step waits for a place in a rack although another worker has room. */
+    boolean waitsForRack(StepEntry step, long now) {
+        return racks.isWaiting(step, now);
     }
 
     /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
@@ -248,6 +298,7 @@
         task.recordRunNumber(run.number());
         JobEntry job = task.step().job();
         lifecycle.markStarted(job);
+        racks.recordStart(run, now);
         WorkerRecord worker = run.worker();
         events.accept(
                 SchedulerEvent.of(
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -14,6 +14,7 @@
     private final StepTasks tasks;
     private final StepAdvice advice = new StepAdvice();
     private final BegunPools begunPools = new BegunPools();
+    private final RackWaitState rackWait = new RackWaitState();
 
     StepEntry(JobEntry job, int occurrence, int number, StepSpec spec) {
         this.job = job;
@@ -58,6 +59,11 @@
         return begunPools;
     }
 
+    /** Returns when the step began to wait for a place in a rack. */
+    RackWaitState rackWait() {
+        return rackWait;
+    }
+
     boolean isDone() {
         return tasks.allDone();
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -82,9 +82,11 @@
         RunNumbers numbers = new RunNumbers(settings.term());
         this.restorer = new ProgressRestorer(lifecycle, inheritedStarts, numbers);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
+        RunExpectation expectation = new RunExpectation(runTimes, settings);
         this.reportHandler =
-                new ReportHandler(jobs, runs, numbers, lifecycle, losses, runTimes, events);
-        this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
+                new ReportHandler(jobs, runs, numbers, lifecycle, losses, expectation, events);
+        RackPlanner racks = new RackPlanner(expectation, ranking, now, events);
+        this.startPlanner = new StartPlanner(runs, lifecycle, ranking, racks, settings, events);
         this.stopPlanner = new StopPlanner(events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
         this.stalledRunDetector = new StalledRunDetector(events);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitExplainer.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitExplainer.java
@@ -96,7 +96,12 @@
         }
         List<WorkerRecord> notKeptFree =
                 allowed.stream().filter(w -> !planner.isKeptFree(w)).toList();
-        return fits(step, notKeptFree) ? WaitReason.NOT_PLANNED : WaitReason.WORKER_KEPT_FREE;
+        if (!fits(step, notKeptFree)) {
+            return WaitReason.WORKER_KEPT_FREE;
+        }
+        return planner.waitsForRack(step, at.now())
+                ? WaitReason.WAITS_FOR_RACK
+                : WaitReason.NOT_PLANNED;
     }
 
     /** Returns the reason that holds for most workers, none of which may run the step. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitReason.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitReason.java
@@ -49,6 +49,8 @@
     ISOLATION,
     /** The worker with room is kept free for a step of higher rank. */
     WORKER_KEPT_FREE,
+    /** Other workers have room; the step waits for a place in its rack, since that pays. */
+    WAITS_FOR_RACK,
     /** Nothing stops the start but that no plan has been made. */
     NOT_PLANNED;
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.WorkerEntry;
+import org.chervillift.core.tasks.placement.WorkerSpeed;
 
 /** The scheduler's state of one worker. */
 final class WorkerRecord {
@@ -39,6 +40,8 @@
     private long backOffUntil = Long.MIN_VALUE;
     private long presumedFaultyUntil = Long.MIN_VALUE;
     private long nextBackOffMillis = INITIAL_BACK_OFF_MILLIS;
+    private WorkerSpeed speed = new WorkerSpeed();
+    private double slowness = 1;
 
     WorkerRecord(WorkerEntry entry) {
         this.entry = entry;
@@ -131,6 +134,22 @@
         lastBackOffAt = Long.MIN_VALUE;
         backOffUntil = Long.MIN_VALUE;
         presumedFaultyUntil = Long.MIN_VALUE;
+        speed = new WorkerSpeed();
+        slowness = 1;
+    }
+
+    /** Returns what is learned of the worker's speed in this lifetime. */
+    WorkerSpeed speed() {
+        return speed;
+    }
+
+    /** Returns how many times as long as usual runs take here; 1 unless it is clearly slower. */
+    double slowness() {
+        return slowness;
+    }
+
+    void slowness(double newest) {
+        slowness = newest;
     }
 
     /**
--- /dev/null
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
@@ -0,0 +1,219 @@
+package org.chervillift.core.tasks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.chervillift.core.tasks.RackFixture.CORE;
+import static org.chervillift.core.tasks.RackFixture.FAR;
+import static org.chervillift.core.tasks.RackFixture.NEAR;
+
+import java.util.List;
+import java.util.Optional;
+import org.chervillift.core.tasks.StandstillReport.WaitingSteps;
+import org.junit.jupiter.api.Test;
+
+/** Tests how long steps wait for a place in the rack of their data. */
+class RackWaitTest {
+
+    private static final long RUN_MILLIS = 1_000;
+    private static final double FACTOR = 3;
+    private static final int BURST = 5;
+    private static final long BURST_MILLIS = 4_000;
+
+    /** Two places near the data and eight elsewhere; five jobs arrive each 4 s. */
+    private static RackFixture replay(double settings, double realFactor) {
+        RackFixture replay = new RackFixture(settings, realFactor, RUN_MILLIS);
+        replay.addWorkers(NEAR, 2, CORE);
+        replay.addWorkers(FAR, 8, CORE);
+        for (int i = 0; i < 40; i++) {
+            replay.fixture.accept("j" + i, RackFixture.step(1, RUN_MILLIS, NEAR, false));
+            if (i % BURST == BURST - 1) {
+                replay.runUntil(replay.fixture.now + BURST_MILLIS);
+            }
+        }
+        replay.runUntil(replay.fixture.now + BURST_MILLIS);
+        assertThat(replay.doneAt).hasSize(40);
+        return replay;
+    }
+
+    private static double meanMillis(RackFixture replay) {
+        return replay.doneAt.entrySet().stream()
+                .mapToLong(e -> e.getValue() - arrivedAt(e.getKey()))
+                .average()
+                .orElseThrow();
+    }
+
+    private static long slowestMillis(RackFixture replay) {
+        return replay.doneAt.entrySet().stream()
+                .mapToLong(e -> e.getValue() - arrivedAt(e.getKey()))
+                .max()
+                .orElseThrow();
+    }
+
+    private static long arrivedAt(String task) {
+        int job = Integer.parseInt(task.substring(1, task.indexOf('.')));
+        return 1_000 + BURST_MILLIS * (job / BURST);
+    }
+
+    /** Many jobs ran away from their data at once, although a place was about to be free. */
+    @Test
+    void aShortWaitForTheRackMakesTheMeanAndTheSlowestJobFaster() {
+        RackFixture without = replay(1, FACTOR);
+        RackFixture with = replay(FACTOR, FACTOR);
+        assertThat(meanMillis(with)).isLessThan(0.9 * meanMillis(without));
+        assertThat(slowestMillis(with)).isLessThanOrEqualTo(slowestMillis(without) + 100);
+        assertThat(with.count(SchedulerEvent.Kind.RACK_WAIT_PAID)).isGreaterThan(0);
+    }
+
+    /** A deployment that sets no factor gets the same orders as before. */
+    @Test
+    void withoutTheSettingNothingWaits() {
+        RackFixture replay = new RackFixture(1, 1, RUN_MILLIS);
+        replay.addWorkers(NEAR, 1, CORE);
+        replay.addWorkers(FAR, 2, CORE);
+        replay.fixture.accept("j", RackFixture.step(3, RUN_MILLIS, NEAR, true));
+        assertThat(replay.plan())
+                .extracting(Order.Start::worker)
+                .containsExactly("near0", "far0", "far1");
+    }
+
+    private static RackFixture oneBusyPlace(long estimatedMillis) {
+        RackFixture rack = new RackFixture(FACTOR, FACTOR, 100_000);
+        rack.addWorkers(NEAR, 1, CORE);
+        rack.addWorkers(FAR, 2, CORE);
+        rack.fixture.accept("busy", RackFixture.step(1, estimatedMillis, NEAR, false));
+        rack.plan();
+        assertThat(rack.rackOf).containsValue(NEAR);
+        rack.fixture.now += estimatedMillis / 2;
+        rack.grantLeases();
+        return rack;
+    }
+
+    /** Jobs waited for a place that was expected, and did not come, for as long as it lasted. */
+    @Test
+    void aWaitOnAWrongEstimateEndsBeforeTheJobStandsStill() {
+        RackFixture rack = oneBusyPlace(1_000);
+        long arrivedAt = rack.fixture.now;
+        rack.fixture.accept("waits", RackFixture.step(1, 1_000, NEAR, false));
+        rack.runUntil(arrivedAt + 400);
+        assertThat(rack.rackOf).hasSize(1);
+        rack.runUntil(arrivedAt + 1_600);
+        assertThat(rack.rackOf).hasSize(2).containsValue(FAR);
+        assertThat(rack.count(SchedulerEvent.Kind.RACK_WAIT_IN_VAIN)).isEqualTo(1);
+    }
+
+    /** A place that comes later than a run elsewhere takes more is not worth a wait. */
+    @Test
+    void aWaitLongerThanTheGainDoesNotBegin() {
+        RackFixture rack = oneBusyPlace(10_000);
+        rack.fixture.accept("short", RackFixture.step(1, 1_000, NEAR, false));
+        assertThat(rack.plan()).hasSize(1);
+    }
+
+    /** The one free place elsewhere was kept for the step that waits. */
+    @Test
+    void aStepThatWaitsDoesNotBlockTheStepsBehindIt() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.fixture.accept("waits", RackFixture.step(1, 1_000, NEAR, false));
+        rack.fixture.accept("behind", RackFixture.step(2, 1_000, "", false));
+        assertThat(rack.plan()).extracting(s -> s.task().job()).containsExactly("behind", "behind");
+    }
+
+    /** Places that others wait for were promised again; the tasks behind waited in vain. */
+    @Test
+    void tasksThatWaitAheadCount() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.addWorkers(FAR, 9, CORE);
+        rack.fixture.accept("waits", RackFixture.step(8, 1_000, NEAR, false));
+        rack.plan();
+        assertThat(rack.rackOf).hasSize(8);
+    }
+
+    /** Jobs waited for a rack whose workers were lost or about to go. */
+    @Test
+    void theWaitEndsWhenTheWorkersOfTheRackDrainOrAreLost() {
+        for (boolean draining : List.of(true, false)) {
+            RackFixture rack = oneBusyPlace(1_000);
+            rack.fixture.accept("waits", RackFixture.step(1, 1_000, NEAR, false));
+            assertThat(rack.plan()).isEmpty();
+            if (draining) {
+                rack.list("near0", CORE, 0, true);
+            } else {
+                rack.fixture.scheduler.setReachable("near0", false, rack.fixture.now);
+            }
+            assertThat(rack.fixture.starts()).hasSize(1);
+        }
+    }
+
+    /** Each holder let a job wait anew, so that the waits added up. */
+    @Test
+    void aNewHolderCountsTheWaitOfItsPredecessor() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.fixture.scheduler.accept(
+                SchedulerFixture.job("waits", RackFixture.step(1, 1_000, NEAR, false)),
+                3_000,
+                rack.fixture.now);
+        assertThat(rack.plan()).hasSize(1);
+    }
+
+    /** A wait within its bound was told as a standstill. */
+    @Test
+    void aWaitIsExplainedAndIsNoStandstill() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.fixture.accept("waits", RackFixture.step(1, 1_000, NEAR, false));
+        rack.addWorkers("spare", 1, 4 * CORE);
+        assertThat(rack.plan()).isEmpty();
+        StandstillReport report =
+                rack.fixture
+                        .scheduler
+                        .standstills()
+                        .check(Optional.empty(), rack.fixture.now, rack.fixture.now);
+        assertThat(report.waiting())
+                .containsExactly(
+                        new WaitingSteps(SchedulerFixture.POOL, WaitReason.WAITS_FOR_RACK, 1));
+        assertThat(report.standing()).isEmpty();
+    }
+
+    /** A job without an estimate waited for a place of which nothing was known. */
+    @Test
+    void withoutEstimatesNothingWaits() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.fixture.accept("unknown", RackFixture.step(1, 0, NEAR, false));
+        assertThat(rack.plan()).hasSize(1);
+    }
+
+    /** A task whose rack had a free place went elsewhere or waited. */
+    @Test
+    void aFreePlaceInTheRackIsUsedAtOnce() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.addWorkers(NEAR, 2, CORE);
+        rack.fixture.accept("first", RackFixture.step(1, 1_000, NEAR, false));
+        assertThat(rack.plan()).extracting(Order.Start::worker).containsExactly("near1");
+    }
+
+    /** Each of the waiting tasks looked at each worker of its rack, which took seconds. */
+    @Test
+    void aRoundForTenThousandWaitingJobsIsNotMuchLongerThanWithoutTheWait() {
+        long without = roundNanos(1);
+        assertThat(roundNanos(FACTOR)).isLessThan(2 * without + 10_000_000);
+    }
+
+    /** Returns the time that one core takes for a plan in a pool of 1,200 full workers. */
+    private static long roundNanos(double factor) {
+        RackFixture rack = new RackFixture(factor, factor, RUN_MILLIS);
+        rack.addWorkers(NEAR, 30, 4 * CORE);
+        rack.addWorkers(FAR, 1_170, 4 * CORE);
+        rack.fixture.accept("busy", RackFixture.step(120, 4_000, NEAR, false));
+        rack.plan();
+        rack.fixture.now += 3_000;
+        for (int i = 0; i < 14_680; i++) {
+            rack.fixture.accept("j" + i, RackFixture.step(1, 1_000, NEAR, false));
+        }
+        rack.plan();
+        long best = Long.MAX_VALUE;
+        for (int i = 0; i < 8; i++) {
+            long began = System.nanoTime();
+            rack.fixture.scheduler.plan(rack.fixture.now + i, 0);
+            best = Math.min(best, System.nanoTime() - began);
+        }
+        return best;
+    }
+}
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -46,9 +46,13 @@
     }
 
     SchedulerFixture(long term, Resources limit) {
+        this(term, limit, 1);
+    }
+
+    SchedulerFixture(long term, Resources limit, double remoteFactor) {
         scheduler =
                 new TaskScheduler(
-                        new SchedulerSettings(term, LEASE_MILLIS, 400, 1_500),
+                        new SchedulerSettings(term, LEASE_MILLIS, 400, 1_500, remoteFactor),
                         manifest(limit),
                         events::add,
                         now);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
@@ -33,6 +33,7 @@
             case LIFETIME, LEASE_OVER -> TaskEvent.WORKER_CHANGED;
             case LOST -> TaskEvent.RUN_LOST;
             case ODD_ENTRY -> TaskEvent.REPORT_ENTRY_IGNORED;
+            case RACK_WAIT_PAID, RACK_WAIT_IN_VAIN -> TaskEvent.RACK_WAIT_OVER;
             default -> TaskEvent.TASK_DECISION;
         };
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetSettings.java
@@ -30,6 +30,8 @@
  * @param moveTime how long moving a VM to another pool takes
  * @param cancelWithin how long after the cancellation of a job its tasks may still start
  * @param keepFinished how long the state of a finished job can be read
+ * @param remoteFactor how many times as long tasks run away from the rack of their data, or spread
+ *     over racks though they are tightly coupled
  * @param shutdownGrace how long after a stop request the process is killed
  */
 public record FleetSettings(
@@ -50,6 +52,7 @@
         Duration moveTime,
         Duration cancelWithin,
         Duration keepFinished,
+        double remoteFactor,
         Duration shutdownGrace) {
 
     /** The largest factor by which a worker's clock may be slower than this process's. */
@@ -80,6 +83,9 @@
     /** The age that the copy of the jobs reaches while no job arrives, with a margin. */
     private static final long MIN_COPY_AGE_LIMIT_MILLIS = 700;
 
+    /** Far above any real one; it only finds values of another unit. */
+    private static final long MAX_REMOTE_FACTOR = 1_000;
+
     /** A job with the longest payload, and its progress, fit in any row of this size. */
     private static final int MIN_ROW_BYTES = 16_384;
 
@@ -172,6 +178,12 @@
                                     "keep-finished-s",
                                     SECONDS,
                                     "How long the state of a finished job can be read."),
+                            Setting.optional(
+                                    "placement",
+                                    "remote-factor",
+                                    new SettingType.Decimal(1, MAX_REMOTE_FACTOR),
+                                    "1",
+                                    "How many times as long tasks run away from their rack."),
                             Setting.required(
                                     "shutdown",
                                     "grace-s",
@@ -226,6 +238,7 @@
                 settings.duration("vms.move-s"),
                 settings.duration("jobs.cancel-within-ms"),
                 settings.duration("jobs.keep-finished-s"),
+                settings.decimal("placement.remote-factor").doubleValue(),
                 settings.duration("shutdown.grace-s"));
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -78,7 +78,8 @@
                         context.term(),
                         settings.predecessorLeaseMillis(),
                         settings.workerStopTimeout().toMillis(),
-                        settings.moveTime().toMillis());
+                        settings.moveTime().toMillis(),
+                        settings.remoteFactor());
         this.board =
                 new TaskScheduler(
                         boardSettings,
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -102,6 +102,8 @@
     /** A worker reports what cannot be. */
     REPORT_ENTRY_IGNORED(
             7081, Level.WARN, "An entry of a worker's report names what cannot be; it is ignored."),
+    /** A step waits no longer for a place in a rack. */
+    RACK_WAIT_OVER(7099, Level.INFO, "A step waits no longer for a place in a rack."),
     /** An order for a VM was sent. */
     VM_ORDERED(
             7060,
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -179,6 +179,7 @@
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(120),
+                1,
                 Duration.ofSeconds(6));
     }
 
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/SettingsSchema.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/settings/SettingsSchema.java
@@ -94,7 +94,7 @@
             errors.add(error(fileName, s, raw.toString(), "It is given twice.", allowed));
             return;
         }
-        Optional<String> text = raw == null ? s.defaultValue() : Optional.of(raw.toString());
+        Optional<String> text = textOf(raw, s);
         if (text.isEmpty()) {
             errors.add(error(fileName, s, "", "It is missing.", allowed));
             return;
@@ -106,6 +106,14 @@
         }
     }
 
+    /** Returns the text of a setting; one that is blank or absent has its default, if any. */
+    private static Optional<String> textOf(Object raw, Setting s) {
+        boolean blank = raw == null || raw.toString().isBlank();
+        return blank && s.defaultValue().isPresent()
+                ? s.defaultValue()
+                : Optional.ofNullable(raw).map(Object::toString);
+    }
+
     private static SettingError error(
             String fileName, Setting s, String value, String problem, String allowed) {
         return new SettingError(fileName, s.section(), s.name(), value, problem, allowed);
