--- a/chervillift-runtime/src/test/java/org/chervillift/runtime/settings/SettingsSchemaTest.java
+++ b/chervillift-runtime/src/test/java/org/chervillift/runtime/settings/SettingsSchemaTest.java
@@ -35,6 +35,14 @@
         assertThat(settings.addresses("net.peers")).isEmpty();
     }
 
+    /** A template that had no value to fill in made a file that was refused. */
+    @Test
+    void aBlankValueStandsForTheDefault() throws IOException {
+        String text = "[net]\nlisten = 127.0.0.1:80\ntimeout-ms =\n";
+        Settings settings = SCHEMA.read("f.ini", new StringReader(text));
+        assertThat(settings.duration("net.timeout-ms")).isEqualTo(Duration.ofMillis(100));
+    }
+
     @Test
     void reportsEveryErrorAtOnce() {
         String text = "[net]\ntimeout-ms = 501\ncolour = red\n[extra]\nx = 1\n";
