Start a second run of a task whose first run takes very long

Cause: steps say with allow_duplicates that a task may run twice at a time, which was decoded and not used. A job waited for a run on a slow server however long it took.

Change: CopyGain decides whether a copy pays, CopyPlanner finds late runs, CopyStarter starts copies in room for which no task waits, up to a tenth of the pool's cores. Ends were already right with two runs: a done end stops the other run, a failed one counts and leaves the task to the other. A holder adopts at most two runs of a task; it adopted any number.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -1,6 +1,5 @@
 package org.chervillift.core.tasks;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -13,7 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.core.tasks.RackForecasts.ExpectedPlaces;
 import org.chervillift.core.tasks.placement.RackWait;
@@ -123,6 +121,16 @@
         return endsAt != null && now < endsAt;
     }
 
+    /** Returns what is expected of runs. */
+    RunExpectation expectation() {
+        return expectation;
+    }
+
+    /** Returns the preference of tasks that go to any rack. */
+    RackPreference anyRack() {
+        return anyRack;
+    }
+
     private boolean isEnabled() {
         return expectation.remoteFactor() > 1;
     }
@@ -135,40 +143,29 @@
      */
     Optional<RackPreference> choose(
             StepEntry step, List<WorkerRecord> pool, Predicate<WorkerRecord> usable, long now) {
-        if (!isEnabled() || !belongsTogether(step) || step.runs().findAny().isPresent()) {
+        if (!isEnabled()
+                || !CoupledSteps.belongsTogether(step)
+                || step.runs().findAny().isPresent()) {
             return Optional.of(anyRack);
         }
-        int needed = needed(step);
+        int needed = CoupledSteps.needed(step);
         Predicate<WorkerRecord> eligible = usable.and(w -> Placement.isEligible(step, w, now));
         Map<String, List<WorkerRecord>> racks = eligibleRacks(step, pool, eligible);
         Map<String, Integer> places = new TreeMap<>();
-        racks.forEach((r, w) -> places.put(r, placesNow(step, needed, w)));
-        Optional<String> whole = smallestWhole(step, needed, racks, places);
+        racks.forEach((r, w) -> places.put(r, CoupledSteps.placesNow(step, needed, w)));
+        Optional<String> whole = CoupledSteps.smallestWhole(step, needed, racks, places);
         if (whole.isPresent()) {
             return Optional.of(preferring(List.of(whole.get())));
         }
-        if (mayStartNow(step, needed, places) && waitsForWhole(step, needed, racks, now)) {
+        if (CoupledSteps.mayStartNow(step, needed, places)
+                && waitsForWhole(step, needed, racks, now)) {
             return Optional.empty();
         }
-        return Optional.of(step.spec().tightlyCoupled() ? preferring(byPlaces(places)) : anyRack);
-    }
-
-    /** Returns whether the tasks of a step are to be in one rack. */
-    private static boolean belongsTogether(StepEntry step) {
-        StepSpec spec = step.spec();
-        boolean together = spec.tightlyCoupled() || spec.gang() && !spec.dataRack().isEmpty();
-        return together && !spec.longRunning() && needed(step) > 1;
+        return Optional.of(
+                step.spec().tightlyCoupled() ? preferring(CoupledSteps.byPlaces(places)) : anyRack);
     }
 
-    private static int needed(StepEntry step) {
-        return step.spec().gang()
-                ? step.tasks().count()
-                : (int)
-                        Math.min(
-                                step.tasks().waitingCount(), JobSizeLimits.tasksThatMayBegin(step));
-    }
-
-    /** Returns the racks that may hold a step; for a gang that is not coupled that of its data. */
+    /** Returns the workers of each rack that may run a step. */
     private Map<String, List<WorkerRecord>> eligibleRacks(
             StepEntry step, List<WorkerRecord> pool, Predicate<WorkerRecord> eligible) {
         Map<String, List<WorkerRecord>> racks = new TreeMap<>();
@@ -183,46 +180,6 @@
                 p -> pool.stream().collect(Collectors.groupingBy(WorkerRecord::rack)));
     }
 
-    private static int placesNow(StepEntry step, int needed, List<WorkerRecord> workers) {
-        Resources size = step.spec().footprint();
-        List<WorkerRecord> withRoom = workers.stream().filter(w -> w.hasRoomFor(size)).toList();
-        return Places.countUpTo(step, needed, size, withRoom, WorkerRecord::freeResources);
-    }
-
-    private static boolean mayStartNow(StepEntry step, int needed, Map<String, Integer> places) {
-        int all = places.values().stream().mapToInt(Integer::intValue).sum();
-        return all >= (step.spec().gang() ? needed : 1);
-    }
-
-    /** Returns a rack that holds a step now: that of its data, or the one with the least room. */
-    private static Optional<String> smallestWhole(
-            StepEntry step,
-            int needed,
-            Map<String, List<WorkerRecord>> racks,
-            Map<String, Integer> places) {
-        Comparator<String> awayFromData =
-                Comparator.comparing(r -> !r.equals(step.spec().dataRack()));
-        return places.keySet().stream()
-                .filter(r -> places.get(r) >= needed && mayHoldWhole(step, r))
-                .min(awayFromData.thenComparingLong(r -> freeMilliCores(racks.get(r))));
-    }
-
-    private static boolean mayHoldWhole(StepEntry step, String rack) {
-        return step.spec().tightlyCoupled() || rack.equals(step.spec().dataRack());
-    }
-
-    private static long freeMilliCores(List<WorkerRecord> workers) {
-        return workers.stream().mapToLong(w -> w.freeResources().milliCores()).sum();
-    }
-
-    private static List<String> byPlaces(Map<String, Integer> places) {
-        return places.entrySet().stream()
-                .filter(e -> e.getValue() > 0)
-                .sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
-                .map(Map.Entry::getKey)
-                .toList();
-    }
-
     private RackPreference preferring(List<String> order) {
         return new RackPreference(expectation.remoteFactor(), order);
     }
@@ -236,7 +193,8 @@
         String best = "";
         Optional<ExpectedPlaces> first = Optional.empty();
         for (Map.Entry<String, List<WorkerRecord>> rack : racks.entrySet()) {
-            if (!mayHoldWhole(step, rack.getKey()) || !holdsWhole(step, needed, rack.getValue())) {
+            if (!CoupledSteps.mayHoldWhole(step, rack.getKey())
+                    || !CoupledSteps.holdsWhole(step, needed, rack.getValue())) {
                 continue;
             }
             long latest = first.map(ExpectedPlaces::at).orElse(wait.endsAt());
@@ -252,15 +210,6 @@
         return true;
     }
 
-    private static boolean holdsWhole(StepEntry step, int needed, List<WorkerRecord> workers) {
-        return Places.suffice(
-                step,
-                needed,
-                step.spec().footprint(),
-                workers,
-                WorkerRecord::capacityBesideLongRunning);
-    }
-
     /**
      * Where a task goes in this round.
      *
@@ -330,7 +279,7 @@
         return isEnabled()
                 && !spec.dataRack().isEmpty()
                 && !spec.longRunning()
-                && !belongsTogether(task.step())
+                && !CoupledSteps.belongsTogether(task.step())
                 && !task.crashes().isSuspect()
                 && task.failedWorkers().isEmpty();
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -201,6 +201,7 @@
         if (ended.end() == RunEnd.DONE && !longRunning) {
             worker.recordSuccess();
             task.step().job().recordSuccess();
+            reportCopy(task, ended);
             lifecycle.taskDone(task, now);
         } else if (ended.end() == RunEnd.FAILED) {
             if (longRunning || task.step().job().recordFailure(worker.id())) {
@@ -262,7 +263,7 @@
         boolean wanted =
                 !task.isDone()
                         && !task.step().job().state().isFinal()
-                        && (task.runs().isEmpty() || task.step().spec().allowDuplicates());
+                        && (task.runs().isEmpty() || mayHaveCopy(task));
         Run.Phase phase = wanted ? Run.Phase.RUNNING : Run.Phase.STOPPING;
         Run run = runs.open(task, worker, running.run(), phase, now);
         task.recordRunNumber(running.run());
@@ -272,6 +273,27 @@
         return run;
     }
 
+    /** Returns whether a second run of a task may go on beside the one that is known. */
+    private static boolean mayHaveCopy(TaskEntry task) {
+        return task.step().spec().allowDuplicates() && task.runs().size() == 1;
+    }
+
+    /** Reports which of two runs was done first. */
+    private void reportCopy(TaskEntry task, EndedRun done) {
+        task.runs().stream()
+                .filter(r -> r.number() != done.run())
+                .findFirst()
+                .ifPresent(other -> events.accept(copyEvent(other, done)));
+    }
+
+    private static SchedulerEvent copyEvent(Run other, EndedRun done) {
+        boolean won = other.number() < done.run();
+        return SchedulerEvent.of(
+                won ? SchedulerEvent.Kind.COPY_WON : SchedulerEvent.Kind.COPY_LOST,
+                other,
+                "done=" + done.run());
+    }
+
     private void handleUnlisted(Run run, long sentAt, long now) {
         switch (run.phase()) {
             case STARTING -> {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
@@ -32,6 +32,18 @@
                         step.job().policy().queue(), step.spec().estimatedMillis());
     }
 
+    /** Returns by how much tasks take longer than that, as one deviation, in milliseconds. */
+    long deviationMillis(StepEntry step) {
+        return runTimes.deviationMillis(step.job().policy().queue(), taskMillis(step));
+    }
+
+    /** Returns the run time of a task that would start on a worker now, in milliseconds. */
+    long newRunMillis(StepEntry step, WorkerRecord worker) {
+        boolean away = Placement.isAwayFromData(step.spec(), worker);
+        double factor = worker.speed().factor() * (away ? remoteFactor : 1);
+        return Math.round(taskMillis(step) * factor);
+    }
+
     /** Returns the run time that is expected of a run, in milliseconds; 0 if it is not known. */
     private double expectedMillis(Run run) {
         return taskMillis(run.task().step()) * placeFactor(run);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunTimeEstimator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunTimeEstimator.java
@@ -43,6 +43,11 @@
             }
         }
 
+        /** Returns the variance of what predicts run times best. */
+        private double variance() {
+            return Math.max(MIN_VARIANCE, Math.min(meanVariance, estimateVariance));
+        }
+
         private double estimate(double logEstimate) {
             double varianceOfMean = Math.max(MIN_VARIANCE, meanVariance);
             double varianceOfEstimate = Math.max(MIN_VARIANCE, estimateVariance);
@@ -51,6 +56,17 @@
         }
     }
 
+    /**
+     * Returns by how much tasks take longer than expected, as one deviation, in milliseconds.
+     *
+     * @param expectedMillis the expected run time
+     */
+    long deviationMillis(String queue, long expectedMillis) {
+        QueueEstimator estimator = estimatorsByQueue.get(queue);
+        double variance = estimator == null ? INITIAL_VARIANCE : estimator.variance();
+        return Math.round(expectedMillis * Math.expm1(Math.sqrt(variance)));
+    }
+
     /** Records the run time of a task that is done. */
     void recordRunTime(String queue, long estimatedMillis, long actualMillis) {
         if (estimatedMillis > 0 && actualMillis > 0) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/SchedulerEvent.java
@@ -48,7 +48,13 @@
         /** Tasks of a step have got the place in a rack that the step waited for. */
         RACK_WAIT_PAID,
         /** A step waits no longer for a place in a rack, and has got none. */
-        RACK_WAIT_IN_VAIN
+        RACK_WAIT_IN_VAIN,
+        /** A copy of a run that takes very long is started. */
+        COPY_STARTED,
+        /** A copy is done before the run that it is a copy of. */
+        COPY_WON,
+        /** A run is done before the copy of it. */
+        COPY_LOST
     }
 
     public SchedulerEvent {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -26,6 +26,7 @@
     private final JobLifecycle lifecycle;
     private final JobRanking ranking;
     private final RackPlanner racks;
+    private final CopyStarter copies;
     private final RunNumbers numbers;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
@@ -43,6 +44,7 @@
         this.lifecycle = lifecycle;
         this.ranking = ranking;
         this.racks = racks;
+        this.copies = new CopyStarter(this, racks, events);
         this.numbers = new RunNumbers(settings.term());
         this.events = events;
         this.isolation = new IsolationPlanner(settings.vmMoveMillis(), events);
@@ -84,6 +86,7 @@
                             candidates, pools.getOrDefault(pool, List.of()), manifest, now, orders);
                 });
         racks.endRound(now);
+        orders.addAll(copies.start(liveJobs, pools, manifest, unknownPools, now));
         return orders;
     }
 
@@ -184,13 +187,14 @@
             if (worker.isEmpty()) {
                 return false;
             }
-            orders.add(startRun(task, worker.get(), numbers.next(task), now));
+            orders.add(startRun(task, worker.get(), now));
             mayBegin -= begins ? 1 : 0;
         }
         return true;
     }
 
-    private boolean mayStartOneMore(StepEntry step, Manifest manifest) {
+    /** Returns whether memory and the limit of its customer allow one more run of a step. */
+    boolean mayStartOneMore(StepEntry step, Manifest manifest) {
         return isWithinOpenRuns(1) && isWithinLimit(step, 1, manifest);
     }
 
@@ -284,8 +288,9 @@
         return isWithinOpenRuns(more) && mayBegin;
     }
 
-    private Order.Start startRun(TaskEntry task, WorkerRecord worker, int number, long now) {
-        return startOrder(openRun(task, worker, number, now), now);
+    /** Opens a run, and returns the order to start it. */
+    Order.Start startRun(TaskEntry task, WorkerRecord worker, long now) {
+        return startOrder(openRun(task, worker, numbers.next(task), now), now);
     }
 
     private Run openRun(TaskEntry task, WorkerRecord worker, int number, long now) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -23,6 +23,7 @@
     private int lastRunNumber;
     private int tooOldCount;
     private int stallCount;
+    private boolean copied;
     private String checkpoint = "";
     private long notBefore = Long.MIN_VALUE;
 
@@ -127,6 +128,15 @@
         stallCount++;
     }
 
+    /** Returns whether this holder has started a copy beside another run. */
+    boolean wasCopied() {
+        return copied;
+    }
+
+    void markCopied() {
+        copied = true;
+    }
+
     String checkpoint() {
         return checkpoint;
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
@@ -34,6 +34,7 @@
             case LOST -> TaskEvent.RUN_LOST;
             case ODD_ENTRY -> TaskEvent.REPORT_ENTRY_IGNORED;
             case RACK_WAIT_PAID, RACK_WAIT_IN_VAIN -> TaskEvent.RACK_WAIT_OVER;
+            case COPY_STARTED, COPY_WON, COPY_LOST -> TaskEvent.COPY_DECISION;
             default -> TaskEvent.TASK_DECISION;
         };
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -104,6 +104,8 @@
             7081, Level.WARN, "An entry of a worker's report names what cannot be; it is ignored."),
     /** A step waits no longer for a place in a rack. */
     RACK_WAIT_OVER(7099, Level.INFO, "A step waits no longer for a place in a rack."),
+    /** A copy of a run is started, or one of both runs is done. */
+    COPY_DECISION(7100, Level.INFO, "A second run of a task was started, or one of two is done."),
     /** An order for a VM was sent. */
     VM_ORDERED(
             7060,
