Run the soak for standstills with racks and copies as well

Cause: no test from outside had steps that wait for a rack, or two runs of a task, under troubles and changes of holder.

Change: with a remote factor of 3, half of the steps of the soak name a rack, a quarter are tightly coupled, half allow copies, and one run of 20 of these takes 8 times as long. The check allows one other run where copies are allowed, and one start after the end, since an order to start a copy may be carried out late.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -161,6 +161,10 @@
     }
 
     static FleetSettings settings(String vm, double linkMbps) {
+        return settings(vm, linkMbps, 1);
+    }
+
+    static FleetSettings settings(String vm, double linkMbps, double remoteFactor) {
         return new FleetSettings(
                 vm,
                 "dc",
@@ -179,7 +183,7 @@
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(120),
-                1,
+                remoteFactor,
                 Duration.ofSeconds(6));
     }
 
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakFleet.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import org.chervillift.api.platform.FleetVms.VmAnswer;
 import org.chervillift.api.tasks.ListedFleetVm;
@@ -26,15 +29,20 @@
     private static final Duration MOVE_TIME = Duration.ofMillis(1_500);
     private static final Duration MAINTENANCE_TIME = Duration.ofSeconds(2);
     private static final Duration HEARTBEAT = Duration.ofSeconds(2);
+    static final int RACKS = 3;
+    private static final int SLOW_RUN_OF = 20;
+    private static final int SLOW_RUN_FACTOR = 8;
     private static final int MAX_CLOCK_OFFSET = 1_000_000;
 
     private final Scheduler scheduler;
     private final MemoryStore store;
     private final Random random;
+    private final double remoteFactor;
     private final Map<String, SoakVm> vms = new TreeMap<>();
     private final Map<String, SoakWorker> workers = new HashMap<>();
     private final Map<String, SoakJob> jobs = new HashMap<>();
     private final List<String> repeated = new ArrayList<>();
+    private final Set<TaskId> lateCopies = new HashSet<>();
     private long heartbeats;
 
     /** A VM and the lifetime of its worker. */
@@ -54,11 +62,16 @@
         }
 
         List<String> labels() {
-            return List.of("a", "rack-" + name.hashCode() % 3);
+            return List.of("a", rackOf(name.hashCode() % RACKS));
         }
     }
 
-    SoakFleet(Scheduler scheduler, MemoryStore store, Random random) {
+    static String rackOf(int number) {
+        return "rack-" + number;
+    }
+
+    SoakFleet(Scheduler scheduler, MemoryStore store, Random random, double remoteFactor) {
+        this.remoteFactor = remoteFactor;
         this.scheduler = scheduler;
         this.store = store;
         this.random = random;
@@ -100,10 +113,33 @@
         return job(task).request(task);
     }
 
-    /** Checks that a task neither runs elsewhere nor has ended well to the holder's knowledge. */
+    /**
+     * Returns how long a run takes: longer away from its data, and now and then where copies are
+     * allowed.
+     */
+    long runMillis(TaskId task, int run, WorkerEntry worker) {
+        SoakJob job = job(task);
+        String rack = job.step(task).dataRack();
+        boolean away = !rack.isEmpty() && !rack.equals(worker.labels().get(1));
+        boolean slow =
+                job.step(task).allowDuplicates()
+                        && !job.step(task).gang()
+                        && Math.floorMod(Objects.hash(task, run, worker.id()), SLOW_RUN_OF) == 0;
+        return Math.round(
+                job.taskMillis() * (away ? remoteFactor : 1) * (slow ? SLOW_RUN_FACTOR : 1));
+    }
+
+    /**
+     * Checks that a task neither runs elsewhere nor has ended well to the holder's knowledge.
+     *
+     * <p>If its step allows copies, it may run once elsewhere. The order to start its copy may be
+     * carried out late, after the other run has ended; so that may happen once.
+     */
     void taskStarts(TaskId task, String worker) {
-        boolean again =
-                job(task).isNotedDone(task) || liveWorkers().stream().anyMatch(w -> runs(w, task));
+        boolean mayHaveCopy = job(task).step(task).allowDuplicates();
+        boolean afterItsEnd = job(task).isNotedDone(task) && !(mayHaveCopy && lateCopies.add(task));
+        long runs = liveWorkers().stream().filter(w -> runs(w, task)).count();
+        boolean again = afterItsEnd || runs > (mayHaveCopy ? 1 : 0);
         if (again) {
             repeated.add(nowMillis() + " task " + task + " starts again on " + worker);
         }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLoad.java
@@ -82,6 +82,8 @@
         boolean repeats = random.nextDouble() < REPEATING_SHARE;
         Schedule schedule = repeats ? new Schedule(2 + random.nextInt(6), 1, 1) : Schedule.ONCE;
         long taskMillis = 100 + random.nextInt(random.nextInt(10) == 0 ? 2_500 : 700);
+        // A run away from its data takes no longer than others do where no step names a rack.
+        taskMillis = Math.round(taskMillis / world.remoteFactor);
         JobSpec spec = new JobSpec(id, "payload", steps(repeats), schedule);
         // A gang that is wider than the limit of its customer would wait for ever.
         boolean hasGang = spec.steps().stream().anyMatch(StepSpec::gang);
@@ -106,11 +108,34 @@
             boolean wide = !gang && !repeats && random.nextDouble() < WIDE_SHARE;
             int tasks = wide ? 20 + random.nextInt(40) : 1 + random.nextInt(4);
             long cores = wide ? 500 : 500 * (1 + random.nextInt(4));
-            steps.add(step(tasks, request(cores), after, gang, false));
+            StepSpec step = step(tasks, request(cores), after, gang, false);
+            steps.add(world.remoteFactor > 1 ? withPlace(step) : step);
         }
         return steps;
     }
 
+    /** Lets half of the steps name a rack, some be coupled, and half allow copies. */
+    private StepSpec withPlace(StepSpec s) {
+        String rack = random.nextBoolean() ? SoakFleet.rackOf(random.nextInt(SoakFleet.RACKS)) : "";
+        return new StepSpec(
+                s.count(),
+                s.request(),
+                s.estimatedMillis(),
+                s.after(),
+                s.gang(),
+                random.nextInt(4) == 0,
+                s.requiredLabel(),
+                rack,
+                s.maxPerWorker(),
+                random.nextBoolean(),
+                s.longRunning(),
+                s.image(),
+                s.tailTargetMillis(),
+                s.fillsSpareCapacity(),
+                s.mayMiss(),
+                s.checkpointing());
+    }
+
     private static Resources request(long milliCores) {
         return new Resources(milliCores, 100, 0);
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorker.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorker.java
@@ -45,7 +45,7 @@
     private long expiresAt;
     private long ends;
 
-    private record Started(int run, long at) {}
+    private record Started(int run, long at, long millis) {}
 
     /** A call for a report that waits for an end. */
     private record Hold(long until, Consumer<HoldAnswer> answer) {}
@@ -167,7 +167,7 @@
 
     private int percent(TaskId task, Started started) {
         SoakJob job = fleet.job(task);
-        long share = (clock() - started.at()) * ALL / Math.max(1, job.taskMillis());
+        long share = (clock() - started.at()) * ALL / Math.max(1, started.millis());
         return job.isService() ? ALL : (int) Math.min(ALL, share);
     }
 
@@ -195,13 +195,14 @@
     }
 
     private void begin(TaskId task, int run) {
-        Started started = new Started(run, clock());
+        long millis = fleet.runMillis(task, run, entry);
+        Started started = new Started(run, clock(), millis);
         fleet.taskStarts(task, entry.id());
         running.put(task, started);
         SoakJob job = fleet.job(task);
         boolean fails = failing || job.failsNext(task);
         if (fails || !job.isService()) {
-            Duration time = fails ? FAILURE_TIME : Duration.ofMillis(job.taskMillis());
+            Duration time = fails ? FAILURE_TIME : Duration.ofMillis(millis);
             scheduler.schedule(time, () -> finish(task, started, fails));
         }
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
@@ -41,6 +41,7 @@
     final MemoryStore store = new MemoryStore(base);
     final Random random;
     final SoakFleet fleet;
+    final double remoteFactor;
     final List<Node> nodes = new ArrayList<>();
     final List<Throwable> faults = new ArrayList<>();
     final Map<String, String> poolByQueue = new LinkedHashMap<>(HOME_POOLS);
@@ -54,8 +55,19 @@
     record Node(String vm, SoakProcess process, SoakLink link, TaskNode node) {}
 
     SoakWorld(long seed) {
+        this(seed, 1);
+    }
+
+    /**
+     * Creates a world.
+     *
+     * @param remoteFactor how many times as long runs take away from the rack of their data; with 1
+     *     no step names a rack or allows copies
+     */
+    SoakWorld(long seed, double remoteFactor) {
+        this.remoteFactor = remoteFactor;
         random = new Random(seed);
-        fleet = new SoakFleet(base, store, random);
+        fleet = new SoakFleet(base, store, random, remoteFactor);
         base.advance(START);
         for (String pool : POOLS) {
             int count = MIN_WORKERS_PER_POOL + random.nextInt(3);
@@ -122,7 +134,7 @@
         startedNodes++;
         TaskNode node =
                 new TaskNode(
-                        NodeFixture.settings(vm, LINK_MBPS),
+                        NodeFixture.settings(vm, LINK_MBPS, remoteFactor),
                         process,
                         ports,
                         vm + "/" + startedNodes);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
@@ -16,6 +16,7 @@
 /** Runs nodes and workers under random load and troubles, and checks that work goes on. */
 class StandstillSoakTest {
 
+    private static final double REMOTE_FACTOR = 3;
     private static final int STEP_MILLIS = 20;
     private static final int LOOK_MILLIS = 200;
     private static final long FIRST_SEED = 1;
@@ -45,7 +46,18 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void workGoesOnAfterAnyTrouble(long seed) {
-        SoakWorld world = new SoakWorld(seed);
+        checkThatWorkGoesOn(seed, 1);
+    }
+
+    /** Steps that wait for a rack stood still, or a third run of a task was started. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void workGoesOnWhereStepsWaitForRacksAndHaveCopies(long seed) {
+        checkThatWorkGoesOn(seed, REMOTE_FACTOR);
+    }
+
+    private static void checkThatWorkGoesOn(long seed, double remoteFactor) {
+        SoakWorld world = new SoakWorld(seed, remoteFactor);
         SoakLoad load = new SoakLoad(world);
         SoakTroubles troubles = new SoakTroubles(world, kinds());
         SoakCheck check = new SoakCheck(world, load);
