Value a place in a rack by the time for which it would be unused

The rack was busy anyway; each wait only made the next one longer.

Change: RackDemand measures the mean gap between tasks that want a rack. A wait pays only if it is shorter than the gain times the part of a run for which the place would else be unused. All former bounds stay.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -15,6 +15,7 @@
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.core.tasks.RackForecasts.ExpectedPlaces;
+import org.chervillift.core.tasks.placement.RackDemand;
 import org.chervillift.core.tasks.placement.RackWait;
 
 /**
@@ -32,6 +33,7 @@
     private final Consumer<SchedulerEvent> events;
     private final RackForecasts forecasts;
     private final RackPreference anyRack;
+    private final Map<String, RackDemand> demands = new HashMap<>();
     private final FullPools fullPools = new FullPools();
     private final Map<String, Map<String, List<WorkerRecord>>> racksByPool = new HashMap<>();
     private final Set<StepEntry> startedInRack = new HashSet<>();
@@ -200,7 +202,7 @@
                     || !CoupledSteps.holdsWhole(step, needed, rack.getValue())) {
                 continue;
             }
-            long latest = first.map(ExpectedPlaces::at).orElse(wait.endsAt());
+            long latest = first.map(ExpectedPlaces::at).orElse(wait.latestPlace(now));
             Optional<ExpectedPlaces> places =
                     forecasts.firstPlaces(step, needed, rack.getValue(), latest, now);
             best = places.isPresent() ? rack.getKey() : best;
@@ -237,6 +239,9 @@
             RackPreference preference,
             long now) {
         StepEntry step = task.step();
+        if (isEnabled() && !step.spec().dataRack().isEmpty() && !step.spec().longRunning()) {
+            recordDemand(step, pool, now);
+        }
         boolean hasWaited = step.rackWait().since().isPresent();
         if (hasWaited && waitsForDataRack(task, pool, usable, now)) {
             return Place.WAITS;
@@ -276,8 +281,8 @@
         Considered current = consider(step, now);
         List<WorkerRecord> rack =
                 racksOf(step, pool).getOrDefault(step.spec().dataRack(), List.of());
-        long endsAt = current.wait.endsAt();
-        current.denied = current.denied || !forecasts.mayHaveRoomBefore(endsAt, step, rack, now);
+        long latest = current.wait.latestPlace(now);
+        current.denied = current.denied || !forecasts.mayHaveRoomBefore(latest, step, rack, now);
         if (current.denied) {
             return false;
         }
@@ -289,7 +294,7 @@
         if (workers.stream().anyMatch(w -> w.hasRoomFor(step.spec().footprint()))) {
             return false;
         }
-        Optional<ExpectedPlaces> place = forecasts.firstPlaces(step, 1, workers, endsAt, now);
+        Optional<ExpectedPlaces> place = forecasts.firstPlaces(step, 1, workers, latest, now);
         current.denied = place.isEmpty();
         place.ifPresent(p -> beginWait(step, current.wait, step.spec().dataRack(), p, now));
         return place.isPresent();
@@ -329,9 +334,28 @@
                 expectation.taskMillis(step),
                 step.rackWait().since().orElseGet(() -> firstSince(step, now)),
                 runs ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
+                gapMillis(step, now),
                 ranking.latestStart(step));
     }
 
+    private double gapMillis(StepEntry step, long now) {
+        RackDemand demand = demands.get(rackKey(step));
+        return demand == null ? Double.POSITIVE_INFINITY : demand.meanGapMillis(now);
+    }
+
+    private static String rackKey(StepEntry step) {
+        return step.job().policy().pool() + "/" + step.spec().dataRack();
+    }
+
+    /** Counts the tasks of a step once among those that want its rack, if the rack exists. */
+    private void recordDemand(StepEntry step, List<WorkerRecord> pool, long now) {
+        if (racksOf(step, pool).containsKey(step.spec().dataRack())
+                && step.rackWait().recordDemand()) {
+            demands.computeIfAbsent(rackKey(step), k -> new RackDemand())
+                    .record(step.tasks().waitingCount(), now);
+        }
+    }
+
     /**
      * Returns since when a step counts as waiting that has not waited in this term. An earlier
      * holder may have let it wait, so that all the time since its job arrived counts.
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackWaitState.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackWaitState.java
@@ -7,6 +7,7 @@
 
     private OptionalLong since = OptionalLong.empty();
     private boolean becameReady;
+    private boolean demandRecorded;
     private String rack = "";
 
     /** Returns since when the step has waited while it could start elsewhere, if it has. */
@@ -25,6 +26,13 @@
         return rack;
     }
 
+    /** Records that the step counts among those that want its rack; returns false if it did. */
+    boolean recordDemand() {
+        boolean first = !demandRecorded;
+        demandRecorded = true;
+        return first;
+    }
+
     /** Records that the last step before this one is done, by this holder's knowledge. */
     void markReady() {
         becameReady = true;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/placement/RackWait.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/placement/RackWait.java
@@ -15,10 +15,16 @@
  * @param runMillis how long a run in the rack takes
  * @param since when the step could first start, in milliseconds
  * @param idleSince when something of the job last ran, in milliseconds; empty while something runs
+ * @param gapMillis the mean time from one task that wants the rack to the next
  * @param latestStart the latest start with which the job meets its objective, in milliseconds
  */
 public record RackWait(
-        double remoteFactor, long runMillis, long since, OptionalLong idleSince, long latestStart) {
+        double remoteFactor,
+        long runMillis,
+        long since,
+        OptionalLong idleSince,
+        double gapMillis,
+        long latestStart) {
 
     /** Half of the time after which a job counts as standing still; the start takes time too. */
     public static final long MAX_IDLE_WAIT_MILLIS = 1_500;
@@ -51,12 +57,23 @@
         return now < endsAt();
     }
 
+    /**
+     * Returns the time before which a place must be expected so that a wait for it pays.
+     *
+     * <p>What a place is worth is the time for which it would else be unused: until the next task
+     * wants it, or for a whole run if that is shorter.
+     */
+    public long latestPlace(long now) {
+        double unused = Math.min(1, gapMillis / Math.max(1, runMillis));
+        return Math.min(endsAt(), SaturatedMath.add(now, Math.round(gainMillis() * unused)));
+    }
+
     /**
      * Returns whether a wait pays.
      *
      * @param placeAt when the place is expected, in milliseconds
      */
     public boolean pays(long placeAt, long now) {
-        return mayPay(now) && placeAt < endsAt();
+        return mayPay(now) && placeAt < latestPlace(now);
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
@@ -7,8 +7,11 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.chervillift.core.tasks.StandstillReport.WaitingSteps;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how long steps wait for a place in the rack of their data. */
 class RackWaitTest {
@@ -16,6 +19,8 @@
     private static final long RUN_MILLIS = 1_000;
     private static final double FACTOR = 3;
     private static final int BURST = 5;
+    private static final int BUSY_JOBS = 60;
+    private static final double BUSY_GAP_MILLIS = 400;
 
     /** The time of one core that a round may take, 50 ms. */
     private static final long MAX_ROUND_NANOS = 50_000_000;
@@ -67,6 +72,32 @@
         assertThat(with.count(SchedulerEvent.Kind.RACK_WAIT_PAID)).isGreaterThan(0);
     }
 
+    /** Returns the mean of jobs that want 1.25 times what two places serve, for a while. */
+    private static double meanOfBusyRack(double settings, long seed) {
+        RackFixture replay = new RackFixture(settings, FACTOR, RUN_MILLIS);
+        replay.addWorkers(NEAR, 2, CORE);
+        replay.addWorkers(FAR, 16, CORE);
+        Random random = new Random(seed);
+        long arrivals = 0;
+        for (int i = 0; i < BUSY_JOBS; i++) {
+            replay.fixture.accept("j" + i, RackFixture.step(1, RUN_MILLIS, NEAR, false));
+            arrivals += replay.fixture.now;
+            double gap = -Math.log(1 - random.nextDouble()) * BUSY_GAP_MILLIS;
+            replay.runUntil(replay.fixture.now + Math.round(gap));
+        }
+        replay.runUntil(replay.fixture.now + BURST_MILLIS);
+        assertThat(replay.doneAt).hasSize(BUSY_JOBS);
+        long ends = replay.doneAt.values().stream().mapToLong(Long::longValue).sum();
+        return (double) (ends - arrivals) / BUSY_JOBS;
+    }
+
+    /** Where a rack was busy anyway, each job waited, and all of them took longer. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void jobsThatWantABusyRackTakeNoLongerForTheirWaits(long seed) {
+        assertThat(meanOfBusyRack(FACTOR, seed)).isLessThan(meanOfBusyRack(1, seed));
+    }
+
     /** A deployment that sets no factor gets the same orders as before. */
     @Test
     void withoutTheSettingNothingWaits() {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/placement/PlacementDecisionsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/placement/PlacementDecisionsTest.java
@@ -12,7 +12,7 @@
     private static final long FAR_AWAY = 1_000_000;
 
     private static RackWait wait(OptionalLong idleSince, long latestStart) {
-        return new RackWait(2, 10_000, 1_000, idleSince, latestStart);
+        return new RackWait(2, 10_000, 1_000, idleSince, FAR_AWAY, latestStart);
     }
 
     /** A wait went on for as long as each new expectation seemed to pay. */
@@ -39,10 +39,20 @@
         assertThat(wait(OptionalLong.empty(), 3_000).pays(2_999, 1_000)).isTrue();
     }
 
+    /** All tasks waited for a rack that could not serve them, and each of them took longer. */
+    @Test
+    void aPlaceThatOthersWantSoonIsWorthLess() {
+        RackWait wait = new RackWait(3, 1_000, 0, OptionalLong.empty(), 250, FAR_AWAY);
+        assertThat(wait.pays(499, 0)).isTrue();
+        assertThat(wait.pays(500, 0)).isFalse();
+    }
+
     @Test
     void withoutAFactorOrAnEstimateNoWaitPays() {
-        assertThat(new RackWait(1, 10_000, 0, OptionalLong.empty(), FAR_AWAY).mayPay(0)).isFalse();
-        assertThat(new RackWait(3, 0, 0, OptionalLong.empty(), FAR_AWAY).mayPay(0)).isFalse();
+        assertThat(new RackWait(1, 10_000, 0, OptionalLong.empty(), FAR_AWAY, FAR_AWAY).mayPay(0))
+                .isFalse();
+        assertThat(new RackWait(3, 0, 0, OptionalLong.empty(), FAR_AWAY, FAR_AWAY).mayPay(0))
+                .isFalse();
     }
 
     /** Room was expected from runs that are paced to nothing or of which nothing is known. */
