Move the steps that wait for a rack to a class of their own

Change: RackWaits keeps the steps that wait from one plan to the next and reports their ends. No other change.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -1,13 +1,10 @@
 package org.chervillift.core.tasks;
 
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -30,18 +27,12 @@
     private final RunExpectation expectation;
     private final JobRanking ranking;
     private final long termBeganAt;
-    private final Consumer<SchedulerEvent> events;
+    private final RackWaits waits;
     private final RackForecasts forecasts;
     private final RackPreference anyRack;
     private final Map<String, RackDemand> demands = new HashMap<>();
     private final FullPools fullPools = new FullPools();
     private final Map<String, Map<String, List<WorkerRecord>>> racksByPool = new HashMap<>();
-    private final Set<StepEntry> startedInRack = new HashSet<>();
-
-    /** The steps that wait since the last round, and when the wait of each ends at the latest. */
-    private Map<StepEntry, Long> waiting = new LinkedHashMap<>();
-
-    private Map<StepEntry, Long> waitedBefore = Map.of();
     private Optional<Considered> considered = Optional.empty();
 
     /** The step that is looked at, since its tasks are alike and come one after the other. */
@@ -70,7 +61,7 @@
         this.expectation = expectation;
         this.ranking = ranking;
         this.termBeganAt = termBeganAt;
-        this.events = events;
+        this.waits = new RackWaits(events);
         this.forecasts = new RackForecasts(expectation);
         this.anyRack = new RackPreference(expectation.remoteFactor(), List.of());
     }
@@ -80,35 +71,8 @@
         forecasts.beginRound();
         racksByPool.clear();
         fullPools.beginRound();
-        startedInRack.clear();
         considered = Optional.empty();
-        waitedBefore = waiting;
-        waiting = new LinkedHashMap<>();
-    }
-
-    /** Ends a plan of starts; reports the steps that wait no longer. */
-    void endRound(long now) {
-        waitedBefore.keySet().stream()
-                .filter(s -> !waiting.containsKey(s) && !s.job().isFinal())
-                .forEach(s -> reportEnd(s, now));
-    }
-
-    private void reportEnd(StepEntry step, long now) {
-        SchedulerEvent.Kind kind =
-                startedInRack.contains(step)
-                        ? SchedulerEvent.Kind.RACK_WAIT_PAID
-                        : SchedulerEvent.Kind.RACK_WAIT_IN_VAIN;
-        RackWaitState state = step.rackWait();
-        events.accept(
-                new SchedulerEvent(
-                        kind,
-                        step.job().id(),
-                        step.job().id() + "." + step.occurrence() + "." + step.number(),
-                        "",
-                        "rack="
-                                + state.rack()
-                                + " waitedMillis="
-                                + (now - state.since().orElse(now))));
+        waits.beginRound();
     }
 
     /** Records a start that was decided in this round. */
@@ -116,14 +80,13 @@
         forecasts.addRun(run, now);
         StepEntry step = run.task().step();
         if (run.worker().rack().equals(step.rackWait().rack())) {
-            startedInRack.add(step);
+            waits.recordStartInRack(step);
         }
     }
 
-    /** Returns whether a step waits by the last plan, and that wait has not reached its bound. */
-    boolean isWaiting(StepEntry step, long now) {
-        Long endsAt = waiting.get(step);
-        return endsAt != null && now < endsAt;
+    /** Returns the steps that wait for a rack. */
+    RackWaits waits() {
+        return waits;
     }
 
     /** Returns what is expected of runs. */
@@ -323,7 +286,7 @@
             StepEntry step, RackWait wait, String rack, ExpectedPlaces places, long now) {
         step.rackWait().begin(wait.since(), rack);
         forecasts.reserve(step, places, now);
-        waiting.put(step, wait.endsAt());
+        waits.add(step, wait.endsAt());
     }
 
     private RackWait waitOf(StepEntry step, long now) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -85,7 +85,7 @@
                     startCandidates(
                             candidates, pools.getOrDefault(pool, List.of()), manifest, now, orders);
                 });
-        racks.endRound(now);
+        racks.waits().endRound(now);
         orders.addAll(copies.start(liveJobs, pools, manifest, unknownPools, now));
         return orders;
     }
@@ -253,7 +253,7 @@
 
     /** Returns whether a step waits for a place in a rack although another worker has room. */
     boolean waitsForRack(StepEntry step, long now) {
-        return racks.isWaiting(step, now);
+        return racks.waits().isWaiting(step, now);
     }
 
     /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
