--- a/chervillift-bench/src/main/java/org/chervillift/bench/internal/PlanFleet.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/internal/PlanFleet.java
@@ -43,7 +43,7 @@
 
     private static final long LEASE_MILLIS = 1_000_000;
     private static final SchedulerSettings SETTINGS =
-            new SchedulerSettings(1, LEASE_MILLIS, 400, 1_500);
+            new SchedulerSettings(1, LEASE_MILLIS, 400, 1_500, 1);
 
     private final int pools;
     private final Random random;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
@@ -62,12 +62,6 @@
         finishedWork.recordDone(pool, (double) spec.footprint().milliCores() * millis, now);
     }
 
-    /** Records the run time of a task that is done. */
-    void recordRunTime(TaskEntry task, long millis) {
-        String queue = task.step().job().policy().queue();
-        runTimes.recordRunTime(queue, task.step().spec().estimatedMillis(), millis);
-    }
-
     /** Returns the rate at which each pool has finished work lately, in thousandths of a core. */
     public Map<String, Long> finishedMilliCores(long now) {
         return finishedWork.milliCoresByPool(now);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -37,6 +37,7 @@
     private final JobLifecycle lifecycle;
     private final WorkerLossHandler losses;
     private final Backlog backlog;
+    private final RunExpectation expectation;
     private final Consumer<SchedulerEvent> events;
 
     ReportHandler(
@@ -46,6 +47,7 @@
             JobLifecycle lifecycle,
             WorkerLossHandler losses,
             Backlog backlog,
+            RunExpectation expectation,
             Consumer<SchedulerEvent> events) {
         this.jobs = jobs;
         this.runs = runs;
@@ -53,6 +55,7 @@
         this.lifecycle = lifecycle;
         this.losses = losses;
         this.backlog = backlog;
+        this.expectation = expectation;
         this.events = events;
     }
 
@@ -191,7 +194,7 @@
                         "end=" + ended.end() + " number=" + ended.number()));
         Optional<Run> run = task.run(ended.run(), worker);
         if (ended.end() == RunEnd.DONE && task.checkpoint().isEmpty()) {
-            run.ifPresent(r -> recordRunTime(task, r, now));
+            run.filter(r -> r.startedAt() > 0).ifPresent(r -> expectation.recordDone(r, now));
         }
         run.ifPresent(runs::close);
         task.step().job().recordRun(now);
@@ -202,6 +205,7 @@
             worker.recordSuccess();
             backlog.recordDone(task, worker.pool(), now);
             task.step().job().recordSuccess();
+            reportCopy(task, ended);
             lifecycle.taskDone(task, now);
         } else if (ended.end() == RunEnd.FAILED) {
             if (longRunning || task.step().job().recordFailure(worker.id())) {
@@ -219,12 +223,6 @@
         }
     }
 
-    private void recordRunTime(TaskEntry task, Run run, long now) {
-        if (run.startedAt() > 0) {
-            backlog.recordRunTime(task, now - run.startedAt());
-        }
-    }
-
     /**
      * Applies a run that the worker lists as running; returns the open runs that may be it.
      *
@@ -271,7 +269,7 @@
         boolean wanted =
                 !task.isDone()
                         && !task.step().job().state().isFinal()
-                        && (task.runs().isEmpty() || task.step().spec().allowDuplicates());
+                        && (task.runs().isEmpty() || mayHaveCopy(task));
         Run.Phase phase = wanted ? Run.Phase.RUNNING : Run.Phase.STOPPING;
         Run run = runs.open(task, worker, running.run(), phase, now);
         task.recordRunNumber(running.run());
@@ -281,6 +279,27 @@
         return run;
     }
 
+    /** Returns whether a second run of a task may go on beside the one that is known. */
+    private static boolean mayHaveCopy(TaskEntry task) {
+        return task.step().spec().allowDuplicates() && task.runs().size() == 1;
+    }
+
+    /** Reports which of two runs was done first. */
+    private void reportCopy(TaskEntry task, EndedRun done) {
+        task.runs().stream()
+                .filter(r -> r.number() != done.run())
+                .findFirst()
+                .ifPresent(other -> events.accept(copyEvent(other, done)));
+    }
+
+    private static SchedulerEvent copyEvent(Run other, EndedRun done) {
+        boolean won = other.number() < done.run();
+        return SchedulerEvent.of(
+                won ? SchedulerEvent.Kind.COPY_WON : SchedulerEvent.Kind.COPY_LOST,
+                other,
+                "done=" + done.run());
+    }
+
     private void handleUnlisted(Run run, long sentAt, long now) {
         switch (run.phase()) {
             case STARTING -> {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.Manifest;
@@ -24,6 +25,8 @@
     private final RunRegistry runs;
     private final JobLifecycle lifecycle;
     private final JobRanking ranking;
+    private final RackPlanner racks;
+    private final CopyStarter copies;
     private final RunNumbers numbers;
     private final Consumer<SchedulerEvent> events;
     private final IsolationPlanner isolation;
@@ -37,11 +40,14 @@
             RunRegistry runs,
             JobLifecycle lifecycle,
             JobRanking ranking,
+            RackPlanner racks,
             SchedulerSettings settings,
             Consumer<SchedulerEvent> events) {
         this.runs = runs;
         this.lifecycle = lifecycle;
         this.ranking = ranking;
+        this.racks = racks;
+        this.copies = new CopyStarter(this, racks, events);
         this.numbers = new RunNumbers(settings.term());
         this.events = events;
         this.shareMonitor = new ShareMonitor(events);
@@ -65,6 +71,7 @@
         Map<String, List<WorkerRecord>> pools =
                 workers.stream().collect(Collectors.groupingBy(WorkerRecord::pool));
         pools.values().forEach(p -> FaultyWorkerLimit.apply(p, now));
+        pools.values().forEach(PoolSpeeds::apply);
         Map<String, List<StartOrder.Candidate>> candidatesByPool =
                 liveJobs.stream()
                         .flatMap(JobEntry::steps)
@@ -73,6 +80,7 @@
                         .map(s -> new StartOrder.Candidate(s, ranking.rankOf(s, now)))
                         .collect(Collectors.groupingBy(c -> c.step().job().policy().pool()));
         isolation.beginRound(StartOrder.stepsOf(candidatesByPool.values()), now);
+        racks.beginRound();
         keptFree.clear();
         blockedUrgent.clear();
         shareMonitor.beginRound();
@@ -85,6 +93,8 @@
                     shareMonitor.record(name, order, now);
                 });
         shareMonitor.endRound(now);
+        racks.waits().endRound(now);
+        orders.addAll(copies.start(liveJobs, pools, manifest, unknownPools, now));
         return orders;
     }
 
@@ -163,6 +173,24 @@
             long now,
             List<Order.Start> orders,
             StartOrder order) {
+        if (!mayStartOneMore(step, manifest)) {
+            return true;
+        }
+        Optional<RackPreference> preference =
+                racks.choose(step, pool, w -> !reserved.contains(w), now);
+        return preference.isEmpty()
+                || startTasks(step, pool, reserved, preference.get(), manifest, now, orders, order);
+    }
+
+    private boolean startTasks(
+            StepEntry step,
+            List<WorkerRecord> pool,
+            Set<WorkerRecord> reserved,
+            RackPreference preference,
+            Manifest manifest,
+            long now,
+            List<Order.Start> orders,
+            StartOrder order) {
         int mayBegin = JobSizeLimits.tasksThatMayBegin(step);
         for (TaskEntry task : step.tasks().waiting()) {
             if (task.notBefore() > now) {
@@ -172,13 +200,19 @@
                 return true;
             }
             boolean begins = !step.tasks().isKept(task);
-            if (begins && mayBegin <= 0 || !isWithinOpenRuns(1)) {
+            if (begins && mayBegin <= 0 || !mayStartOneMore(step, manifest)) {
                 return true;
             }
-            if (!isWithinLimit(step, 1, manifest)) {
-                return true;
+            if (unplaceable.isUnplaceable(task)) {
+                return false;
             }
-            Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
+            Predicate<WorkerRecord> usable = w -> isUsable(task, w, reserved, now);
+            RackPlanner.Place place = racks.place(task, pool, usable, preference, now);
+            if (place.waits()) {
+                mayBegin -= begins ? 1 : 0;
+                continue;
+            }
+            Optional<WorkerRecord> worker = place.worker();
             if (worker.isEmpty() && task.crashes().needsIsolation()) {
                 // Waits for a worker of its own, which lower-ranked steps cannot take.
                 continue;
@@ -187,13 +221,18 @@
                 unplaceable.record(task);
                 return false;
             }
-            orders.add(startRun(task, worker.get(), numbers.next(task), now));
+            orders.add(startRun(task, worker.get(), now));
             order.recordStarts(step, 1);
             mayBegin -= begins ? 1 : 0;
         }
         return true;
     }
 
+    /** Returns whether memory and the limit of its customer allow one more run of a step. */
+    boolean mayStartOneMore(StepEntry step, Manifest manifest) {
+        return isWithinOpenRuns(1) && isWithinLimit(step, 1, manifest);
+    }
+
     /** Starts all tasks of a gang or none; returns false if they do not all fit on the workers. */
     private boolean startGang(
             StepEntry step,
@@ -209,12 +248,18 @@
                 || !isWithinLimit(step, tasks.size(), manifest)) {
             return true;
         }
+        Optional<RackPreference> preference =
+                racks.choose(step, pool, w -> !reserved.contains(w), now);
+        if (preference.isEmpty()) {
+            return true;
+        }
         int number = tasks.stream().mapToInt(numbers::next).max().orElse(1);
         String checkpoint =
                 tasks.stream().map(TaskEntry::checkpoint).max(Comparator.naturalOrder()).orElse("");
         List<Run> placed = new ArrayList<>();
         for (TaskEntry task : tasks) {
-            Optional<WorkerRecord> worker = chooseWorker(task, pool, reserved, now);
+            Optional<WorkerRecord> worker =
+                    chooseWorker(task, pool, reserved, preference.get(), now);
             if (worker.isEmpty()) {
                 placed.forEach(runs::close);
                 return false;
@@ -230,12 +275,25 @@
     }
 
     private Optional<WorkerRecord> chooseWorker(
-            TaskEntry task, List<WorkerRecord> pool, Set<WorkerRecord> reserved, long now) {
+            TaskEntry task,
+            List<WorkerRecord> pool,
+            Set<WorkerRecord> reserved,
+            RackPreference preference,
+            long now) {
         if (unplaceable.isUnplaceable(task)) {
             return Optional.empty();
         }
-        return Placement.choose(
-                task, pool, w -> !reserved.contains(w) && isAllowedByIsolation(task, w, now), now);
+        return Placement.choose(task, pool, w -> isUsable(task, w, reserved, now), preference, now);
+    }
+
+    private boolean isUsable(
+            TaskEntry task, WorkerRecord worker, Set<WorkerRecord> reserved, long now) {
+        return !reserved.contains(worker) && isAllowedByIsolation(task, worker, now);
+    }
+
+    /** Returns whether a step waits for a place in a rack although another worker has room. */
+    boolean waitsForRack(StepEntry step, long now) {
+        return racks.waits().isWaiting(step, now);
     }
 
     /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
@@ -270,8 +328,9 @@
         return isWithinOpenRuns(more) && mayBegin;
     }
 
-    private Order.Start startRun(TaskEntry task, WorkerRecord worker, int number, long now) {
-        return startOrder(openRun(task, worker, number, now), now);
+    /** Opens a run, and returns the order to start it. */
+    Order.Start startRun(TaskEntry task, WorkerRecord worker, long now) {
+        return startOrder(openRun(task, worker, numbers.next(task), now), now);
     }
 
     private Run openRun(TaskEntry task, WorkerRecord worker, int number, long now) {
@@ -284,6 +343,7 @@
         task.recordRunNumber(run.number());
         JobEntry job = task.step().job();
         lifecycle.markStarted(job);
+        racks.recordStart(run, now);
         WorkerRecord worker = run.worker();
         events.accept(
                 SchedulerEvent.of(
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskEntry.java
@@ -24,6 +24,7 @@
     private int tooOldCount;
     private int stallCount;
     private int preemptionCount;
+    private boolean copied;
     private String checkpoint = "";
     private long notBefore = Long.MIN_VALUE;
 
@@ -137,6 +138,15 @@
         preemptionCount++;
     }
 
+    /** Returns whether this holder has started a copy beside another run. */
+    boolean wasCopied() {
+        return copied;
+    }
+
+    void markCopied() {
+        copied = true;
+    }
+
     String checkpoint() {
         return checkpoint;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -1,6 +1,5 @@
 package org.chervillift.core.tasks;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -82,9 +81,12 @@
         RunNumbers numbers = new RunNumbers(settings.term());
         this.restorer = new ProgressRestorer(lifecycle, inheritedStarts, numbers);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
+        RunExpectation expectation = new RunExpectation(runTimes, settings);
         this.reportHandler =
-                new ReportHandler(jobs, runs, numbers, lifecycle, losses, backlog, events);
-        this.startPlanner = new StartPlanner(runs, lifecycle, ranking, settings, events);
+                new ReportHandler(
+                        jobs, runs, numbers, lifecycle, losses, backlog, expectation, events);
+        RackPlanner racks = new RackPlanner(expectation, ranking, now, events);
+        this.startPlanner = new StartPlanner(runs, lifecycle, ranking, racks, settings, events);
         this.stops =
                 new RunStops(
                         startPlanner,
@@ -454,11 +456,7 @@
 
     /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
     public Map<String, String> workersInUse() {
-        Map<String, String> inUse = new HashMap<>(predecessor.poolsByWorker());
-        workers.values().stream()
-                .filter(w -> w.isListed() || !w.runs().isEmpty())
-                .forEach(w -> inUse.put(w.id(), w.pool()));
-        return inUse;
+        return leases.workersInUse();
     }
 
     /** Returns what tells why work waits. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
@@ -1,6 +1,7 @@
 package org.chervillift.core.tasks;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -70,4 +71,13 @@
         WorkerRecord worker = workers.get(workerId);
         return worker == null ? predecessor.leasesEndAt() : lastLeaseEndsAt(worker);
     }
+
+    /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
+    Map<String, String> workersInUse() {
+        Map<String, String> inUse = new HashMap<>(predecessor.poolsByWorker());
+        workers.values().stream()
+                .filter(w -> w.isListed() || !w.runs().isEmpty())
+                .forEach(w -> inUse.put(w.id(), w.pool()));
+        return inUse;
+    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/DecisionLog.java
@@ -38,6 +38,8 @@
             case ODD_ENTRY -> TaskEvent.REPORT_ENTRY_IGNORED;
             case PREEMPTED -> TaskEvent.RUN_PREEMPTED;
             case BEYOND_SHARE, WITHIN_SHARE -> TaskEvent.CUSTOMER_SHARE;
+            case RACK_WAIT_PAID, RACK_WAIT_IN_VAIN -> TaskEvent.RACK_WAIT_OVER;
+            case COPY_STARTED, COPY_WON, COPY_LOST -> TaskEvent.COPY_DECISION;
             default -> TaskEvent.TASK_DECISION;
         };
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -203,24 +203,25 @@
     }
 
     static FleetSettings settings(String vm, double linkMbps) {
-        return settings(vm, linkMbps, Duration.ZERO, PoolSettings.DEFAULT, Optional.empty());
+        return settings(vm, linkMbps, 1, Duration.ZERO, PoolSettings.DEFAULT, Optional.empty());
     }
 
     static FleetSettings settings(String vm, double linkMbps, PoolSettings pools) {
-        return settings(vm, linkMbps, Duration.ZERO, pools, Optional.empty());
+        return settings(vm, linkMbps, 1, Duration.ZERO, pools, Optional.empty());
     }
 
     static FleetSettings settings(String vm, double linkMbps, Duration evacuateWithin) {
-        return settings(vm, linkMbps, evacuateWithin, PoolSettings.DEFAULT, Optional.empty());
+        return settings(vm, linkMbps, 1, evacuateWithin, PoolSettings.DEFAULT, Optional.empty());
     }
 
     static FleetSettings settings(String vm, double linkMbps, Optional<HostPort> peers) {
-        return settings(vm, linkMbps, Duration.ZERO, PoolSettings.DEFAULT, peers);
+        return settings(vm, linkMbps, 1, Duration.ZERO, PoolSettings.DEFAULT, peers);
     }
 
     static FleetSettings settings(
             String vm,
             double linkMbps,
+            double remoteFactor,
             Duration evacuateWithin,
             PoolSettings pools,
             Optional<HostPort> peers) {
@@ -243,6 +244,7 @@
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(120),
+                remoteFactor,
                 Duration.ofSeconds(6),
                 evacuateWithin,
                 pools);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakWorld.java
@@ -43,6 +43,7 @@
     final MemoryStore store = new MemoryStore(base);
     final Random random;
     final SoakFleet fleet;
+    final double remoteFactor;
     final List<Node> nodes = new ArrayList<>();
     final List<Throwable> faults = new ArrayList<>();
     final SoakPeers peers;
@@ -59,7 +60,7 @@
     record Node(String vm, SoakProcess process, SoakLink link, TaskNode node) {}
 
     SoakWorld(long seed) {
-        this(seed, Duration.ZERO);
+        this(seed, 1, Duration.ZERO, false);
     }
 
     /**
@@ -68,19 +69,29 @@
      * @param evacuateWithin the setting of all processes; zero if there are no evacuations
      */
     SoakWorld(long seed, Duration evacuateWithin) {
-        this(seed, evacuateWithin, false);
+        this(seed, 1, evacuateWithin, false);
     }
 
     /** Returns a world whose processes relay requests to each other. */
     static SoakWorld withRelay(long seed) {
-        return new SoakWorld(seed, Duration.ZERO, true);
+        return new SoakWorld(seed, 1, Duration.ZERO, true);
     }
 
-    private SoakWorld(long seed, Duration evacuateWithin, boolean relaying) {
+    /**
+     * Returns a world in which steps name racks and allow copies.
+     *
+     * @param remoteFactor how many times as long runs take away from the rack of their data
+     */
+    static SoakWorld withRacks(long seed, double remoteFactor) {
+        return new SoakWorld(seed, remoteFactor, Duration.ZERO, false);
+    }
+
+    private SoakWorld(long seed, double remoteFactor, Duration evacuateWithin, boolean relaying) {
+        this.remoteFactor = remoteFactor;
         this.evacuateWithin = evacuateWithin;
         this.relaying = relaying;
         random = new Random(seed);
-        fleet = new SoakFleet(base, store, random);
+        fleet = new SoakFleet(base, store, random, remoteFactor);
         peers = new SoakPeers(random, id -> fleet.job(id).spec());
         base.advance(START);
         for (String pool : POOLS) {
@@ -149,7 +160,12 @@
         TaskNode node =
                 new TaskNode(
                         NodeFixture.settings(
-                                vm, LINK_MBPS, evacuateWithin, PoolSettings.DEFAULT, peerAddress()),
+                                vm,
+                                LINK_MBPS,
+                                remoteFactor,
+                                evacuateWithin,
+                                PoolSettings.DEFAULT,
+                                peerAddress()),
                         process,
                         ports,
                         vm + "/" + startedNodes,
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
@@ -16,6 +16,7 @@
 /** Runs nodes and workers under random load and troubles, and checks that work goes on. */
 class StandstillSoakTest {
 
+    private static final double REMOTE_FACTOR = 3;
     private static final int STEP_MILLIS = 20;
     private static final int LOOK_MILLIS = 200;
     private static final long FIRST_SEED = 1;
@@ -67,8 +68,18 @@
 
     private static void checkWorkGoesOn(long seed, Set<Kind> kinds) {
         boolean evacuates = kinds.contains(Kind.EVACUATION);
-        SoakWorld world =
-                new SoakWorld(seed, evacuates ? SoakFleet.EVACUATE_WITHIN : Duration.ZERO);
+        Duration within = evacuates ? SoakFleet.EVACUATE_WITHIN : Duration.ZERO;
+        checkWorkGoesOn(seed, kinds, new SoakWorld(seed, within));
+    }
+
+    /** Steps that wait for a rack stood still, or a third run of a task was started. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void workGoesOnWhereStepsWaitForRacksAndHaveCopies(long seed) {
+        checkWorkGoesOn(seed, kinds(), SoakWorld.withRacks(seed, REMOTE_FACTOR));
+    }
+
+    private static void checkWorkGoesOn(long seed, Set<Kind> kinds, SoakWorld world) {
         SoakLoad load = new SoakLoad(world);
         SoakTroubles troubles = new SoakTroubles(world, kinds);
         SoakCheck check = new SoakCheck(world, load);
