--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -186,7 +186,15 @@
      */
     record Place(Optional<WorkerRecord> worker, boolean waits) {
 
+        /** No worker can take the task now. */
+        static final Place NONE = new Place(Optional.empty(), false);
+
         private static final Place WAITS = new Place(Optional.empty(), true);
+
+        /** Returns whether the task neither starts now nor waits for its rack. */
+        boolean isNone() {
+            return worker.isEmpty() && !waits;
+        }
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -89,7 +89,8 @@
                 (name, candidates) -> {
                     List<WorkerRecord> pool = pools.getOrDefault(name, List.of());
                     StartOrder order = StartOrder.of(candidates, pool, manifest, now);
-                    startCandidates(order, pool, manifest, now, orders);
+                    startCandidates(
+                            new PoolRound(pool, new HashSet<>(), order, manifest, now, orders));
                     shareMonitor.record(name, order, now);
                 });
         shareMonitor.endRound(now);
@@ -108,29 +109,43 @@
         return false;
     }
 
-    private void startCandidates(
-            StartOrder order,
+    /**
+     * What one plan does in a pool.
+     *
+     * @param pool the workers of the pool
+     * @param reserved the workers that are kept free for steps that fit on none
+     * @param order the steps in their order
+     * @param orders receives the orders
+     */
+    private record PoolRound(
             List<WorkerRecord> pool,
+            Set<WorkerRecord> reserved,
+            StartOrder order,
             Manifest manifest,
             long now,
             List<Order.Start> orders) {
+
+        boolean isFree(WorkerRecord worker) {
+            return !reserved.contains(worker);
+        }
+    }
+
+    private void startCandidates(PoolRound round) {
         unplaceable = new UnplaceableSizes();
-        order.steps().forEach(s -> isolation.reserve(s, pool, now));
-        Set<WorkerRecord> reserved = new HashSet<>();
-        Optional<StepEntry> next = order.next();
+        round.order().steps().forEach(s -> isolation.reserve(s, round.pool(), round.now()));
+        Optional<StepEntry> next = round.order().next();
         while (next.isPresent()) {
             StepEntry step = next.get();
             boolean blocked =
-                    step.spec().gang()
-                            ? !startGang(step, pool, reserved, manifest, now, orders, order)
-                            : !startTasks(step, pool, reserved, manifest, now, orders, order);
+                    step.spec().gang() ? !startGang(step, round) : !startTasks(step, round);
             if (blocked && PreemptionPlanner.isUrgent(step)) {
                 blockedUrgent.add(step);
             }
-            if (blocked && reserved.isEmpty()) {
-                chooseReservedWorker(step, pool, now).ifPresent(w -> keepFree(w, step, reserved));
+            if (blocked && round.reserved().isEmpty()) {
+                chooseReservedWorker(step, round.pool(), round.now())
+                        .ifPresent(w -> keepFree(w, step, round.reserved()));
             }
-            next = order.next();
+            next = round.order().next();
         }
     }
 
@@ -165,91 +180,75 @@
     }
 
     /** Starts the waiting tasks of a step; returns false if one of them fits on no worker. */
-    private boolean startTasks(
-            StepEntry step,
-            List<WorkerRecord> pool,
-            Set<WorkerRecord> reserved,
-            Manifest manifest,
-            long now,
-            List<Order.Start> orders,
-            StartOrder order) {
-        if (!mayStartOneMore(step, manifest)) {
+    private boolean startTasks(StepEntry step, PoolRound round) {
+        if (!mayStartOneMore(step, round.manifest())) {
             return true;
         }
         Optional<RackPreference> preference =
-                racks.choose(step, pool, w -> !reserved.contains(w), now);
-        return preference.isEmpty()
-                || startTasks(step, pool, reserved, preference.get(), manifest, now, orders, order);
+                racks.choose(step, round.pool(), round::isFree, round.now());
+        return preference.isEmpty() || startTasks(step, preference.get(), round);
     }
 
-    private boolean startTasks(
-            StepEntry step,
-            List<WorkerRecord> pool,
-            Set<WorkerRecord> reserved,
-            RackPreference preference,
-            Manifest manifest,
-            long now,
-            List<Order.Start> orders,
-            StartOrder order) {
+    private boolean startTasks(StepEntry step, RackPreference preference, PoolRound round) {
         int mayBegin = JobSizeLimits.tasksThatMayBegin(step);
         for (TaskEntry task : step.tasks().waiting()) {
-            if (task.notBefore() > now) {
+            if (task.notBefore() > round.now()) {
                 continue;
             }
-            if (order.postponeIfBeyondShare(step)) {
-                return true;
-            }
             boolean begins = !step.tasks().isKept(task);
-            if (begins && mayBegin <= 0 || !mayStartOneMore(step, manifest)) {
+            if (!isNextToStart(step, begins, mayBegin, round)) {
                 return true;
             }
-            if (unplaceable.isUnplaceable(task)) {
-                return false;
-            }
-            Predicate<WorkerRecord> usable = w -> isUsable(task, w, reserved, now);
-            RackPlanner.Place place = racks.place(task, pool, usable, preference, now);
-            if (place.waits()) {
-                mayBegin -= begins ? 1 : 0;
-                continue;
-            }
-            Optional<WorkerRecord> worker = place.worker();
-            if (worker.isEmpty() && task.crashes().needsIsolation()) {
+            RackPlanner.Place place = placeFor(task, preference, round);
+            if (place.isNone() && task.crashes().needsIsolation()) {
                 // Waits for a worker of its own, which lower-ranked steps cannot take.
                 continue;
             }
-            if (worker.isEmpty()) {
+            if (place.isNone()) {
                 unplaceable.record(task);
                 return false;
             }
-            orders.add(startRun(task, worker.get(), now));
-            order.recordStarts(step, 1);
+            place.worker().ifPresent(w -> start(task, w, round));
             mayBegin -= begins ? 1 : 0;
         }
         return true;
     }
 
+    /** Returns whether shares, memory and limits allow the step to start one more task now. */
+    private boolean isNextToStart(StepEntry step, boolean begins, int mayBegin, PoolRound round) {
+        return !round.order().postponeIfBeyondShare(step)
+                && !(begins && mayBegin <= 0)
+                && mayStartOneMore(step, round.manifest());
+    }
+
+    private RackPlanner.Place placeFor(TaskEntry task, RackPreference preference, PoolRound round) {
+        if (unplaceable.isUnplaceable(task)) {
+            return RackPlanner.Place.NONE;
+        }
+        Predicate<WorkerRecord> usable = w -> isUsable(task, w, round);
+        return racks.place(task, round.pool(), usable, preference, round.now());
+    }
+
+    private void start(TaskEntry task, WorkerRecord worker, PoolRound round) {
+        round.orders().add(startRun(task, worker, round.now()));
+        round.order().recordStarts(task.step(), 1);
+    }
+
     /** Returns whether memory and the limit of its customer allow one more run of a step. */
     boolean mayStartOneMore(StepEntry step, Manifest manifest) {
         return isWithinOpenRuns(1) && isWithinLimit(step, 1, manifest);
     }
 
     /** Starts all tasks of a gang or none; returns false if they do not all fit on the workers. */
-    private boolean startGang(
-            StepEntry step,
-            List<WorkerRecord> pool,
-            Set<WorkerRecord> reserved,
-            Manifest manifest,
-            long now,
-            List<Order.Start> orders,
-            StartOrder order) {
+    private boolean startGang(StepEntry step, PoolRound round) {
         List<TaskEntry> tasks = step.tasks().all();
-        if (!areAllStartable(tasks, now)
+        if (!areAllStartable(tasks, round.now())
                 || !isWithinOpenRuns(tasks.size())
-                || !isWithinLimit(step, tasks.size(), manifest)) {
+                || !isWithinLimit(step, tasks.size(), round.manifest())) {
             return true;
         }
         Optional<RackPreference> preference =
-                racks.choose(step, pool, w -> !reserved.contains(w), now);
+                racks.choose(step, round.pool(), round::isFree, round.now());
         if (preference.isEmpty()) {
             return true;
         }
@@ -258,37 +257,32 @@
                 tasks.stream().map(TaskEntry::checkpoint).max(Comparator.naturalOrder()).orElse("");
         List<Run> placed = new ArrayList<>();
         for (TaskEntry task : tasks) {
-            Optional<WorkerRecord> worker =
-                    chooseWorker(task, pool, reserved, preference.get(), now);
+            Optional<WorkerRecord> worker = chooseWorker(task, preference.get(), round);
             if (worker.isEmpty()) {
                 placed.forEach(runs::close);
                 return false;
             }
-            placed.add(openRun(task, worker.get(), number, now));
+            placed.add(openRun(task, worker.get(), number, round.now()));
         }
         for (Run run : placed) {
             run.task().updateCheckpoint(checkpoint);
-            orders.add(startOrder(run, now));
+            round.orders().add(startOrder(run, round.now()));
         }
-        order.recordStarts(step, placed.size());
+        round.order().recordStarts(step, placed.size());
         return true;
     }
 
     private Optional<WorkerRecord> chooseWorker(
-            TaskEntry task,
-            List<WorkerRecord> pool,
-            Set<WorkerRecord> reserved,
-            RackPreference preference,
-            long now) {
+            TaskEntry task, RackPreference preference, PoolRound round) {
         if (unplaceable.isUnplaceable(task)) {
             return Optional.empty();
         }
-        return Placement.choose(task, pool, w -> isUsable(task, w, reserved, now), preference, now);
+        return Placement.choose(
+                task, round.pool(), w -> isUsable(task, w, round), preference, round.now());
     }
 
-    private boolean isUsable(
-            TaskEntry task, WorkerRecord worker, Set<WorkerRecord> reserved, long now) {
-        return !reserved.contains(worker) && isAllowedByIsolation(task, worker, now);
+    private boolean isUsable(TaskEntry task, WorkerRecord worker, PoolRound round) {
+        return round.isFree(worker) && isAllowedByIsolation(task, worker, round.now());
     }
 
     /** Returns whether a step waits for a place in a rack although another worker has room. */
