--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/ManifestCheck.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/ManifestCheck.java
@@ -143,9 +143,6 @@
             if (customer.keys().isEmpty()) {
                 warning(entry, "It has no key, so that it cannot hand in jobs.");
             }
-            if (!(customer.weight() > 0)) {
-                error(entry, "Its weight is not above 0; it counts as 1.");
-            }
             for (String key : customer.keys()) {
                 String owner = owners.putIfAbsent(key, customer.name());
                 if (owner != null) {
