--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
@@ -125,6 +125,7 @@
                 && spec.maxPerWorker() == 0
                 && !step.job().policy().advised()
                 && !spec.gang()
+                && !spec.tightlyCoupled()
                 && spec.requiredLabel().isEmpty()
                 && spec.dataRack().isEmpty()
                 && spec.request().fitsInLimit(limitOf(step.job()));
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/BacklogTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/BacklogTest.java
@@ -32,6 +32,7 @@
     void tasksThatMayWaitForSomethingElseThanRoomAreNotCounted() {
         SchedulerFixture fixture = new SchedulerFixture();
         fixture.accept("gang", SchedulerFixture.step(4, 1_000, List.of(), true, false, 0));
+        fixture.accept("coupled", RackFixture.step(4, 1_000, "", true));
         fixture.accept("spread", SchedulerFixture.stepWithMaxPerWorker(4, 1));
         fixture.accept("service", SchedulerFixture.step(4, 1_000, List.of(), false, true, 0));
         assertThat(waitingWork(fixture)).isEmpty();
