Refuse no job that an earlier submission may have stored, also across the relay

A peer's rejection was passed on although an earlier write of this process had no answer; a job sent to a silent peer was rejected here afterwards; and a write without effect was told as "has not run" after one of unknown outcome. All three are now 504 or an attempt to store the job.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobRequestHandler.java
@@ -27,6 +27,7 @@
 import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.core.tasks.JobProgress;
 import org.chervillift.core.tasks.admission.RetryTimes;
+import org.chervillift.core.tasks.relay.RelayAnswers;
 import org.chervillift.core.tasks.relay.RelayCause;
 import org.chervillift.daemon.tasks.KnownJobs.KnownJob;
 import org.chervillift.daemon.tasks.relay.RelayedAnswer;
@@ -38,7 +39,8 @@
 /** Handles callers' requests to submit, read and cancel jobs. */
 final class JobRequestHandler {
 
-    private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final int JOB_ID_LENGTH = 16;
+    private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{" + JOB_ID_LENGTH + "}");
 
     private final MonitoredStore store;
     private final Scheduler scheduler;
@@ -95,6 +97,7 @@
         long start = nowMillis();
         return answerHere(request)
                 .thenCompose(local -> relay.relayIfNeeded(request, local, start))
+                .thenApply(result -> withEarlierSubmissions(request, result))
                 .thenApply(
                         result -> {
                             long millis = nowMillis() - start;
@@ -115,6 +118,31 @@
                         });
     }
 
+    /**
+     * Records a job that another entry VM may have stored, and passes on no refusal by another one
+     * of a job that an earlier submission to this process may have stored.
+     */
+    private AnswerWithBasis withEarlierSubmissions(JobRequest request, AnswerWithBasis result) {
+        if (request.action() != JobRequest.Action.SUBMIT) {
+            return result;
+        }
+        String jobId = lastPart(request.path());
+        if (result.answer() instanceof JobAnswer.OutcomeUnknown) {
+            submitter.recordUnknown(jobId);
+        }
+        return result.basis() instanceof AnswerBasis.Peer
+                ? new AnswerWithBasis(
+                        RelayAnswers.toCaller(
+                                request.action(), submitter.mayBeStored(jobId), result.answer()),
+                        result.basis())
+                : result;
+    }
+
+    /** Returns the job's identifier, also if the queue is not known here. */
+    private static String lastPart(String path) {
+        return path.substring(Math.max(0, path.length() - JOB_ID_LENGTH));
+    }
+
     private CompletionStage<AnswerWithBasis> answerHere(JobRequest request) {
         return route(request).exceptionally(fault -> toFailureAnswer(request, fault));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobSubmitter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobSubmitter.java
@@ -64,6 +64,16 @@
                 .thenCompose(r -> r.isEmpty() ? store(job) : rejectUnlessStored(job, r.get()));
     }
 
+    /** Returns whether a job may be stored by an earlier submission to this process. */
+    boolean mayBeStored(String jobId) {
+        return submissions.mayStore(jobId, nowMillis());
+    }
+
+    /** Records that it is not known whether another entry VM has stored a job. */
+    void recordUnknown(String jobId) {
+        submissions.recordUnknown(jobId, nowMillis());
+    }
+
     private long nowMillis() {
         return scheduler.now().toEpochMilli();
     }
@@ -74,13 +84,13 @@
      */
     private CompletionStage<AnswerWithBasis> rejectUnlessStored(
             AcceptedJob job, Rejection rejection) {
-        if (submissions.mayStore(job.id(), nowMillis())) {
+        if (mayBeStored(job.id())) {
             return store(job);
         }
         return findJob.apply(job.id())
                 .handle(
                         (found, fault) -> {
-                            if (fault != null || submissions.mayStore(job.id(), nowMillis())) {
+                            if (fault != null || mayBeStored(job.id())) {
                                 return store(job);
                             }
                             JobAnswer answer =
@@ -121,6 +131,9 @@
     }
 
     private JobAnswer notStored(AcceptedJob job) {
+        if (mayBeStored(job.id())) {
+            return new JobAnswer.OutcomeUnknown();
+        }
         return new JobAnswer.Unavailable(
                 NOT_STORED_MESSAGE, RetryTimes.afterOutage(job.id(), store.unresponsiveMillis()));
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/OpenSubmissions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/OpenSubmissions.java
@@ -39,11 +39,16 @@
     void end(String jobId, boolean known, long now) {
         beingStored.computeIfPresent(jobId, (id, count) -> count == 1 ? null : count - 1);
         if (!known) {
-            unknownSince.remove(jobId);
-            unknownSince.put(jobId, now);
+            recordUnknown(jobId, now);
         }
     }
 
+    /** Records that it is not known whether a job was stored, here or by another entry VM. */
+    void recordUnknown(String jobId, long now) {
+        unknownSince.remove(jobId);
+        unknownSince.put(jobId, now);
+    }
+
     /** Returns whether a job may be stored by a submission to this process. */
     boolean mayStore(String jobId, long now) {
         Long since = unknownSince.get(jobId);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PeerNetwork.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/PeerNetwork.java
@@ -45,7 +45,15 @@
     }
 
     void setGone(String vm) {
-        gone.add(addressOf(vm).toString());
+        setGone(vm, true);
+    }
+
+    void setGone(String vm, boolean value) {
+        if (value) {
+            gone.add(addressOf(vm).toString());
+        } else {
+            gone.remove(addressOf(vm).toString());
+        }
     }
 
     void setSilent(String vm) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RequestRelayTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RequestRelayTest.java
@@ -9,11 +9,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import org.chervillift.api.platform.StoreException;
+import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest;
 import org.chervillift.api.tasks.JobRequest.Action;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.JobStatus;
+import org.chervillift.api.tasks.Manifest;
+import org.chervillift.api.tasks.Resources;
 import org.chervillift.core.tasks.relay.RelayPeers;
 import org.chervillift.standin.tasks.StoreFault;
 import org.junit.jupiter.api.Test;
@@ -21,6 +24,7 @@
 /** Relays requests between entry VMs in virtual time, under rejections by the store. */
 class RequestRelayTest extends RelayTestBase {
 
+    private static final String OTHER_JOB = "5c0e7a21d94b36f9";
     private static final int REQUESTS = 100;
     private static final long MAX_REFUSAL_MILLIS = 20;
 
@@ -223,4 +227,65 @@
                 .isInstanceOf(JobAnswer.Unavailable.class);
         assertThat(network.sent()).isEmpty();
     }
+
+    /** Lets the customer run less than a task of the job asks for, so that it is rejected. */
+    private void lowerLimit() {
+        Manifest plain = fixture.manifest(2, Set.of(NodeFixture.KEY));
+        Resources limit = new Resources(1, 0, 0);
+        fixture.configure(
+                Manifest.of(
+                        2,
+                        plain.routes(),
+                        List.copyOf(plain.pools().values()),
+                        List.of(new Customer("distiller", Set.of(NodeFixture.KEY), 1, limit)),
+                        plain.maxBodyBytes()));
+        fixture.advanceMillis(500);
+    }
+
+    /** Guards against "has not run" from a peer for a job that an earlier own write may store. */
+    @Test
+    void aPeersRejectionIsNotPassedOnWhileAnEarlierSubmissionMayHaveStoredTheJob() {
+        startNodes("a", "b");
+        stores.get("a").failJobWrites(StoreException.Effect.UNKNOWN);
+        network.setGone("b");
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.OutcomeUnknown.class);
+
+        network.setGone("b", false);
+        lowerLimit();
+        reject("a");
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.OutcomeUnknown.class);
+        assertThat(fixture.ask(nodes.get("a"), Action.SUBMIT, OTHER_JOB))
+                .isInstanceOf(JobAnswer.TooLarge.class);
+    }
+
+    /** Guards against "has not run" for a job that a peer may still store. */
+    @Test
+    void aJobThatWasSentToASilentPeerIsNotRejectedHereAfterwards() {
+        startNodes("a", "b");
+        reject("a");
+        network.setSilent("b");
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.OutcomeUnknown.class);
+
+        stores.get("a").setRejecting(false);
+        fixture.advanceMillis(3_000);
+        lowerLimit();
+        assertThat(fixture.ask(nodes.get("a"), Action.SUBMIT, OTHER_JOB))
+                .isInstanceOf(JobAnswer.TooLarge.class);
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.Accepted.class);
+    }
+
+    /** Guards against "has not run" from a failed write after one that may have stored the job. */
+    @Test
+    void aWriteThatDidNothingIsNoRefusalAfterOneOfUnknownOutcome() {
+        startNodes("a");
+        stores.get("a").failJobWrites(StoreException.Effect.UNKNOWN);
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.OutcomeUnknown.class);
+
+        fixture.advanceMillis(1_000);
+        stores.get("a").failJobWrites(StoreException.Effect.NONE);
+        assertThat(ask("a", Action.SUBMIT)).isInstanceOf(JobAnswer.OutcomeUnknown.class);
+        fixture.advanceMillis(1_000);
+        assertThat(fixture.ask(nodes.get("a"), Action.SUBMIT, OTHER_JOB))
+                .isInstanceOf(JobAnswer.Unavailable.class);
+    }
 }
