Keep peers usable after their rows were gone, and after requests that throw

A peer whose row was deleted and written again during a try had a negative count of requests, and was never tried again after its next failure. A row that is missing after a loss of history was not written again. A request whose handling throws counted as handled for ever.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayPeers.java
@@ -199,7 +199,8 @@
     /** Records that the connection of a try is no longer in use; may come after its result. */
     public void release(RelayTry tried) {
         inFlight--;
-        stateOf(tried).ifPresent(state -> state.inFlight--);
+        // A peer whose row was gone for a while does not count the tries from before.
+        stateOf(tried).ifPresent(state -> state.inFlight = Math.max(0, state.inFlight - 1));
     }
 
     private Optional<PeerState> stateOf(RelayTry tried) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/relay/RelayPeersTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/relay/RelayPeersTest.java
@@ -170,4 +170,18 @@
                         .toList());
         assertThat(peers.peerCount()).isEqualTo(RelayPeers.MAX_PEERS);
     }
+
+    /** Such a peer was never tried again after its next failure. */
+    @Test
+    void aPeerThatIsForgottenDuringATryAndComesBackIsTriedAgainAfterAFailure() {
+        know("near-1", "far-1", "far-2", "far-3");
+        RelayTry before = choose().orElseThrow();
+        know("far-1", "far-2", "far-3");
+        know("near-1", "far-1", "far-2", "far-3");
+        end(before, RelayResult.ANSWERED);
+
+        assertThat(tryOnce(RelayResult.NOT_SERVED)).contains("near-1");
+        now += RelayBackOff.MIN_MILLIS;
+        assertThat(tryOnce(RelayResult.ANSWERED)).contains("near-1");
+    }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EntryVmDirectory.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EntryVmDirectory.java
@@ -134,6 +134,10 @@
     public void loaded(List<Row> rows) {
         known.clear();
         rows.forEach(r -> apply(r.key().key(), r.version(), Optional.of(r.value())));
+        if (ownVersion != NO_VERSION && !known.containsKey(self.vm())) {
+            // The deletion of the row is not told as a change if the store has lost its history.
+            write(MIN_RETRY_DELAY);
+        }
         publish();
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/relay/PeerServlet.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/relay/PeerServlet.java
@@ -83,10 +83,10 @@
         if (handled >= MAX_HANDLED) {
             return encode(BUSY);
         }
+        CompletionStage<RelayedAnswer> answer = service.apply(relayed.toJobRequest(decode));
+        // Not before the service was called: a call that throws has no end that would be counted.
         handled++;
-        return Stages.toPromise(service.apply(relayed.toJobRequest(decode)))
-                .whenComplete(() -> handled--)
-                .then(PeerServlet::encode);
+        return Stages.toPromise(answer).whenComplete(() -> handled--).then(PeerServlet::encode);
     }
 
     private static Promise<HttpResponse> encode(RelayedAnswer answer) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EntryVmDirectoryTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EntryVmDirectoryTest.java
@@ -12,6 +12,7 @@
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
 import org.chervillift.http.Json;
+import org.chervillift.standin.tasks.StoreFault;
 import org.junit.jupiter.api.Test;
 
 /** Checks the rows by which entry VMs find each other, and the calls that they cost. */
@@ -72,6 +73,22 @@
         assertThat(vms()).containsExactly("a", "b");
     }
 
+    /** Guards against an entry VM that no other one finds again after a loss of history. */
+    @Test
+    void aRowThatIsGoneAfterALossOfHistoryIsWrittenAgain() {
+        startNodes("a", "b");
+        fixture.store.setFault(StoreFault.FORGETFUL);
+        overwrite("b", "{");
+        fixture.store.commit(
+                EntryVmDirectory.PARTITION,
+                List.of(),
+                List.of(Write.delete(new RowKey(EntryVmDirectory.TABLE, "a"))));
+        fixture.advanceMillis(200);
+        fixture.store.setFault(StoreFault.NONE);
+        fixture.advanceMillis(3_000);
+        assertThat(vms()).containsExactly("a", "b");
+    }
+
     @Test
     void aRowIsAsSmallAsStated() {
         var row =
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/relay/PeerWireTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/relay/PeerWireTest.java
@@ -64,6 +64,7 @@
     private final ReactorThread thread = new ReactorThread("peer-wire-test");
     private final List<JobRequest> received = new ArrayList<>();
     private CompletionStage<RelayedAnswer> answer = new CompletableFuture<>();
+    private boolean throwing;
     private HostPort address;
     private PeerClient client;
 
@@ -112,6 +113,9 @@
 
     private CompletionStage<RelayedAnswer> handle(JobRequest request) {
         received.add(request);
+        if (throwing) {
+            throw new IllegalStateException("thrown by a test");
+        }
         return answer;
     }
 
@@ -188,6 +192,19 @@
                         a -> assertThat(a.answer().cause()).contains(RelayCause.BUSY));
     }
 
+    /** Guards against a peer that is busy for ever after faults in its handling of requests. */
+    @Test
+    void aRequestWhoseHandlingThrowsCountsNoLongerAsHandled() {
+        throwing = true;
+        for (int i = 0; i < PeerServlet.MAX_HANDLED; i++) {
+            assertThat(send(address, request(""))).isInstanceOf(PeerReply.NoAnswer.class);
+        }
+        throwing = false;
+        RelayedAnswer accepted = new RelayedAnswer(new JobAnswer.Accepted(), Optional.empty());
+        answer = CompletableFuture.completedFuture(accepted);
+        assertThat(send(address, request(""))).isEqualTo(new PeerReply.Answered(accepted));
+    }
+
     @Test
     void aMessageThatIsNoRequestIsNotHandled() {
         JsonClient raw =
