Store no job that can never be served while its row cannot be read

Such a job was accepted and waited for ever when the read that precedes a rejection failed and the write did not. It is now answered with 503, or relayed; a job that is only too late is stored as before.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobSubmitter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobSubmitter.java
@@ -23,6 +23,9 @@
             "The job is too large for a row of the store; it was not stored and has not run.";
     private static final String NOT_STORED_MESSAGE = "The job was not stored and has not run.";
 
+    private static final String NOT_PROCESSED_MESSAGE =
+            "The store does not respond; the request was not processed.";
+
     private final MonitoredStore store;
     private final Scheduler scheduler;
     private final JobIntake intake;
@@ -80,7 +83,7 @@
 
     /**
      * Rejects a job that is not stored, so that it is true that it has not run. A job that is
-     * stored, or may be, and one of which that cannot be read, is treated as an accepted one.
+     * stored, or may be, is treated as an accepted one.
      */
     private CompletionStage<AnswerWithBasis> rejectUnlessStored(
             AcceptedJob job, Rejection rejection) {
@@ -90,9 +93,12 @@
         return findJob.apply(job.id())
                 .handle(
                         (found, fault) -> {
-                            if (fault != null || mayBeStored(job.id())) {
+                            if (mayBeStored(job.id())) {
                                 return store(job);
                             }
+                            if (fault != null) {
+                                return whileUnread(job, rejection);
+                            }
                             JobAnswer answer =
                                     found.isPresent()
                                             ? new JobAnswer.Accepted()
@@ -102,6 +108,21 @@
                 .thenCompose(Function.identity());
     }
 
+    /**
+     * Handles a job to be rejected of which it cannot be read whether it is stored. One that can
+     * never be served is not stored, since it would wait for ever.
+     */
+    private CompletionStage<AnswerWithBasis> whileUnread(AcceptedJob job, Rejection rejection) {
+        return switch (rejection) {
+            case Rejection.Later l -> store(job);
+            case Rejection.NeverServed n ->
+                    CompletableFuture.completedStage(
+                            AnswerWithBasis.relayable(
+                                    unavailable(NOT_PROCESSED_MESSAGE, job),
+                                    RelayCause.STORE_UNRESPONSIVE));
+        };
+    }
+
     private CompletionStage<AnswerWithBasis> store(AcceptedJob job) {
         submissions.begin(job.id());
         return intake.store(job)
@@ -134,7 +155,11 @@
         if (mayBeStored(job.id())) {
             return new JobAnswer.OutcomeUnknown();
         }
+        return unavailable(NOT_STORED_MESSAGE, job);
+    }
+
+    private JobAnswer unavailable(String why, AcceptedJob job) {
         return new JobAnswer.Unavailable(
-                NOT_STORED_MESSAGE, RetryTimes.afterOutage(job.id(), store.unresponsiveMillis()));
+                why, RetryTimes.afterOutage(job.id(), store.unresponsiveMillis()));
     }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
@@ -162,6 +162,21 @@
         assertThat(submit(node, JOB, 3_000)).isEqualTo(new JobAnswer.Accepted());
     }
 
+    /** Such a job was stored, and waited for ever. */
+    @Test
+    void aJobThatCanNeverBeServedIsNotStoredWhileItCannotBeReadWhetherItIs() {
+        RejectingStore store = new RejectingStore(fixture.store);
+        TaskNode node = fixture.startNodeAndWait("a", store);
+        configureLimit(2, LIMIT);
+        fixture.advanceMillis(1_000);
+        store.setJobReadsRejected(true);
+        assertThat(submit(node, JOB, 3_000)).isInstanceOf(JobAnswer.Unavailable.class);
+        assertThat(store.calls()).doesNotContainKey("commit jobs");
+        store.setJobReadsRejected(false);
+        fixture.advanceMillis(1_000);
+        assertThat(submit(node, JOB, 3_000)).isInstanceOf(JobAnswer.TooLarge.class);
+    }
+
     /** The limit was raised, but changes of the configuration are not received. */
     @Test
     void aProcessThatDoesNotFollowTheManifestRejectsNothing() {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RejectingStore.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/RejectingStore.java
@@ -24,6 +24,7 @@
     private boolean rejecting;
     private Optional<StoreException.Effect> jobWriteFault = Optional.empty();
     private boolean feedsRejected;
+    private boolean jobReadsRejected;
 
     RejectingStore(RowStore store) {
         this.store = store;
@@ -39,6 +40,11 @@
         jobWriteFault = Optional.of(told);
     }
 
+    /** Rejects reads of jobs. */
+    void setJobReadsRejected(boolean value) {
+        jobReadsRejected = value;
+    }
+
     /** Rejects all calls for changes. */
     void setFeedsRejected(boolean value) {
         feedsRejected = value;
@@ -61,7 +67,11 @@
 
     @Override
     public CompletionStage<Page> scan(String table, String part, KeyRange range, int most) {
-        return call("scan " + table, Optional.empty(), () -> store.scan(table, part, range, most));
+        boolean isRejected = jobReadsRejected && table.equals(StoreLayout.JOBS_TABLE);
+        return call(
+                "scan " + table,
+                isRejected ? REJECTED : Optional.empty(),
+                () -> store.scan(table, part, range, most));
     }
 
     @Override
