Stop no more runs for urgent tasks than their customer's limit lets start

A blocked urgent step stopped runs for each of its waiting tasks, and so did each blocked step of a customer, although its limit kept them waiting.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.chervillift.api.tasks.Manifest;
+import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.TaskId;
 
 /**
@@ -42,7 +44,24 @@
     private final RunForecast forecast;
     private final long stopTimeoutMillis;
     private final Consumer<SchedulerEvent> events;
-    private final Map<TaskId, List<Run>> stopsByTask = new HashMap<>();
+    private final Map<TaskId, Stops> stopsByTask = new HashMap<>();
+
+    /**
+     * The runs that are being stopped for an urgent task.
+     *
+     * @param request what the task counts towards the limit of its customer
+     */
+    private record Stops(String customer, Resources request, List<Run> runs) {
+
+        static Stops of(TaskEntry urgent, List<Run> runs) {
+            StepEntry step = urgent.step();
+            return new Stops(step.job().job().customer(), step.spec().request(), runs);
+        }
+
+        Stops {
+            runs = List.copyOf(runs);
+        }
+    }
 
     PreemptionPlanner(
             StartPlanner planner,
@@ -68,8 +87,12 @@
      * Begins to stop runs for the urgent steps for which the last plan found no room; returns
      * whether there are any such runs.
      */
-    boolean stopRuns(List<StepEntry> blocked, Collection<WorkerRecord> workers, long now) {
-        stopsByTask.values().removeIf(runs -> runs.stream().noneMatch(this::isStopping));
+    boolean stopRuns(
+            List<StepEntry> blocked,
+            Collection<WorkerRecord> workers,
+            Manifest manifest,
+            long now) {
+        stopsByTask.values().removeIf(s -> s.runs().stream().noneMatch(this::isStopping));
         Map<String, List<StepEntry>> byPool =
                 blocked.stream()
                         .filter(s -> now <= ranking.latestStart(s))
@@ -78,7 +101,7 @@
         for (Map.Entry<String, List<StepEntry>> entry : byPool.entrySet()) {
             List<WorkerRecord> pool =
                     workers.stream().filter(w -> w.pool().equals(entry.getKey())).toList();
-            any |= stopRunsInPool(entry.getValue(), pool, now);
+            any |= stopRunsInPool(entry.getValue(), pool, manifest, now);
         }
         return any;
     }
@@ -87,14 +110,15 @@
         return run.phase() == Run.Phase.STOPPING && run.task().runs().contains(run);
     }
 
-    private boolean stopRunsInPool(List<StepEntry> steps, List<WorkerRecord> pool, long now) {
+    private boolean stopRunsInPool(
+            List<StepEntry> steps, List<WorkerRecord> pool, Manifest manifest, long now) {
         List<PreemptionRound.Victim> victims = victimsIn(pool, now);
         if (victims.isEmpty()) {
             return false;
         }
         PreemptionRound round = new PreemptionRound(endsIn(pool, now), victims, claimedRuns());
         List<TaskEntry> withoutEnd =
-                firstTasks(steps, now).stream()
+                firstTasks(steps, manifest, now).stream()
                         .filter(t -> !findsEndInTime(t, round, now))
                         .limit(MAX_TASKS_WITHOUT_END_PER_PLAN)
                         .toList();
@@ -104,7 +128,10 @@
             long backAt = now + forecast.expectedMillis(step);
             List<Run> runs = round.claimStops(step, w -> isUsable(task, w, now), backAt);
             runs.forEach(r -> stop(r, task, now));
-            any |= !runs.isEmpty();
+            if (!runs.isEmpty()) {
+                stopsByTask.put(task.id(), Stops.of(task, runs));
+                any = true;
+            }
         }
         return any;
     }
@@ -114,26 +141,53 @@
         return round.claimEndBefore(step, w -> isUsable(task, w, now), ranking.latestStart(step));
     }
 
-    private List<TaskEntry> firstTasks(List<StepEntry> steps, long now) {
+    /**
+     * Returns the tasks that may stop runs: no more than their customers' limits allow to start,
+     * beside those for which runs are being stopped.
+     */
+    private List<TaskEntry> firstTasks(List<StepEntry> steps, Manifest manifest, long now) {
+        Map<String, Resources> requested = requestedByCustomer();
         List<TaskEntry> tasks = new ArrayList<>();
         for (StepEntry step : steps) {
+            String customer = step.job().job().customer();
             for (TaskEntry task : step.tasks().waiting()) {
                 if (tasks.size() == MAX_TASKS_PER_PLAN) {
                     return tasks;
                 }
-                if (task.notBefore() <= now
-                        && !task.crashes().needsIsolation()
-                        && !stopsByTask.containsKey(task.id())) {
-                    tasks.add(task);
+                if (!mayStopRuns(task, now)) {
+                    continue;
+                }
+                Resources total =
+                        requested
+                                .getOrDefault(customer, Resources.NONE)
+                                .plus(step.spec().request());
+                if (!planner.isWithinLimit(customer, total, manifest)) {
+                    break;
                 }
+                requested.put(customer, total);
+                tasks.add(task);
             }
         }
         return tasks;
     }
 
+    private Map<String, Resources> requestedByCustomer() {
+        Map<String, Resources> requested = new HashMap<>();
+        stopsByTask
+                .values()
+                .forEach(s -> requested.merge(s.customer(), s.request(), Resources::plus));
+        return requested;
+    }
+
+    private boolean mayStopRuns(TaskEntry task, long now) {
+        return task.notBefore() <= now
+                && !task.crashes().needsIsolation()
+                && !stopsByTask.containsKey(task.id());
+    }
+
     private Set<Run> claimedRuns() {
         Set<Run> claimed = new HashSet<>();
-        stopsByTask.values().forEach(claimed::addAll);
+        stopsByTask.values().forEach(s -> claimed.addAll(s.runs()));
         return claimed;
     }
 
@@ -194,7 +248,6 @@
     }
 
     private void stop(Run run, TaskEntry urgent, long now) {
-        stopsByTask.computeIfAbsent(urgent.id(), t -> new ArrayList<>()).add(run);
         run.task().recordPreemption();
         run.enterPhase(Run.Phase.STOPPING, now);
         events.accept(
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunStops.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunStops.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
+import org.chervillift.api.tasks.Manifest;
 
 /**
  * Decides which runs are stopped, for all causes, and sends the orders.
@@ -42,9 +43,9 @@
     }
 
     /** Returns the orders to stop runs for tasks that found no room, and in evacuations. */
-    List<Order> planAfterStarts(Collection<WorkerRecord> workers, long now) {
+    List<Order> planAfterStarts(Collection<WorkerRecord> workers, Manifest manifest, long now) {
         List<Order> orders = new ArrayList<>();
-        if (preemption.stopRuns(startPlanner.blockedUrgent(), workers, now)) {
+        if (preemption.stopRuns(startPlanner.blockedUrgent(), workers, manifest, now)) {
             orders.addAll(stopPlanner.planStops(workers, now));
         }
         orders.addAll(evacuation.planStops(workers, now));
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -361,12 +361,17 @@
     /** Returns whether a customer's limit allows runs of some more tasks of a step. */
     boolean isWithinLimit(StepEntry step, int count, Manifest manifest) {
         String name = step.job().job().customer();
+        return isWithinLimit(name, step.spec().request().times(count), manifest);
+    }
+
+    /** Returns whether a customer's limit allows that it uses more. */
+    boolean isWithinLimit(String name, Resources more, Manifest manifest) {
         Customer customer = manifest.customers().get(name);
         if (customer == null) {
             return true;
         }
         Resources usage = runs.usageOf(name).plus(unknownUsage.getOrDefault(name, Resources.NONE));
-        return usage.plus(step.spec().request().times(count)).fitsInLimit(customer.limit());
+        return usage.plus(more).fitsInLimit(customer.limit());
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -375,7 +375,7 @@
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
-        orders.addAll(stops.planAfterStarts(workers.values(), now));
+        orders.addAll(stops.planAfterStarts(workers.values(), manifest, now));
         return orders;
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/UrgentWorkTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/UrgentWorkTest.java
@@ -4,7 +4,9 @@
 import static org.chervillift.core.tasks.SchedulerFixture.step;
 
 import java.util.List;
+import java.util.Set;
 import org.chervillift.api.tasks.AcceptedJob;
+import org.chervillift.api.tasks.Customer;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.PoolPolicy;
@@ -31,6 +33,10 @@
     private final SchedulerFixture fixture = new SchedulerFixture();
 
     UrgentWorkTest() {
+        configure(List.of());
+    }
+
+    private void configure(List<Customer> customers) {
         fixture.scheduler.configure(
                 Manifest.of(
                         2,
@@ -39,7 +45,7 @@
                                 new QueueRoute("h.example", "/b/", true, BATCH),
                                 new QueueRoute("h.example", "/t/", true, TIGHT)),
                         List.of(new PoolPolicy(SchedulerFixture.POOL, true, false)),
-                        List.of(),
+                        customers,
                         1_000));
     }
 
@@ -235,4 +241,23 @@
         assertThat(first).hasSize(1).hasOnlyElementsOfType(Order.Stop.class);
         assertThat(second).isEqualTo(first);
     }
+
+    /** Runs were stopped for each waiting task, also for those that the limit keeps waiting. */
+    @Test
+    void noMoreRunsAreStoppedThanTheLimitOfTheCustomerAllowsToStart() {
+        configure(List.of(new Customer("limited", Set.of("k"), 1, new Resources(2_000, 0, 0))));
+        fixture.addWorker("w1", 4_000);
+        start(BATCH, "a", minute(1, false, false));
+        start(BATCH, "b", minute(1, false, false));
+        start(BATCH, "c", minute(1, false, false));
+        start(BATCH, "d", minute(1, false, false));
+        for (int i = 0; i < 3; i++) {
+            JobSpec spec = new JobSpec("u" + i, "p", List.of(step(1, 1_000)), Schedule.ONCE);
+            fixture.scheduler.accept(new AcceptedJob(spec, URGENT, "limited", 0), 0, fixture.now);
+        }
+        assertThat(stoppedJobs()).hasSize(2);
+        assertThat(stoppedJobs()).isEmpty();
+        assertThat(startedJobs()).hasSize(2);
+        assertThat(stoppedJobs()).isEmpty();
+    }
 }
