Expect runs that urgent tasks wait for to take as long as runs in their place do

The forecast of preemption left out the distance from the data and the speed of the worker, so that an urgent task waited for a run away from its data until its job was late. RunExpectation serves both forecasts.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
@@ -66,12 +66,12 @@
     PreemptionPlanner(
             StartPlanner planner,
             JobRanking ranking,
-            RunTimeEstimator runTimes,
+            RunExpectation expectation,
             SchedulerSettings settings,
             Consumer<SchedulerEvent> events) {
         this.planner = planner;
         this.ranking = ranking;
-        this.forecast = new RunForecast(runTimes);
+        this.forecast = new RunForecast(expectation);
         this.stopTimeoutMillis = settings.stopTimeoutMillis();
         this.events = events;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
@@ -44,9 +44,10 @@
         return Math.round(taskMillis(step) * factor);
     }
 
-    /** Returns the run time that is expected of a run, in milliseconds; 0 if it is not known. */
-    private double expectedMillis(Run run) {
-        return taskMillis(run.task().step()) * placeFactor(run);
+    /** Returns the whole time that a run is expected to take, in milliseconds; 0 if not known. */
+    long runMillis(Run run) {
+        double factor = placeFactor(run) * run.worker().speed().factor();
+        return Math.round(taskMillis(run.task().step()) * factor);
     }
 
     /** Returns when a run is expected to end, in milliseconds; NEVER if that is not known. */
@@ -54,9 +55,8 @@
         if (run.phase() == Run.Phase.STOPPING) {
             return Math.max(now, run.phaseSince() + stopTimeoutMillis);
         }
-        double expected = expectedMillis(run) * run.worker().speed().factor();
         long remaining =
-                RemainingTime.millis(Math.round(expected), now - run.openedAt(), run.pacePercent());
+                RemainingTime.millis(runMillis(run), now - run.openedAt(), run.pacePercent());
         return remaining == RoomForecast.NEVER ? RoomForecast.NEVER : now + remaining;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunForecast.java
@@ -10,15 +10,15 @@
     /** The remaining time of a run that does not end by itself; far beyond every objective. */
     private static final long UNBOUNDED_MILLIS = Long.MAX_VALUE / 4;
 
-    private final RunTimeEstimator runTimes;
+    private final RunExpectation expectation;
 
-    RunForecast(RunTimeEstimator runTimes) {
-        this.runTimes = runTimes;
+    RunForecast(RunExpectation expectation) {
+        this.expectation = expectation;
     }
 
     /** Returns the expected run time of a task of a step that begins anew, in milliseconds. */
     long expectedMillis(StepEntry step) {
-        return runTimes.estimateMillis(step.job().policy().queue(), step.spec().estimatedMillis());
+        return expectation.taskMillis(step);
     }
 
     /**
@@ -29,7 +29,7 @@
         if (run.task().step().spec().longRunning()) {
             return UNBOUNDED_MILLIS;
         }
-        long total = Math.max(expectedMillis(run.task().step()), elapsedMillis(run, now));
+        long total = Math.max(expectation.runMillis(run), elapsedMillis(run, now));
         return total * (FULL_PERCENT - percentOf(run)) / FULL_PERCENT;
     }
 
@@ -38,7 +38,7 @@
         if (run.startedAt() > 0) {
             return now - run.startSentAt();
         }
-        long byProgress = expectedMillis(run.task().step()) * percentOf(run) / FULL_PERCENT;
+        long byProgress = expectation.runMillis(run) * percentOf(run) / FULL_PERCENT;
         return Math.max(now - run.openedAt(), byProgress);
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -90,7 +90,7 @@
         this.stops =
                 new RunStops(
                         startPlanner,
-                        new PreemptionPlanner(startPlanner, ranking, runTimes, settings, events),
+                        new PreemptionPlanner(startPlanner, ranking, expectation, settings, events),
                         evacuation,
                         events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/UrgentWorkTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/UrgentWorkTest.java
@@ -30,7 +30,7 @@
     private static final QueuePolicy TIGHT =
             new QueuePolicy("tight", SchedulerFixture.POOL, 5, 2, 1.6, 600, false);
 
-    private final SchedulerFixture fixture = new SchedulerFixture();
+    private SchedulerFixture fixture = new SchedulerFixture();
 
     UrgentWorkTest() {
         configure(List.of());
@@ -242,6 +242,23 @@
         assertThat(second).isEqualTo(first);
     }
 
+    /**
+     * Runs away from their data seemed to end soon until the urgent job was late. This one takes 3
+     * s in all, and the urgent job may wait for 1.2 s.
+     */
+    @Test
+    void aRunAwayFromItsDataIsExpectedToTakeLonger() {
+        fixture = new SchedulerFixture(1, Resources.NONE, 3);
+        configure(List.of());
+        fixture.addWorker("w1", 1_000);
+        start(BATCH, "away", RackFixture.step(1, 1_000, "other", false));
+        progress("away", 16, "");
+        pass(500);
+        accept(URGENT, "urgent", 0, step(1, 1_000));
+
+        assertThat(stoppedJobs()).containsExactly("away");
+    }
+
     /** Runs were stopped for each waiting task, also for those that the limit keeps waiting. */
     @Test
     void noMoreRunsAreStoppedThanTheLimitOfTheCustomerAllowsToStart() {
