Count the work of a task that is done twice once

Both runs of a task that has a copy may end as done, and a worker may report an end again to a new holder. The backlog counted the work each time.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -203,7 +203,9 @@
         boolean longRunning = task.step().spec().longRunning();
         if (ended.end() == RunEnd.DONE && !longRunning) {
             worker.recordSuccess();
-            backlog.recordDone(task, worker.pool(), now);
+            if (!task.isDone()) {
+                backlog.recordDone(task, worker.pool(), now);
+            }
             task.step().job().recordSuccess();
             reportCopy(task, ended);
             lifecycle.taskDone(task, now);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/CopyTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/CopyTest.java
@@ -110,6 +110,29 @@
         assertThat(racks.fixture.scheduler.stateOf("slow")).contains(JobState.COMPLETED);
     }
 
+    /** The work of a task counted twice as finished, so that admission expected shorter waits. */
+    @Test
+    void theWorkOfATwiceDoneTaskCountsOnce() {
+        startSlowRun(true);
+        racks.runUntil(2_300);
+        racks.fixture.end("near0", TASK, RunEnd.DONE);
+        racks.fixture.report("near0");
+        String workerOfCopy = racks.fixture.runningWorkerOf(TASK);
+        long finished = finishedMilliCores();
+        racks.fixture.end(workerOfCopy, TASK, RunEnd.DONE);
+        racks.fixture.report(workerOfCopy);
+        assertThat(finished).isPositive();
+        assertThat(finishedMilliCores()).isEqualTo(finished);
+    }
+
+    private long finishedMilliCores() {
+        return racks.fixture
+                .scheduler
+                .backlog()
+                .finishedMilliCores(racks.fixture.now)
+                .get(SchedulerFixture.POOL);
+    }
+
     /** Copies took room for which other tasks waited. */
     @Test
     void noCopyStartsWhileTasksWait() {
