Keep a wait for a rack while the pool has no room for its size

A step that waited for its rack counted as blocked once another step found no room of that size. Its wait was reported as in vain, and an urgent step could stop runs although it waited for a place.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -222,7 +222,9 @@
     }
 
     private RackPlanner.Place placeFor(TaskEntry task, RackPreference preference, PoolRound round) {
-        if (unplaceable.isUnplaceable(task)) {
+        // A wait for a rack goes on in a full pool, since it is for room that is not free yet.
+        boolean mayWaitForRack = task.step().rackWait().since().isPresent();
+        if (!mayWaitForRack && unplaceable.isUnplaceable(task)) {
             return RackPlanner.Place.NONE;
         }
         Predicate<WorkerRecord> usable = w -> isUsable(task, w, round);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
@@ -208,6 +208,19 @@
         assertThat(report.standing()).isEmpty();
     }
 
+    /** A step counted as blocked, and its wait as over, once the pool had no room for others. */
+    @Test
+    void aWaitGoesOnWhileThePoolIsFull() {
+        RackFixture rack = oneBusyPlace(1_000);
+        rack.fixture.accept("waits", RackFixture.step(1, 1_000, NEAR, false));
+        // This worker is kept free for the step behind, and not the one in the rack.
+        rack.addWorkers("spare", 1, CORE + CORE / 2);
+        rack.fixture.accept("behind", RackFixture.step(4, 1_000, "", false));
+        assertThat(rack.plan()).hasSize(3);
+        assertThat(rack.plan()).isEmpty();
+        assertThat(rack.count(SchedulerEvent.Kind.RACK_WAIT_IN_VAIN)).isZero();
+    }
+
     /** A job without an estimate waited for a place of which nothing was known. */
     @Test
     void withoutEstimatesNothingWaits() {
