--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -222,7 +222,9 @@
     }
 
     private RackPlanner.Place placeFor(TaskEntry task, RackPreference preference, PoolRound round) {
-        if (unplaceable.isUnplaceable(task)) {
+        // A wait for a rack goes on in a full pool, since it is for room that is not free yet.
+        boolean mayWaitForRack = task.step().rackWait().since().isPresent();
+        if (!mayWaitForRack && unplaceable.isUnplaceable(task)) {
             return RackPlanner.Place.NONE;
         }
         Predicate<WorkerRecord> usable = w -> isUsable(task, w, round);
@@ -361,12 +363,17 @@
     /** Returns whether a customer's limit allows runs of some more tasks of a step. */
     boolean isWithinLimit(StepEntry step, int count, Manifest manifest) {
         String name = step.job().job().customer();
+        return isWithinLimit(name, step.spec().request().times(count), manifest);
+    }
+
+    /** Returns whether a customer's limit allows that it uses more. */
+    boolean isWithinLimit(String name, Resources more, Manifest manifest) {
         Customer customer = manifest.customers().get(name);
         if (customer == null) {
             return true;
         }
         Resources usage = runs.usageOf(name).plus(unknownUsage.getOrDefault(name, Resources.NONE));
-        return usage.plus(step.spec().request().times(count)).fitsInLimit(customer.limit());
+        return usage.plus(more).fitsInLimit(customer.limit());
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -90,7 +90,7 @@
         this.stops =
                 new RunStops(
                         startPlanner,
-                        new PreemptionPlanner(startPlanner, ranking, runTimes, settings, events),
+                        new PreemptionPlanner(startPlanner, ranking, expectation, settings, events),
                         evacuation,
                         events);
         this.answerHandler = new OrderAnswerHandler(runs, numbers, events);
@@ -375,7 +375,7 @@
                 startGate.releaseReady(
                         startPlanner.planStarts(liveJobs, workers.values(), manifest, pools, now),
                         now));
-        orders.addAll(stops.planAfterStarts(workers.values(), now));
+        orders.addAll(stops.planAfterStarts(workers.values(), manifest, now));
         return orders;
     }
 
