Compute the longest chain of steps and the expected time of a task in one place

The ranking of jobs and the admission each had the chain; the ranking, the forecast of preemptions and the expectation of runs each had the expected time.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobRanking.java
@@ -4,8 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.ToLongFunction;
-import org.chervillift.api.SaturatedMath;
 import org.chervillift.api.tasks.StepSpec;
 
 /**
@@ -92,8 +90,11 @@
     long latestStart(StepEntry step) {
         JobEntry job = step.job();
         List<StepEntry> steps = job.occurrence(step.occurrence());
-        long remainingMillis = longestChainMillis(steps, s -> s.isDone() ? 0 : expectedMillis(s));
-        long totalMillis = longestChainMillis(steps, this::expectedMillis);
+        long remainingMillis =
+                StepChains.longestMillis(
+                        steps, StepEntry::spec, s -> s.isDone() ? 0 : runTimes.estimateMillis(s));
+        long totalMillis =
+                StepChains.longestMillis(steps, StepEntry::spec, runTimes::estimateMillis);
         double objectiveMillis =
                 job.policy().targetLatencyMillis() + job.policy().stretchFactor() * totalMillis;
         return job.waitingSince(step.occurrence()) + Math.round(objectiveMillis) - remainingMillis;
@@ -118,27 +119,4 @@
         return (double) spec.request().milliCores()
                 * runTimes.estimateMillis(job.policy().queue(), spec.estimatedMillis());
     }
-
-    private long expectedMillis(StepEntry step) {
-        StepSpec spec = step.spec();
-        return spec.longRunning()
-                ? 0
-                : runTimes.estimateMillis(step.job().policy().queue(), spec.estimatedMillis());
-    }
-
-    /** Returns the duration of the longest chain of dependent steps, in milliseconds. */
-    private static long longestChainMillis(
-            List<StepEntry> steps, ToLongFunction<StepEntry> duration) {
-        long[] ends = new long[steps.size()];
-        long longest = 0;
-        for (int i = 0; i < ends.length; i++) {
-            long start = 0;
-            for (int before : steps.get(i).spec().after()) {
-                start = Math.max(start, ends[before]);
-            }
-            ends[i] = SaturatedMath.add(start, duration.applyAsLong(steps.get(i)));
-            longest = Math.max(longest, ends[i]);
-        }
-        return longest;
-    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
@@ -26,10 +26,7 @@
 
     /** Returns the run time of a task near its data on a usual worker, in milliseconds. */
     long taskMillis(StepEntry step) {
-        return step.spec().longRunning()
-                ? 0
-                : runTimes.estimateMillis(
-                        step.job().policy().queue(), step.spec().estimatedMillis());
+        return runTimes.estimateMillis(step);
     }
 
     /** Returns by how much tasks take longer than that, as one deviation, in milliseconds. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunForecast.java
@@ -18,7 +18,7 @@
 
     /** Returns the expected run time of a task of a step that begins anew, in milliseconds. */
     long expectedMillis(StepEntry step) {
-        return runTimes.estimateMillis(step.job().policy().queue(), step.spec().estimatedMillis());
+        return runTimes.estimateMillis(step);
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunTimeEstimator.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunTimeEstimator.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.chervillift.api.tasks.StepSpec;
 
 /**
  * Estimates the run times of a queue's tasks from the runs that have ended.
@@ -76,6 +77,17 @@
         }
     }
 
+    /**
+     * Returns the expected run time of a task of a step near its data on a usual worker, in
+     * milliseconds; 0 if it runs until its job is cancelled.
+     */
+    long estimateMillis(StepEntry step) {
+        StepSpec spec = step.spec();
+        return spec.longRunning()
+                ? 0
+                : estimateMillis(step.job().policy().queue(), spec.estimatedMillis());
+    }
+
     /** Returns the expected run time of a task, in milliseconds. */
     long estimateMillis(String queue, long estimatedMillis) {
         QueueEstimator estimator = estimatorsByQueue.get(queue);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/AdmissionPolicy.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/AdmissionPolicy.java
@@ -2,13 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.chervillift.api.SaturatedMath;
+import java.util.function.Function;
 import org.chervillift.api.tasks.JobSpec;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.core.tasks.JobSizeLimits;
+import org.chervillift.core.tasks.StepChains;
 
 /**
  * Decides at submission whether a job is rejected.
@@ -139,22 +140,11 @@
     /** Returns until when the start of a job is of value, in milliseconds from now. */
     private static long valuableMillis(JobSpec job, QueuePolicy queue, QueueForecast forecast) {
         long percent = Math.max(QueueForecast.AS_ESTIMATED_PERCENT, forecast.runTimePercent());
-        double runMillis = longestChainMillis(job.steps()) * (percent / PERCENT);
+        long chainMillis =
+                StepChains.longestMillis(
+                        job.steps(), Function.identity(), StepSpec::estimatedMillis);
+        double runMillis = chainMillis * (percent / PERCENT);
         double objective = queue.targetLatencyMillis() + queue.stretchFactor() * runMillis;
         return (long) (VALUELESS_AFTER_OBJECTIVES * objective);
     }
-
-    private static long longestChainMillis(List<StepSpec> steps) {
-        long[] ends = new long[steps.size()];
-        long longest = 0;
-        for (int i = 0; i < ends.length; i++) {
-            long start = 0;
-            for (int before : steps.get(i).after()) {
-                start = Math.max(start, ends[before]);
-            }
-            ends[i] = SaturatedMath.add(start, steps.get(i).estimatedMillis());
-            longest = Math.max(longest, ends[i]);
-        }
-        return longest;
-    }
 }
