--- a/chervillift-api/src/main/java/org/chervillift/api/tasks/Resources.java
+++ b/chervillift-api/src/main/java/org/chervillift/api/tasks/Resources.java
@@ -61,4 +61,12 @@
     public Resources withoutCores() {
         return new Resources(0, memoryMb, gpus);
     }
+
+    /** Returns the larger amount of each resource. */
+    public Resources max(Resources other) {
+        return new Resources(
+                Math.max(milliCores, other.milliCores),
+                Math.max(memoryMb, other.memoryMb),
+                Math.max(gpus, other.gpus));
+    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Backlog.java
@@ -9,7 +9,6 @@
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.StepSpec;
-import org.chervillift.core.tasks.admission.FleetFigures;
 import org.chervillift.core.tasks.admission.WaitingWork;
 
 /**
@@ -96,9 +95,9 @@
             double cores =
                     (double) spec.footprint().milliCores()
                             * Math.min(step.tasks().waitingCount(), JobSizeLimits.MAX_BEGUN_TASKS);
-            expected += cores * runTimes.estimateMillis(queue, spec.estimatedMillis());
+            expected += cores * runTimes.estimateMillis(step);
             estimated += cores * spec.estimatedMillis();
-            largest = FleetFigures.largerOf(largest, spec.footprint());
+            largest = largest.max(spec.footprint());
         }
         return new WaitingWork(
                 queue,
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CustomerCompetition.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CustomerCompetition.java
@@ -64,7 +64,7 @@
         for (WorkerRecord worker : pool) {
             if (worker.acceptsTasks(now)) {
                 free = free.plus(worker.freeResources());
-                largestFree = max(largestFree, worker.freeResources());
+                largestFree = largestFree.max(worker.freeResources());
             }
         }
         Resources needed = Resources.NONE;
@@ -78,13 +78,6 @@
         return true;
     }
 
-    private static Resources max(Resources a, Resources b) {
-        return new Resources(
-                Math.max(a.milliCores(), b.milliCores()),
-                Math.max(a.memoryMb(), b.memoryMb()),
-                Math.max(a.gpus(), b.gpus()));
-    }
-
     /** Returns the capacity of the workers that take tasks or have runs. */
     private static Resources capacityOf(Collection<WorkerRecord> pool, long now) {
         return pool.stream()
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/FleetFigures.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/FleetFigures.java
@@ -25,15 +25,7 @@
      * so those of all pools count.
      */
     Optional<Resources> largest() {
-        return pools.stream().map(PoolCapacity::largest).reduce(FleetFigures::largerOf);
-    }
-
-    /** Returns the larger amount of each resource. */
-    public static Resources largerOf(Resources a, Resources b) {
-        return new Resources(
-                Math.max(a.milliCores(), b.milliCores()),
-                Math.max(a.memoryMb(), b.memoryMb()),
-                Math.max(a.gpus(), b.gpus()));
+        return pools.stream().map(PoolCapacity::largest).reduce(Resources::max);
     }
 
     /** Returns when a job of a queue would start, if that is known. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/LargestCapacities.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/LargestCapacities.java
@@ -30,7 +30,7 @@
     }
 
     private void add(String pool, Resources capacity) {
-        largestByPool.merge(pool, capacity, FleetFigures::largerOf);
+        largestByPool.merge(pool, capacity, Resources::max);
     }
 
     /** Returns the capacities of all pools that had VMs. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
@@ -68,9 +68,7 @@
     private QueueForecast forecastOf(QueuePolicy queue) {
         List<WaitingWork> ahead = waitingFor(queue, w -> w.priority() < queue.priority());
         Resources largest =
-                ahead.stream()
-                        .map(WaitingWork::largest)
-                        .reduce(Resources.NONE, FleetFigures::largerOf);
+                ahead.stream().map(WaitingWork::largest).reduce(Resources.NONE, Resources::max);
         return new QueueForecast(
                 queue.queue(),
                 startMillis(queue, ahead),
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
@@ -43,7 +43,7 @@
                 customer,
                 customerMilliCores,
                 Math.min(onTimeMillis, other.onTimeMillis),
-                FleetFigures.largerOf(largest, other.largest),
+                largest.max(other.largest),
                 work + other.work,
                 estimatedWork + other.estimatedWork);
     }
