--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CopyPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CopyPlanner.java
@@ -22,11 +22,11 @@
     /** The part of a pool's cores that copies may take is one of this many. */
     private static final long SHARE_DIVISOR = 10;
 
-    private final RunExpectation expectation;
+    private final RunEndEstimator runEnds;
     private final Map<String, Long> milliCoresLeft = new HashMap<>();
 
-    CopyPlanner(RunExpectation expectation) {
-        this.expectation = expectation;
+    CopyPlanner(RunEndEstimator runEnds) {
+        this.runEnds = runEnds;
     }
 
     /** Returns the runs of which a copy may pay, the one that has taken the longest first. */
@@ -66,15 +66,15 @@
     /** Returns whether a copy of a run on a worker is expected to end sooner than the run. */
     boolean isSooner(Run run, WorkerRecord worker, long now) {
         return worker != run.worker()
-                && gainOf(run, now).pays(expectation.newRunMillis(run.task().step(), worker));
+                && gainOf(run, now).pays(runEnds.newRunMillis(run.task().step(), worker));
     }
 
     private CopyGain gainOf(Run run, long now) {
         StepEntry step = run.task().step();
-        long endsAt = expectation.endsAt(run, now);
+        long endsAt = runEnds.endsAt(run, now);
         return new CopyGain(
-                expectation.taskMillis(step),
-                expectation.deviationMillis(step),
+                runEnds.taskMillis(step),
+                runEnds.deviationMillis(step),
                 now - run.openedAt(),
                 endsAt == RoomForecast.NEVER ? RoomForecast.NEVER : endsAt - now);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CopyStarter.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CopyStarter.java
@@ -21,7 +21,7 @@
     CopyStarter(StartPlanner planner, RackPlanner racks, Consumer<SchedulerEvent> events) {
         this.planner = planner;
         this.racks = racks;
-        this.copies = new CopyPlanner(racks.expectation());
+        this.copies = new CopyPlanner(racks.runEnds());
         this.events = events;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/PreemptionPlanner.java
@@ -39,7 +39,7 @@
 
     private final StartPlanner planner;
     private final JobRanking ranking;
-    private final RunForecast forecast;
+    private final StopCostEstimator stopCosts;
     private final long stopTimeoutMillis;
     private final Consumer<SchedulerEvent> events;
     private final Map<TaskId, List<Run>> stopsByTask = new HashMap<>();
@@ -52,7 +52,7 @@
             Consumer<SchedulerEvent> events) {
         this.planner = planner;
         this.ranking = ranking;
-        this.forecast = new RunForecast(runTimes);
+        this.stopCosts = new StopCostEstimator(runTimes);
         this.stopTimeoutMillis = settings.stopTimeoutMillis();
         this.events = events;
     }
@@ -101,7 +101,7 @@
         boolean any = false;
         for (TaskEntry task : withoutEnd) {
             StepEntry step = task.step();
-            long backAt = now + forecast.expectedMillis(step);
+            long backAt = now + stopCosts.expectedMillis(step);
             List<Run> runs = round.claimStops(step, w -> isUsable(task, w, now), backAt);
             runs.forEach(r -> stop(r, task, now));
             any |= !runs.isEmpty();
@@ -153,7 +153,7 @@
                 long remaining =
                         run.phase() == Run.Phase.STOPPING
                                 ? stopTimeoutMillis
-                                : forecast.remainingMillis(run, now);
+                                : stopCosts.remainingMillis(run, now);
                 ends.add(new PreemptionRound.ExpectedEnd(run, now + remaining));
             }
         }
@@ -167,7 +167,7 @@
                 if (mayStop(run, now)) {
                     victims.add(
                             new PreemptionRound.Victim(
-                                    run, forecast.lostWork(run, now), latestStartOf(run, now)));
+                                    run, stopCosts.lostWork(run, now), latestStartOf(run, now)));
                 }
             }
         }
@@ -181,16 +181,16 @@
                 && !step.spec().gang()
                 && !step.spec().longRunning()
                 && run.task().preemptionCount() < MAX_PREEMPTIONS_PER_TASK
-                && forecast.remainingMillis(run, now) > stopTimeoutMillis;
+                && stopCosts.remainingMillis(run, now) > stopTimeoutMillis;
     }
 
     /** Returns until when the task of a run must start anew so that its job is still on time. */
     private long latestStartOf(Run run, long now) {
         StepEntry step = run.task().step();
         long latestStart = ranking.latestStart(step);
-        long latestEnd = latestStart + forecast.expectedMillis(step);
-        boolean late = now + forecast.remainingMillis(run, now) > latestEnd;
-        return late ? FAR_AHEAD : latestStart + forecast.keptMillis(run, now);
+        long latestEnd = latestStart + stopCosts.expectedMillis(step);
+        boolean late = now + stopCosts.remainingMillis(run, now) > latestEnd;
+        return late ? FAR_AHEAD : latestStart + stopCosts.keptMillis(run, now);
     }
 
     private void stop(Run run, TaskEntry urgent, long now) {
@@ -204,9 +204,9 @@
                         "urgent="
                                 + urgent.id()
                                 + " lostMillis="
-                                + forecast.lostMillis(run, now)
+                                + stopCosts.lostMillis(run, now)
                                 + " remainingMillis="
-                                + forecast.remainingMillis(run, now)
+                                + stopCosts.remainingMillis(run, now)
                                 + " preemptions="
                                 + run.task().preemptionCount()));
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackForecasts.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackForecasts.java
@@ -14,7 +14,7 @@
 /** The forecasts of one round, each built when a task first waits for its worker. */
 final class RackForecasts {
 
-    private final RunExpectation expectation;
+    private final RunEndEstimator runEnds;
     private final Map<WorkerRecord, RoomForecast> forecasts = new HashMap<>();
 
     /** No place of a size is expected earlier in a rack, as of the last reservation there. */
@@ -22,8 +22,8 @@
 
     private record RackSize(String pool, String rack, Resources size) {}
 
-    RackForecasts(RunExpectation expectation) {
-        this.expectation = expectation;
+    RackForecasts(RunEndEstimator runEnds) {
+        this.runEnds = runEnds;
     }
 
     /**
@@ -48,7 +48,7 @@
     void addRun(Run run, long now) {
         RoomForecast known = forecasts.get(run.worker());
         if (known != null) {
-            known.take(run.footprint(), expectation.endsAt(run, now));
+            known.take(run.footprint(), runEnds.endsAt(run, now));
         }
     }
 
@@ -100,7 +100,7 @@
 
     /** Lets the tasks of a step take the places for which they wait. */
     void reserve(StepEntry step, ExpectedPlaces places, long now) {
-        long runMillis = expectation.taskMillis(step);
+        long runMillis = runEnds.taskMillis(step);
         earliest.clear();
         for (WorkerRecord worker : places.workers()) {
             long runsFor = Math.round(runMillis * worker.speed().factor());
@@ -121,7 +121,7 @@
 
     private RoomForecast newForecast(WorkerRecord worker, long now) {
         RoomForecast forecast = new RoomForecast(worker.entry().capacity());
-        worker.runs().forEach(r -> forecast.take(r.footprint(), expectation.endsAt(r, now)));
+        worker.runs().forEach(r -> forecast.take(r.footprint(), runEnds.endsAt(r, now)));
         return forecast;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -24,7 +24,7 @@
  */
 final class RackPlanner {
 
-    private final RunExpectation expectation;
+    private final RunEndEstimator runEnds;
     private final JobRanking ranking;
     private final long termBeganAt;
     private final RackWaits waits;
@@ -54,16 +54,16 @@
      * @param termBeganAt when this holder's term began, in milliseconds
      */
     RackPlanner(
-            RunExpectation expectation,
+            RunEndEstimator runEnds,
             JobRanking ranking,
             long termBeganAt,
             Consumer<SchedulerEvent> events) {
-        this.expectation = expectation;
+        this.runEnds = runEnds;
         this.ranking = ranking;
         this.termBeganAt = termBeganAt;
         this.waits = new RackWaits(events);
-        this.forecasts = new RackForecasts(expectation);
-        this.anyRack = new RackPreference(expectation.remoteFactor(), List.of());
+        this.forecasts = new RackForecasts(runEnds);
+        this.anyRack = new RackPreference(runEnds.remoteFactor(), List.of());
     }
 
     /** Begins a plan of starts. */
@@ -89,9 +89,9 @@
         return waits;
     }
 
-    /** Returns what is expected of runs. */
-    RunExpectation expectation() {
-        return expectation;
+    /** Returns the estimator of when runs end. */
+    RunEndEstimator runEnds() {
+        return runEnds;
     }
 
     /** Returns the preference of tasks that go to any rack. */
@@ -100,7 +100,7 @@
     }
 
     private boolean isEnabled() {
-        return expectation.remoteFactor() > 1;
+        return runEnds.remoteFactor() > 1;
     }
 
     /**
@@ -149,7 +149,7 @@
     }
 
     private RackPreference preferring(List<String> order) {
-        return new RackPreference(expectation.remoteFactor(), order);
+        return new RackPreference(runEnds.remoteFactor(), order);
     }
 
     private boolean waitsForWhole(
@@ -301,8 +301,8 @@
         JobEntry job = step.job();
         boolean runs = job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
         return new RackWait(
-                expectation.remoteFactor(),
-                expectation.taskMillis(step),
+                runEnds.remoteFactor(),
+                runEnds.taskMillis(step),
                 step.rackWait().since().orElseGet(() -> firstSince(step, now)),
                 runs ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
                 gapMillis(step, now),
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -37,7 +37,7 @@
     private final JobLifecycle lifecycle;
     private final WorkerLossHandler losses;
     private final Backlog backlog;
-    private final RunExpectation expectation;
+    private final RunEndEstimator runEnds;
     private final Consumer<SchedulerEvent> events;
 
     ReportHandler(
@@ -47,7 +47,7 @@
             JobLifecycle lifecycle,
             WorkerLossHandler losses,
             Backlog backlog,
-            RunExpectation expectation,
+            RunEndEstimator runEnds,
             Consumer<SchedulerEvent> events) {
         this.jobs = jobs;
         this.runs = runs;
@@ -55,7 +55,7 @@
         this.lifecycle = lifecycle;
         this.losses = losses;
         this.backlog = backlog;
-        this.expectation = expectation;
+        this.runEnds = runEnds;
         this.events = events;
     }
 
@@ -194,7 +194,7 @@
                         "end=" + ended.end() + " number=" + ended.number()));
         Optional<Run> run = task.run(ended.run(), worker);
         if (ended.end() == RunEnd.DONE && task.checkpoint().isEmpty()) {
-            run.filter(r -> r.startedAt() > 0).ifPresent(r -> expectation.recordDone(r, now));
+            run.filter(r -> r.startedAt() > 0).ifPresent(r -> runEnds.recordDone(r, now));
         }
         run.ifPresent(runs::close);
         task.step().job().recordRun(now);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunExpectation.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RunEndEstimator.java
@@ -4,16 +4,19 @@
 import org.chervillift.core.tasks.placement.RoomForecast;
 
 /**
- * Expects how long runs take: by their queue, the speed of their worker, and their distance from
- * their data or from the tasks that they are coupled with.
+ * Estimates how long runs take and when they end, from their queue, the speed of their worker, and
+ * whether they are away from the rack of their data or of the tasks that they are coupled with.
+ *
+ * <p>{@link StopCostEstimator} estimates the remaining time from progress, to compare runs for
+ * preemption.
  */
-final class RunExpectation {
+final class RunEndEstimator {
 
     private final RunTimeEstimator runTimes;
     private final double remoteFactor;
     private final long stopTimeoutMillis;
 
-    RunExpectation(RunTimeEstimator runTimes, SchedulerSettings settings) {
+    RunEndEstimator(RunTimeEstimator runTimes, SchedulerSettings settings) {
         this.runTimes = runTimes;
         this.remoteFactor = settings.remoteFactor();
         this.stopTimeoutMillis = settings.stopTimeoutMillis();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StopCostEstimator.java
@@ -2,8 +2,10 @@
 
 import org.chervillift.api.tasks.StepSpec;
 
-/** Estimates how long runs go on, and how much work is lost when they are stopped. */
-final class RunForecast {
+/**
+ * Estimates how long runs go on by their progress, and how much work is lost if they are stopped.
+ */
+final class StopCostEstimator {
 
     private static final int FULL_PERCENT = 100;
 
@@ -12,7 +14,7 @@
 
     private final RunTimeEstimator runTimes;
 
-    RunForecast(RunTimeEstimator runTimes) {
+    StopCostEstimator(RunTimeEstimator runTimes) {
         this.runTimes = runTimes;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -81,11 +81,10 @@
         RunNumbers numbers = new RunNumbers(settings.term());
         this.restorer = new ProgressRestorer(lifecycle, inheritedStarts, numbers);
         this.losses = new WorkerLossHandler(runs, lifecycle, events);
-        RunExpectation expectation = new RunExpectation(runTimes, settings);
+        RunEndEstimator runEnds = new RunEndEstimator(runTimes, settings);
         this.reportHandler =
-                new ReportHandler(
-                        jobs, runs, numbers, lifecycle, losses, backlog, expectation, events);
-        RackPlanner racks = new RackPlanner(expectation, ranking, now, events);
+                new ReportHandler(jobs, runs, numbers, lifecycle, losses, backlog, runEnds, events);
+        RackPlanner racks = new RackPlanner(runEnds, ranking, now, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, racks, settings, events);
         this.stops =
                 new RunStops(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RelayPeriod.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RelayLog.java
@@ -8,7 +8,7 @@
 import org.chervillift.runtime.supervision.Scheduler;
 
 /** Logs when this process begins to relay requests, and when it has not for a while. */
-final class RelayPeriod {
+final class RelayLog {
 
     private static final Duration QUIET_TIME = Duration.ofSeconds(1);
 
@@ -19,7 +19,7 @@
     private int answered;
     private int failed;
 
-    RelayPeriod(Scheduler scheduler) {
+    RelayLog(Scheduler scheduler) {
         this.scheduler = Checks.notNull("scheduler", scheduler);
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RequestRelay.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RequestRelay.java
@@ -47,14 +47,14 @@
     private final BoundedCalls boundedCalls;
     private final Supervision supervision;
     private final RelayMetrics metrics;
-    private final RelayPeriod period;
+    private final RelayLog log;
 
     RequestRelay(RelayPeers peers, PeerCalls calls, Supervision supervision, RelayMetrics metrics) {
         this.peers = Checks.notNull("peers", peers);
         this.peerCalls = Checks.notNull("calls", calls);
         this.supervision = Checks.notNull("supervision", supervision);
         this.metrics = Checks.notNull("metrics", metrics);
-        this.period = new RelayPeriod(supervision.scheduler());
+        this.log = new RelayLog(supervision.scheduler());
         this.boundedCalls =
                 new BoundedCalls(
                         supervision,
@@ -115,7 +115,7 @@
         }
         RelayTry chosen = next.get();
         relayed.triedVms.add(chosen.peer().vm());
-        period.recordStart(relayed.cause, chosen.peer().vm());
+        log.recordStart(relayed.cause, chosen.peer().vm());
         return send(relayed.request, chosen).thenCompose(reply -> onReply(relayed, chosen, reply));
     }
 
@@ -148,7 +148,7 @@
         RelayResult result = resultOf(reply);
         peers.recordResult(chosen, result, nowMillis());
         metrics.countTry(result);
-        period.recordEnd(result == RelayResult.ANSWERED);
+        log.recordEnd(result == RelayResult.ANSWERED);
         return switch (reply) {
             case PeerReply.Answered a when a.answer().cause().isEmpty() ->
                     CompletableFuture.completedFuture(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/SurgePeakStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/SurgeRateStore.java
@@ -12,7 +12,7 @@
 import org.chervillift.runtime.events.Field;
 
 /** Stores the rates of the last surges of the pools, so that the next holder can forecast. */
-final class SurgePeakStore {
+final class SurgeRateStore {
 
     static final RowKey ROW_KEY = new RowKey("surges", "peaks");
 
@@ -33,8 +33,8 @@
      *
      * @param pools the last surge of each pool
      */
-    private record StoredPeaks(List<PoolPeak> pools) {
-        private StoredPeaks {
+    private record StoredRates(List<PoolRate> pools) {
+        private StoredRates {
             pools = List.copyOf(pools);
         }
     }
@@ -45,9 +45,9 @@
      * @param pool the name of the pool
      * @param milliCores the work that arrived per unit of time, in thousandths of a core
      */
-    private record PoolPeak(String pool, long milliCores) {}
+    private record PoolRate(String pool, long milliCores) {}
 
-    SurgePeakStore(HolderContext context) {
+    SurgeRateStore(HolderContext context) {
         this.context = Checks.notNull("context", context);
     }
 
@@ -73,18 +73,18 @@
 
     /** Decodes the row; without a readable one, surges are followed instead of forecast. */
     private static Map<String, Long> decode(String value) {
-        Map<String, Long> peaks = new TreeMap<>();
+        Map<String, Long> rates = new TreeMap<>();
         try {
-            Json.decode(value, StoredPeaks.class)
+            Json.decode(value, StoredRates.class)
                     .pools()
-                    .forEach(p -> peaks.put(p.pool(), p.milliCores()));
+                    .forEach(p -> rates.put(p.pool(), p.milliCores()));
         } catch (RuntimeException e) {
             EventLog.log(
                     TaskEvent.ROW_UNREADABLE,
                     Field.of("key", ROW_KEY.key()),
                     Field.of("why", e.getMessage()));
         }
-        return peaks;
+        return rates;
     }
 
     private boolean isEnabled() {
@@ -102,28 +102,28 @@
     }
 
     /** Stores the rates if they have changed enough; a failed write is made good by a later one. */
-    void store(Map<String, Long> peaks, long now) {
-        if (writing || !hasChanged(peaks) || now - lastWriteAt < WRITE_INTERVAL_MILLIS) {
+    void store(Map<String, Long> rates, long now) {
+        if (writing || !hasChanged(rates) || now - lastWriteAt < WRITE_INTERVAL_MILLIS) {
             return;
         }
         writing = true;
         lastWriteAt = now;
-        List<PoolPeak> list =
-                peaks.entrySet().stream().map(e -> new PoolPeak(e.getKey(), e.getValue())).toList();
+        List<PoolRate> list =
+                rates.entrySet().stream().map(e -> new PoolRate(e.getKey(), e.getValue())).toList();
         context.supervision()
                 .whenAnswered(
                         "surge peaks",
                         context.fencedStore()
-                                .commit(Write.put(ROW_KEY, Json.encode(new StoredPeaks(list)))),
+                                .commit(Write.put(ROW_KEY, Json.encode(new StoredRates(list)))),
                         (outcome, fault) -> {
                             writing = false;
-                            stored = fault == null ? peaks : stored;
+                            stored = fault == null ? rates : stored;
                         },
                         () -> writing = false);
     }
 
-    private boolean hasChanged(Map<String, Long> peaks) {
-        return peaks.entrySet().stream()
+    private boolean hasChanged(Map<String, Long> rates) {
+        return rates.entrySet().stream()
                 .anyMatch(
                         e -> {
                             long before = stored.getOrDefault(e.getKey(), 0L);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -160,8 +160,8 @@
     }
 
     /** Sets the rates of the last surges by pool, in thousandths of a core. */
-    void setSurgePeaks(Map<String, Long> peaks) {
-        peaks.forEach((p, peak) -> poolCores.labelValues(p, "last_surge").set(peak / MILLI_UNITS));
+    void setSurgeRates(Map<String, Long> rates) {
+        rates.forEach((p, rate) -> poolCores.labelValues(p, "last_surge").set(rate / MILLI_UNITS));
     }
 
     /** Sets the pending jobs of the queues, and removes the series of all other queues. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -42,7 +42,7 @@
     private final ManifestTracker manifests;
     private final WaveProgressStore waveProgress;
     private final InitialPoolSizes initialPoolSizes;
-    private final SurgePeakStore surgePeaks;
+    private final SurgeRateStore surgeRates;
     private final RecentVmOrders recentOrders;
     private final VmOrderSender orders;
     private final GoneVmDetector goneVms;
@@ -61,7 +61,7 @@
         this.manifests = Checks.notNull("manifests", manifests);
         this.waveProgress = new WaveProgressStore(context);
         this.initialPoolSizes = new InitialPoolSizes(context);
-        this.surgePeaks = new SurgePeakStore(context);
+        this.surgeRates = new SurgeRateStore(context);
         this.recentOrders = new RecentVmOrders(context);
         this.orders = new VmOrderSender(context, recentOrders);
         Duration longestAbsence =
@@ -82,7 +82,7 @@
     void load() {
         waveProgress.load();
         initialPoolSizes.load();
-        surgePeaks.load();
+        surgeRates.load();
     }
 
     /** Returns what collects the figures for submissions, from the VMs as last listed. */
@@ -120,7 +120,7 @@
         stopped = true;
         waveProgress.stop();
         initialPoolSizes.stop();
-        surgePeaks.stop();
+        surgeRates.stop();
         recentOrders.stop();
     }
 
@@ -386,11 +386,11 @@
     }
 
     private void decideMoves(Round round, Set<String> draining) {
-        if (!initialPoolSizes.isKnown() || !surgePeaks.isLoaded()) {
+        if (!initialPoolSizes.isKnown() || !surgeRates.isLoaded()) {
             return;
         }
         if (planner == null) {
-            surges = new SurgeForecast(surgePeaks.stored(), VmController::logForecast);
+            surges = new SurgeForecast(surgeRates.stored(), VmController::logForecast);
             planner = new PoolPlanner(initialPoolSizes.sizes(), context.settings().pools(), surges);
         }
         List<Move> moves =
@@ -417,9 +417,9 @@
     }
 
     private void recordSurges(long now) {
-        Map<String, Long> peaks = surges.rates();
-        context.metrics().setSurgePeaks(peaks);
-        surgePeaks.store(peaks, now);
+        Map<String, Long> rates = surges.rates();
+        context.metrics().setSurgeRates(rates);
+        surgeRates.store(rates, now);
     }
 
     private static void logForecast(SurgeForecast.BegunSurge surge) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SurgePeakStoreTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SurgeRateStoreTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against a next holder that knows no surge, and against rows that nobody asked for. */
-class SurgePeakStoreTest {
+class SurgeRateStoreTest {
 
     private static final int LONGEST_ENTRY_BYTES = 100;
     private static final PoolSettings FORECASTING = new PoolSettings(2_300, 600, 0.34, true);
@@ -36,7 +36,7 @@
         var page =
                 fixture.store
                         .scan(
-                                SurgePeakStore.ROW_KEY.table(),
+                                SurgeRateStore.ROW_KEY.table(),
                                 StoreLayout.HOLDER_PARTITION,
                                 KeyRange.ALL,
                                 1)
