--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Evacuation.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Evacuation.java
@@ -9,8 +9,7 @@
 /**
  * The data centres that the operator wants to be evacuated, and what this means for the workers.
  *
- * <p>Answers the load of an evacuation: as long as no worker was excluded by its data centre, tasks
- * went on to be started in the one that was to be empty.
+ * <p>Addresses starts in a data centre that is to be empty: its workers take no tasks.
  */
 public final class Evacuation {
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/EvacuationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/EvacuationPlanner.java
@@ -16,10 +16,10 @@
  * Decides which runs of evacuated data centres are stopped, so that their tasks move.
  *
  * <p>An evacuation may cover a third of the workers of each service at once. Long-running tasks
- * would stay there for ever. They move a few at a time, as many as their step allows to be down,
- * and only while other workers have places for all that would then wait. Runs that end by
- * themselves go on. A start whose outcome is unknown is stopped: the worker may carry it out long
- * after the evacuation began.
+ * would stay there. They move a few at a time, as many as their step allows to be down, and only
+ * while other workers have places for all that would then wait. Runs that end by themselves go on.
+ * A start whose outcome is unknown is stopped: the worker may carry it out long after the
+ * evacuation began.
  */
 final class EvacuationPlanner {
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackForecasts.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackForecasts.java
@@ -98,7 +98,7 @@
         return Optional.of(new ExpectedPlaces(at, chosen));
     }
 
-    /** Lets the tasks of a step take the places for which they wait. */
+    /** Reserves the places for which the tasks of a step wait. */
     void reserve(StepEntry step, ExpectedPlaces places, long now) {
         long runMillis = runEnds.taskMillis(step);
         earliest.clear();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ShareMonitor.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ShareMonitor.java
@@ -9,7 +9,7 @@
 import org.chervillift.core.tasks.shares.PoolShares;
 
 /**
- * Tells which customers' steps are postponed, since the customers are beyond their share of a pool.
+ * Reports the customers whose steps are postponed since they are beyond their share of a pool.
  *
  * <p>The state is for the log and the metrics only. It has an entry for each customer that was
  * postponed in a pool within the last seconds.
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/AdmissionPolicy.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/AdmissionPolicy.java
@@ -14,7 +14,7 @@
 /**
  * Decides at submission whether a job is rejected.
  *
- * <p>Addresses jobs that would wait for ever, since no VM or no limit of a customer is large enough
+ * <p>Addresses jobs that would never start, since no VM or no limit of a customer is large enough
  * for them, and surges of several times what a pool can work off before the jobs lose their value.
  * What is not known rejects nothing.
  */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/Rejection.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/Rejection.java
@@ -37,7 +37,7 @@
     /**
      * The job can be served later.
      *
-     * @param retryAfter when the caller comes back
+     * @param retryAfter after what time the caller may retry
      */
     record Later(Duration retryAfter) implements Rejection {
         public Later {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/RetryTimes.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/RetryTimes.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 
 /**
- * Spreads over time when callers come back that were turned away together.
+ * Spreads the retries of callers that were rejected at the same time.
  *
- * <p>Addresses surges and outages, at which many callers are told at one moment. Times are whole
- * seconds, as HTTP sends them. They follow from the identifier of the job, so that a caller that
- * asks more often is told no shorter time.
+ * <p>Addresses surges and outages, in which many callers are rejected at once. Times are whole
+ * seconds, as HTTP sends them. They are derived from the identifier of the job, so that a caller
+ * that retries early gets no shorter time.
  */
 public final class RetryTimes {
 
@@ -17,7 +17,7 @@
     /** The most that is added, as a part of the time. */
     private static final double MAX_JITTER = 0.25;
 
-    /** In a shorter outage another process may serve the caller, who comes back soon. */
+    /** In a shorter outage another process may serve the caller, who may retry soon. */
     private static final long LONG_OUTAGE_MILLIS = 5_000;
 
     /** Over how many seconds the callers of a long outage are spread. */
@@ -30,7 +30,7 @@
     private RetryTimes() {}
 
     /**
-     * Returns when the caller of a job comes back that has to wait for others.
+     * Returns how long the caller of a job that has to wait for others waits before a retry.
      *
      * @param waitMillis for how long it has to wait, in milliseconds
      */
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Returns when the caller of a request comes back that this process could not process.
+     * Returns how long the caller of a request that was not processed waits before a retry.
      *
      * @param request what identifies the request, such as its path
      * @param outageMillis for how long the process could not process any, in milliseconds
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/StartForecaster.java
@@ -16,10 +16,10 @@
 /**
  * Forecasts for each queue when a job would start at the earliest that is handed in now.
  *
- * <p>Addresses surges of more urgent work, divided by the rate at which the pool works it off. Such
- * work goes first while its job is on time; which job of the same urgency goes first is not sure.
- * The work of a customer with a limit takes no more of the rate than its limit leaves beside what
- * runs for it.
+ * <p>Addresses surges of more urgent work: divides it by the rate at which the pool works it off.
+ * Counts such work only while its job is on time, and no work of the same urgency, of which it is
+ * not sure what goes first, so that no job starts earlier than forecast. The work of a customer
+ * with a limit takes no more of the rate than its limit leaves beside what runs for it.
  */
 public final class StartForecaster {
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/admission/WaitingWork.java
@@ -12,7 +12,7 @@
  * @param customer the customer, or empty
  * @param customerMilliCores what may start for the customer beside what runs, in thousandths of a
  *     core; the largest long if nothing limits it
- * @param onTimeMillis for how long its jobs are on time; late ones go after those of other queues
+ * @param onTimeMillis for how long its jobs are on time; it is not counted after that
  * @param largest the most that a task of it needs of each resource
  * @param work the expected work, in thousandths of a core times milliseconds
  * @param estimatedWork the same as estimated by callers
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/Finding.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/Finding.java
@@ -15,7 +15,7 @@
     public enum Severity {
         /** The entry contradicts another, or what is allowed. */
         ERROR,
-        /** The entry has no effect, or hardly the one that is meant. */
+        /** The entry has no effect, or probably not the intended one. */
         WARNING
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/ManifestCheck.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/manifests/ManifestCheck.java
@@ -19,8 +19,8 @@
 /**
  * Finds entries of a configuration that contradict each other, or can have no effect.
  *
- * <p>Addresses configurations that are sent and turn jobs away, or leave them waiting, although
- * each entry by itself is well formed.
+ * <p>Addresses configurations by which jobs are rejected or never start although each entry by
+ * itself is well formed.
  */
 public final class ManifestCheck {
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayAnswers.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayAnswers.java
@@ -3,7 +3,7 @@
 import org.chervillift.api.tasks.JobAnswer;
 import org.chervillift.api.tasks.JobRequest.Action;
 
-/** Decides what a caller is told after its request was sent to one or more entry VMs. */
+/** Decides the answer to a caller whose request was sent to one or more entry VMs. */
 public final class RelayAnswers {
 
     private RelayAnswers() {}
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayCircuit.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/relay/RelayCircuit.java
@@ -15,7 +15,7 @@
     /** Fewer peers in a row fail by chance where the store rejects a third of the entry VMs. */
     static final int PEERS_TO_OPEN = 3;
 
-    /** Failures that lie further apart than the longest back-off tell nothing of each other. */
+    /** Failures further apart than the longest back-off do not count together. */
     private static final long RECENT_MILLIS = RelayBackOff.MAX_MILLIS;
 
     private final Set<String> failedPeers = new HashSet<>();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/DrainReserve.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/DrainReserve.java
@@ -12,7 +12,7 @@
 /**
  * Keeps one VM in service in each pool whose tasks wait, although maintenance waves would drain it.
  *
- * <p>Answers a surge of other pools during a wave. A pool whose last VM is drained gets no other
+ * <p>Addresses a surge of other pools during a wave. A pool whose last VM is drained gets no other
  * one while VMs are scarce, and a long-running task on that VM cannot move without one. The tasks
  * that wait would then stand still for as long as the surge lasts, beside a VM with room.
  */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/SurgeForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/SurgeForecast.java
@@ -8,11 +8,11 @@
 /**
  * Forecasts the demand of pools whose queues surge again and again.
  *
- * <p>Answers a queue that was nearly idle and suddenly receives many times as many jobs. A VM takes
- * seconds to join a pool, and the first jobs do not show how large the surge is; least of all while
- * few callers reach the system, as after a loss of power. When a surge begins, the mean rate of the
- * pool's last surge is taken as its demand until the rate of this one is known. A wrong forecast
- * thus costs VMs for a short time only.
+ * <p>Addresses a queue that was nearly idle and suddenly receives many times as many jobs. A VM
+ * takes seconds to join a pool, and the first jobs do not show how large the surge is; least of all
+ * while few callers reach the system, as after a loss of power. When a surge begins, the mean rate
+ * of the pool's last surge is taken as its demand until the rate of this one is known. A wrong
+ * forecast thus costs VMs for a short time only.
  */
 public final class SurgeForecast {
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/BacklogTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/BacklogTest.java
@@ -15,7 +15,9 @@
         return fixture.scheduler.backlog().waitingWork(fixture.now);
     }
 
-    /** Other jobs were rejected for work that waits for its customer's limit, and not for room. */
+    /**
+     * Guards against rejections because of work that waits for its customer's limit, not for room.
+     */
     @Test
     void aCustomerAtItsLimitTakesNoMoreRoom() {
         SchedulerFixture fixture = new SchedulerFixture(1, new Resources(3_000, 0, 0));
@@ -27,7 +29,7 @@
                 .isEqualTo(0L);
     }
 
-    /** Such tasks leave room that others may take. */
+    /** Guards against rejections because of tasks that leave room which others may take. */
     @Test
     void tasksThatMayWaitForSomethingElseThanRoomAreNotCounted() {
         SchedulerFixture fixture = new SchedulerFixture();
@@ -37,7 +39,7 @@
         assertThat(waitingWork(fixture)).isEmpty();
     }
 
-    /** A late job goes after jobs of any queue that are on time. */
+    /** Guards against forecasts that are too late: the work of late jobs is left out of them. */
     @Test
     void lateWorkIsNotCounted() {
         SchedulerFixture fixture = new SchedulerFixture();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/CopyTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/CopyTest.java
@@ -62,7 +62,7 @@
         return racks.count(kind);
     }
 
-    /** A job waited for the one run that took many times as long as others. */
+    /** Guards against jobs that wait for one run that takes many times as long as others. */
     @Test
     void theFirstDoneOfTwoRunsCountsAndTheOtherIsStopped() {
         startSlowRun(true);
@@ -75,7 +75,7 @@
         assertThat(startsOfTask()).isEqualTo(2);
     }
 
-    /** Tasks whose step does not allow two runs at once got a second one. */
+    /** Guards against a second run of a task whose step does not allow two at once. */
     @Test
     void withoutLeaveOfTheStepThereIsNoCopy() {
         startSlowRun(false);
@@ -83,7 +83,7 @@
         assertThat(startsOfTask()).isEqualTo(1);
     }
 
-    /** The failure of one run led to a third one beside the other. */
+    /** Guards against a third run when one of two fails. */
     @Test
     void aFailedRunCountsAndTheOtherGoesOn() {
         startSlowRun(true);
@@ -97,7 +97,7 @@
         assertThat(startsOfTask()).isEqualTo(2);
     }
 
-    /** Both runs were done before the stop arrived, and the task was done twice. */
+    /** Guards against a task that counts as done twice if both runs end before the stop arrives. */
     @Test
     void aSecondDoneLeadsToNoThirdStart() {
         startSlowRun(true);
@@ -110,7 +110,7 @@
         assertThat(racks.fixture.scheduler.stateOf("slow")).contains(JobState.COMPLETED);
     }
 
-    /** Copies took room for which other tasks waited. */
+    /** Guards against copies in room for which other tasks wait. */
     @Test
     void noCopyStartsWhileTasksWait() {
         startSlowRun(true);
@@ -119,7 +119,7 @@
         assertThat(count(SchedulerEvent.Kind.COPY_STARTED)).isZero();
     }
 
-    /** Copies of many slow runs took most of a pool. */
+    /** Guards against copies that take most of a pool in which many runs are slow. */
     @Test
     void copiesTakeAtMostATenthOfThePool() {
         for (int i = 0; i < 8; i++) {
@@ -131,7 +131,7 @@
         assertThat(count(SchedulerEvent.Kind.COPY_STARTED)).isEqualTo(2);
     }
 
-    /** A new holder stopped one of two runs, or started a third one. */
+    /** Guards against a new holder that stops one of two runs, or starts a third one. */
     @Test
     void aNewHolderKeepsBothRunsAndHasNoThird() {
         racks.addWorkers(NEAR, 4, CORE);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/CoupledStepTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/CoupledStepTest.java
@@ -24,7 +24,7 @@
                 .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
     }
 
-    /** The least free worker came first, and the rest of the step went to other racks. */
+    /** Guards against a step that is spread over racks although one has room for all of it. */
     @Test
     void aStepGoesToTheRackThatHoldsAllOfIt() {
         racks.addWorkers(NEAR, 1, 2 * CORE);
@@ -34,7 +34,7 @@
         assertThat(countByRack()).isEqualTo(Map.of(FAR, 6L));
     }
 
-    /** A step was spread over racks although one of them was about to hold all of it. */
+    /** Guards against a step that is spread although one rack is about to hold all of it. */
     @Test
     void aStepWaitsForARackThatIsAboutToHoldAllOfIt() {
         racks.addWorkers(NEAR, 2, 2 * CORE);
@@ -49,7 +49,7 @@
         assertThat(racks.count(SchedulerEvent.Kind.RACK_WAIT_PAID)).isEqualTo(1);
     }
 
-    /** A step that no rack will ever hold waited, or was spread over more racks than needed. */
+    /** Guards against a wait for a rack that never holds the step, and against too many racks. */
     @Test
     void aStepThatNoRackHoldsIsSpreadOverFewRacks() {
         racks.addWorkers(NEAR, 2, CORE);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -105,9 +105,7 @@
         assertThat(fixture.scheduler.stateOf("a").orElseThrow().isFinal()).isTrue();
     }
 
-    /**
-     * A service would otherwise stay in the data centre for ever, or lose several tasks at once.
-     */
+    /** Guards against a service that stays in the data centre, or loses several tasks at once. */
     @Test
     void tasksOfAServiceMoveOneAfterTheOtherAsFarAsItMayMissThem() {
         fixture.addWorker("a1", 3_000, AWAY);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
@@ -62,7 +62,7 @@
         return 1_000 + BURST_MILLIS * (job / BURST);
     }
 
-    /** Many jobs ran away from their data at once, although a place was about to be free. */
+    /** Guards against runs away from their data although a place there is about to be free. */
     @Test
     void aShortWaitForTheRackMakesTheMeanAndTheSlowestJobFaster() {
         RackFixture without = replay(1, FACTOR);
@@ -91,7 +91,7 @@
         return (double) (ends - arrivals) / BUSY_JOBS;
     }
 
-    /** Where a rack was busy anyway, each job waited, and all of them took longer. */
+    /** Guards against waits for a rack that is busy anyway, which make all its jobs take longer. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void jobsThatWantABusyRackTakeNoLongerForTheirWaits(long seed) {
@@ -122,7 +122,7 @@
         return rack;
     }
 
-    /** Jobs waited for a place that was expected, and did not come, for as long as it lasted. */
+    /** Guards against an unbounded wait for a place that is expected and does not come. */
     @Test
     void aWaitOnAWrongEstimateEndsBeforeTheJobStandsStill() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -143,7 +143,7 @@
         assertThat(rack.plan()).hasSize(1);
     }
 
-    /** The one free place elsewhere was kept for the step that waits. */
+    /** Guards against a free place elsewhere that is kept for the step that waits. */
     @Test
     void aStepThatWaitsDoesNotBlockTheStepsBehindIt() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -152,7 +152,7 @@
         assertThat(rack.plan()).extracting(s -> s.task().job()).containsExactly("behind", "behind");
     }
 
-    /** Places that others wait for were promised again; the tasks behind waited in vain. */
+    /** Guards against waits for a place that a task ahead will take. */
     @Test
     void tasksThatWaitAheadCount() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -162,7 +162,7 @@
         assertThat(rack.rackOf).hasSize(8);
     }
 
-    /** Jobs waited for a rack whose workers were lost or about to go. */
+    /** Guards against waits for a rack whose workers are lost or drain. */
     @Test
     void theWaitEndsWhenTheWorkersOfTheRackDrainOrAreLost() {
         for (boolean draining : List.of(true, false)) {
@@ -178,7 +178,7 @@
         }
     }
 
-    /** Each holder let a job wait anew, so that the waits added up. */
+    /** Guards against waits that add up, one for each new holder. */
     @Test
     void aNewHolderCountsTheWaitOfItsPredecessor() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -189,7 +189,7 @@
         assertThat(rack.plan()).hasSize(1);
     }
 
-    /** A wait within its bound was told as a standstill. */
+    /** Guards against a wait within its bound that is reported as a standstill. */
     @Test
     void aWaitIsExplainedAndIsNoStandstill() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -207,7 +207,7 @@
         assertThat(report.standing()).isEmpty();
     }
 
-    /** A job without an estimate waited for a place of which nothing was known. */
+    /** Guards against waits of jobs without an estimate. */
     @Test
     void withoutEstimatesNothingWaits() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -215,7 +215,7 @@
         assertThat(rack.plan()).hasSize(1);
     }
 
-    /** A task whose rack had a free place went elsewhere or waited. */
+    /** Guards against a task that does not take a free place in its rack. */
     @Test
     void aFreePlaceInTheRackIsUsedAtOnce() {
         RackFixture rack = oneBusyPlace(1_000);
@@ -224,7 +224,7 @@
         assertThat(rack.plan()).extracting(Order.Start::worker).containsExactly("near1");
     }
 
-    /** Each of 10,000 waiting tasks looked at each of 1,200 workers, which took 100 ms. */
+    /** Guards against 10,000 waiting tasks that each look at 1,200 workers, which took 100 ms. */
     @Test
     void aRoundForTenThousandWaitingJobsIsShort() {
         assertThat(roundNanos(FACTOR)).isLessThan(MAX_ROUND_NANOS);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerSpeedTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerSpeedTest.java
@@ -29,14 +29,14 @@
         return racks.plan().stream().map(Order.Start::worker).toList();
     }
 
-    /** The slow worker came first by its name, and made its job slower than others. */
+    /** Guards against a slow worker that is chosen while another one has room. */
     @Test
     void aSlowWorkerIsUsedOnlyIfNoOtherHasRoom() {
         assertThat(workersOf(2)).containsExactly("near1", "near2");
         assertThat(workersOf(1)).containsExactly("near0");
     }
 
-    /** A replaced server was avoided for what its predecessor had been. */
+    /** Guards against a replaced server that is avoided for the speed of the former one. */
     @Test
     void theSpeedIsForgottenWithTheLifetime() {
         for (long bornAt : List.of(5L, 6L)) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/admission/AdmissionPolicyTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/admission/AdmissionPolicyTest.java
@@ -54,7 +54,9 @@
         return decide(job, Resources.NONE, figures, AS_OF);
     }
 
-    /** Such a job waited for ever; another VM may move into the pool, so that all pools count. */
+    /**
+     * Guards against jobs that never start. VMs move between pools, so those of all pools count.
+     */
     @Test
     void aTaskThatNoVmCouldRunIsRejected() {
         PublishedFigures known = figures(0, 100);
@@ -76,7 +78,7 @@
         }
     }
 
-    /** Such a job waited for ever; tasks that start one by one may wait for each other. */
+    /** Guards against jobs that never start. Tasks outside a gang may start one after the other. */
     @Test
     void aTaskOrAGangAboveTheLimitOfItsCustomerIsRejected() {
         Resources limit = new Resources(3_000, 0, 0);
@@ -120,7 +122,9 @@
                 .isEmpty();
     }
 
-    /** Callers that were told together came back together; who asks again is told the same. */
+    /**
+     * Guards against callers that retry all at once, and against shorter times for a second try.
+     */
     @Test
     void retriesAreSpreadAndBounded() {
         assertThat(RetryTimes.afterBacklog(ID, 8_000))
@@ -135,7 +139,7 @@
         }
     }
 
-    /** In a short outage another process may serve the caller; after a long one, all come back. */
+    /** A short outage may concern this process only; after a long one, all callers retry. */
     @Test
     void callersComeBackSoonFromAShortOutageAndSpreadFromALongOne() {
         List<String> paths = IntStream.range(0, 100).mapToObj(i -> "/q/" + i).toList();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/admission/StartForecasterTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/admission/StartForecasterTest.java
@@ -64,7 +64,7 @@
                 1_000);
     }
 
-    /** A job that is late goes after a new one, however much work there is of such jobs. */
+    /** Guards against forecasts that count work for longer than its jobs are on time. */
     @Test
     void workThatWillBeLateDelaysAJobOnlyUntilThen() {
         assertStarts(
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/manifests/ManifestCheckTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/manifests/ManifestCheckTest.java
@@ -51,7 +51,7 @@
                 .isEmpty();
     }
 
-    /** Jobs of the hidden queue ran in the other one, or were answered 404. */
+    /** Guards against jobs that run in the queue of another route, or are answered 404. */
     @Test
     void aRouteThatAnotherHidesIsFound() {
         assertThat(checkRoutes(ROUTE, route("same", "/q/", "p", 1)))
@@ -60,7 +60,7 @@
                 .containsExactly("ERROR route h/q/ of queue q");
     }
 
-    /** Jobs of such queues wait for ever. */
+    /** Guards against queues whose jobs never start. */
     @Test
     void aQueueWithoutVmsIsFound() {
         assertThat(checkRoutes(ROUTE, route("x", "/x/", "none", 1), route("y", "/y/", "spare", 1)))
@@ -85,7 +85,7 @@
                 .containsExactly("ERROR customers");
     }
 
-    /** A version that is not higher is not taken by any process. */
+    /** Guards against a version that no process takes, since it is not higher. */
     @Test
     void aVersionThatIsNotHigherIsFound() {
         Manifest manifest = manifest(2, List.of(ROUTE), List.of(CUSTOMER));
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/placement/PlacementDecisionsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/placement/PlacementDecisionsTest.java
@@ -15,7 +15,7 @@
         return new RackWait(2, 10_000, 1_000, idleSince, FAR_AWAY, latestStart);
     }
 
-    /** A wait went on for as long as each new expectation seemed to pay. */
+    /** Guards against a wait that each new expectation prolongs. */
     @Test
     void aWaitEndsAtTheGainCountedFromItsBeginning() {
         RackWait wait = wait(OptionalLong.empty(), FAR_AWAY);
@@ -25,21 +25,21 @@
         assertThat(wait.mayPay(11_000)).isFalse();
     }
 
-    /** A job of which nothing ran waited so long that it counted as standing still. */
+    /** Guards against a wait that lasts until the job counts as standing still. */
     @Test
     void aWaitWhileNothingRunsEndsWellBeforeAStandstill() {
         assertThat(wait(OptionalLong.of(0), FAR_AWAY).endsAt()).isEqualTo(2_500);
         assertThat(wait(OptionalLong.of(4_000), FAR_AWAY).endsAt()).isEqualTo(5_500);
     }
 
-    /** A job waited beyond the time at which it could still meet its objective. */
+    /** Guards against a wait that makes a job miss its objective. */
     @Test
     void aWaitEndsAtTheLatestStart() {
         assertThat(wait(OptionalLong.empty(), 3_000).pays(3_000, 1_000)).isFalse();
         assertThat(wait(OptionalLong.empty(), 3_000).pays(2_999, 1_000)).isTrue();
     }
 
-    /** All tasks waited for a rack that could not serve them, and each of them took longer. */
+    /** Guards against waits of all tasks for a rack that cannot serve them all. */
     @Test
     void aPlaceThatOthersWantSoonIsWorthLess() {
         RackWait wait = new RackWait(3, 1_000, 0, OptionalLong.empty(), 250, FAR_AWAY);
@@ -55,7 +55,7 @@
                 .isFalse();
     }
 
-    /** Room was expected from runs that are paced to nothing or of which nothing is known. */
+    /** Guards against room expected from runs that are paced to nothing, or have no estimate. */
     @Test
     void runsWithoutAnExpectationNeverEnd() {
         assertThat(RemainingTime.millis(0, 100, 100)).isEqualTo(RoomForecast.NEVER);
@@ -64,7 +64,7 @@
         assertThat(RemainingTime.millis(1_000, 3_000, 100)).isEqualTo(3_000);
     }
 
-    /** A task was promised the room of one that waits ahead of it. */
+    /** Guards against room that counts for two tasks that wait. */
     @Test
     void aPlaceThatIsTakenIsFreeOnlyAfterItsTask() {
         Resources core = new Resources(1_000, 0, 0);
@@ -76,7 +76,7 @@
         assertThat(forecast.firstRoomFor(core.times(2), 100)).isEqualTo(RoomForecast.NEVER);
     }
 
-    /** A copy was started of a run that was about to end. */
+    /** Guards against a copy of a run that is about to end. */
     @Test
     void aCopyPaysOnlyIfItEndsSooner() {
         CopyGain gain = new CopyGain(1_000, 500, 2_600, 1_600);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/EvacuatedVmsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/vms/EvacuatedVmsTest.java
@@ -77,7 +77,7 @@
         assertThat(toStandby()).hasSize(20);
     }
 
-    /** No pool gets a VM of a kind back, so tasks that need the kind would wait for ever. */
+    /** Guards against tasks that never start: a pool does not get a VM back by its kind. */
     @Test
     void theLastVmOfItsKindStaysInItsPool() {
         vm("a1", "p", "a", WorkerLoad.IDLE, true);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EvacuationReporter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EvacuationReporter.java
@@ -7,7 +7,7 @@
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 
-/** Tells, once each, which evacuations have no effect and which pools they leave without worker. */
+/** Logs, once each, evacuations without effect and pools that they leave without a worker. */
 final class EvacuationReporter {
 
     private final EvacuationMetrics metrics;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EvacuationRows.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/EvacuationRows.java
@@ -7,7 +7,7 @@
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 
-/** Keeps the operator's requests to evacuate data centres, each until its row is gone. */
+/** Keeps the operator's requests to evacuate data centres, each until its row is deleted. */
 final class EvacuationRows {
 
     private final Map<String, String> dataCentresByKey = new LinkedHashMap<>();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FigureCollector.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FigureCollector.java
@@ -19,7 +19,7 @@
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 
-/** Collects what the holder knows of the fleet that decides on submissions at all processes. */
+/** Collects the figures of the fleet by which all processes admit or reject jobs. */
 final class FigureCollector {
 
     private final TaskScheduler board;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobAdmission.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/JobAdmission.java
@@ -36,8 +36,7 @@
     }
 
     /**
-     * Returns why a job is rejected, if it is. Whether it is stored already is for the caller of
-     * this method to check.
+     * Returns why a job is rejected, if it is. Does not check whether the job is already stored.
      *
      * @param queue the queue at the time of the request; the newest manifest decides
      */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RejectionLog.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/RejectionLog.java
@@ -9,7 +9,7 @@
 import org.chervillift.runtime.events.Field;
 import org.chervillift.runtime.supervision.Scheduler;
 
-/** Counts rejected submissions, and logs the beginning, the going on and the end of rejections. */
+/** Counts rejected submissions, and logs when rejections begin, continue and end. */
 final class RejectionLog {
 
     /** At most one line for each cause in this time; rejections have ended after it without one. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/AdmissionNodeTest.java
@@ -70,7 +70,7 @@
                         plain.maxBodyBytes()));
     }
 
-    /** Such a job was accepted and waited for ever. */
+    /** Guards against accepted jobs that never start. */
     @Test
     void aTaskThatFitsOnNoVmIsRejectedByAnyProcess() {
         TaskNode holder = fixture.startNodeAndWait("a");
@@ -133,7 +133,7 @@
         assertThat(submit(other, JOB, 4_001)).isEqualTo(new JobAnswer.Accepted());
     }
 
-    /** A retry of an accepted job was told that it was not stored and has not run. */
+    /** Guards against "not stored, has not run" as the answer to a retry of an accepted job. */
     @Test
     void aJobThatIsStoredIsAcceptedAgainAfterItsLimitWasLowered() {
         TaskNode a = fixture.startNodeAndWait("a");
@@ -175,7 +175,7 @@
         assertThat(submit(node, JOB, 3_000)).isEqualTo(new JobAnswer.Accepted());
     }
 
-    /** Jobs of a less urgent queue were accepted, and started when they had no more value. */
+    /** Guards against accepted jobs that start when they have no more value. */
     @Test
     void aJobThatUrgentWorkLeavesNoTimeForIsToldToComeBackUntilThatWorkIsDone() {
         Manifest plain = fixture.manifest(2, Set.of(NodeFixture.KEY));
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EvacuationNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/EvacuationNodeTest.java
@@ -139,7 +139,7 @@
         assertThat(metricsOf(successor)).contains("chervillift_holder_term 2.0");
     }
 
-    /** The store rejects the holder, and the row is stored meanwhile: it goes on for its lease. */
+    /** The row is stored while the store rejects the holder, which still has its lease. */
     @Test
     void nobodyStartsTasksAfterTheBoundIfTheRowIsStoredWhileTheStoreRejectsTheHolder() {
         MemoryLink link = new MemoryLink(fixture.store, fixture.scheduler, BYTES_PER_SECOND);
@@ -179,7 +179,7 @@
         assertThat(workersSince(before)).contains("w1").doesNotContain("a1");
     }
 
-    /** A holder that the store turns away knows of no evacuation; others went on to start. */
+    /** Guards against starts by a holder that does not learn of an evacuation. */
     @Test
     void aHolderThatDoesNotReceiveTheOperatorsRowsStartsNothingAfterTheBound() {
         addWorkerElsewhere();
