--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -35,7 +35,7 @@
     private final Map<String, Map<String, List<WorkerRecord>>> racksByPool = new HashMap<>();
     private Optional<Considered> considered = Optional.empty();
 
-    /** The step that is looked at, since its tasks are alike and come one after the other. */
+    /** The step that is planned now; what is found for one of its tasks holds for the next. */
     private static final class Considered {
 
         private final StepEntry step;
@@ -299,12 +299,12 @@
 
     private RackWait waitOf(StepEntry step, long now) {
         JobEntry job = step.job();
-        boolean runs = job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
+        boolean hasBegunRun = job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
         return new RackWait(
                 runEnds.remoteFactor(),
                 runEnds.taskMillis(step),
                 step.rackWait().since().orElseGet(() -> firstSince(step, now)),
-                runs ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
+                hasBegunRun ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
                 gapMillis(step, now),
                 ranking.latestStart(step));
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ShareMonitor.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ShareMonitor.java
@@ -49,12 +49,14 @@
         for (String customer : order.postponedCustomers()) {
             PoolCustomer key = new PoolCustomer(pool, customer);
             if (lastPostponedAt.put(key, now) == null) {
-                log(SchedulerEvent.Kind.BEYOND_SHARE, key.text() + use(shares.get(), customer));
+                log(
+                        SchedulerEvent.Kind.BEYOND_SHARE,
+                        key.text() + partAndShare(shares.get(), customer));
             }
         }
     }
 
-    private static String use(PoolShares shares, String customer) {
+    private static String partAndShare(PoolShares shares, String customer) {
         return String.format(
                 Locale.ROOT,
                 " part=%.3f share=%.3f",
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/RackFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackFixture.java
@@ -34,11 +34,11 @@
     /**
      * Creates a scheduler without workers.
      *
-     * @param settings the factor that the scheduler is told
+     * @param remoteFactor the factor in the settings of the scheduler
      * @param realFactor how many times as long runs really take elsewhere
      */
-    RackFixture(double settings, double realFactor, long runMillis) {
-        this.fixture = new SchedulerFixture(1, Resources.NONE, settings);
+    RackFixture(double remoteFactor, double realFactor, long runMillis) {
+        this.fixture = new SchedulerFixture(1, Resources.NONE, remoteFactor);
         this.realFactor = realFactor;
         this.runMillis = runMillis;
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackWaitTest.java
@@ -28,8 +28,8 @@
     private static final long BURST_MILLIS = 4_000;
 
     /** Two places near the data and eight elsewhere; five jobs arrive each 4 s. */
-    private static RackFixture replay(double settings, double realFactor) {
-        RackFixture replay = new RackFixture(settings, realFactor, RUN_MILLIS);
+    private static RackFixture replay(double remoteFactor, double realFactor) {
+        RackFixture replay = new RackFixture(remoteFactor, realFactor, RUN_MILLIS);
         replay.addWorkers(NEAR, 2, CORE);
         replay.addWorkers(FAR, 8, CORE);
         for (int i = 0; i < 40; i++) {
@@ -73,8 +73,8 @@
     }
 
     /** Returns the mean of jobs that want 1.25 times what two places serve, for a while. */
-    private static double meanOfBusyRack(double settings, long seed) {
-        RackFixture replay = new RackFixture(settings, FACTOR, RUN_MILLIS);
+    private static double meanOfBusyRack(double remoteFactor, long seed) {
+        RackFixture replay = new RackFixture(remoteFactor, FACTOR, RUN_MILLIS);
         replay.addWorkers(NEAR, 2, CORE);
         replay.addWorkers(FAR, 16, CORE);
         Random random = new Random(seed);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -314,18 +314,25 @@
     private static Set<String> vmsToKeep(
             Collection<FleetWavePlanner.Decision> decisions, Round round) {
         Set<String> leaving = new HashSet<>();
-        Set<String> urgent = new HashSet<>();
+        Set<String> withDeadlineAtRisk = new HashSet<>();
         for (FleetWavePlanner.Decision decision : decisions) {
-            Set<String> target = decision.deadlineAtRisk() ? urgent : leaving;
-            target.addAll(decision.drain());
-            target.addAll(decision.maintain());
+            leaving.addAll(leavingVms(decision));
+            if (decision.deadlineAtRisk()) {
+                withDeadlineAtRisk.addAll(leavingVms(decision));
+            }
         }
         Set<String> deferrable = new HashSet<>(leaving);
-        deferrable.removeAll(urgent);
-        leaving.addAll(urgent);
+        deferrable.removeAll(withDeadlineAtRisk);
         return DrainReserve.vmsToKeep(round.views().values(), round.loads(), leaving, deferrable);
     }
 
+    /** Returns the VMs that a wave drains or maintains now. */
+    private static Set<String> leavingVms(FleetWavePlanner.Decision decision) {
+        Set<String> leaving = new HashSet<>(decision.drain());
+        leaving.addAll(decision.maintain());
+        return leaving;
+    }
+
     /** Carries out what is decided for a wave; returns the VMs that accept no more tasks. */
     private Set<String> apply(
             FleetWavePlanner.Progress wave,
@@ -333,8 +340,7 @@
             Set<String> kept,
             Round round) {
         Map<String, VmView> views = round.views();
-        Set<String> draining = new HashSet<>(decision.drain());
-        draining.addAll(decision.maintain());
+        Set<String> draining = leavingVms(decision);
         draining.removeAll(kept);
         long number = wave.order().number();
         for (String vm : decision.maintain()) {
