--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/CopyTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/CopyTest.java
@@ -31,24 +31,11 @@
     }
 
     private static StepSpec step(int count, boolean allowDuplicates) {
-        StepSpec s = RackFixture.step(count, RUN_MILLIS, "", false);
-        return new StepSpec(
-                s.count(),
-                s.request(),
-                s.estimatedMillis(),
-                s.after(),
-                s.gang(),
-                s.tightlyCoupled(),
-                s.requiredLabel(),
-                s.dataRack(),
-                s.maxPerWorker(),
-                allowDuplicates,
-                s.longRunning(),
-                s.image(),
-                s.tailTargetMillis(),
-                s.fillsSpareCapacity(),
-                s.mayMiss(),
-                s.checkpointing());
+        return new StepSpecBuilder()
+                .count(count)
+                .estimatedMillis(RUN_MILLIS)
+                .allowDuplicates(allowDuplicates)
+                .build();
     }
 
     private long startsOfTask() {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -11,7 +11,6 @@
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.QueueRoute;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.core.tasks.StandstillReport.WaitingSteps;
@@ -261,23 +260,7 @@
     }
 
     private static StepSpec stepWithDataIn(String rack) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 100, 0),
-                1_000,
-                List.of(),
-                false,
-                false,
-                "",
-                rack,
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
+        return new StepSpecBuilder().dataRack(rack).build();
     }
 
     /** A name that the operator mistyped must change nothing, and be found. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/RackFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/RackFixture.java
@@ -79,23 +79,13 @@
 
     /** Returns a step of tasks of one core. */
     static StepSpec step(int count, long estimatedMillis, String dataRack, boolean coupled) {
-        return new StepSpec(
-                count,
-                new Resources(CORE, 100, 0),
-                estimatedMillis,
-                List.of(),
-                false,
-                coupled,
-                "",
-                dataRack,
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
+        return new StepSpecBuilder()
+                .count(count)
+                .request(new Resources(CORE, 100, 0))
+                .estimatedMillis(estimatedMillis)
+                .tightlyCoupled(coupled)
+                .dataRack(dataRack)
+                .build();
     }
 
     /** Plans at each tick until a time, and ends the runs that are due. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -94,44 +94,20 @@
             boolean gang,
             boolean longRunning,
             int mayMiss) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 100, 0),
-                estimatedMillis,
-                after,
-                gang,
-                false,
-                "",
-                "",
-                0,
-                false,
-                longRunning,
-                "",
-                0,
-                false,
-                mayMiss,
-                false);
+        return new StepSpecBuilder()
+                .count(count)
+                .request(new Resources(milliCores, 100, 0))
+                .estimatedMillis(estimatedMillis)
+                .after(after)
+                .gang(gang)
+                .longRunning(longRunning)
+                .mayMiss(mayMiss)
+                .build();
     }
 
     /** Returns a step of which each worker takes only some tasks, of one core each. */
     static StepSpec stepWithMaxPerWorker(int count, int maxPerWorker) {
-        return new StepSpec(
-                count,
-                new Resources(1_000, 100, 0),
-                1_000,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                maxPerWorker,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
+        return new StepSpecBuilder().count(count).maxPerWorker(maxPerWorker).build();
     }
 
     /**
@@ -142,23 +118,13 @@
      */
     static StepSpec imageStep(
             long estimatedMillis, boolean longRunning, long tailTargetMillis, boolean fills) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 100, 0),
-                estimatedMillis,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                longRunning,
-                "image",
-                tailTargetMillis,
-                fills,
-                0,
-                false);
+        return new StepSpecBuilder()
+                .estimatedMillis(estimatedMillis)
+                .longRunning(longRunning)
+                .image("image")
+                .tailTargetMillis(tailTargetMillis)
+                .fillsSpareCapacity(fills)
+                .build();
     }
 
     static AcceptedJob job(String id, StepSpec... steps) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
@@ -68,23 +68,11 @@
     }
 
     private static StepSpec limitedStep(int count, String label, int maxPerWorker) {
-        return new StepSpec(
-                count,
-                new Resources(1_000, 100, 0),
-                1_000,
-                List.of(),
-                false,
-                false,
-                label,
-                "",
-                maxPerWorker,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
+        return new StepSpecBuilder()
+                .count(count)
+                .requiredLabel(label)
+                .maxPerWorker(maxPerWorker)
+                .build();
     }
 
     @Test
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/UrgentWorkTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/UrgentWorkTest.java
@@ -10,7 +10,6 @@
 import org.chervillift.api.tasks.PoolPolicy;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.QueueRoute;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.RunningTask;
 import org.chervillift.api.tasks.Schedule;
@@ -59,23 +58,12 @@
 
     /** Returns a step of one core and of tasks that take a minute. */
     private static StepSpec minute(int count, boolean gang, boolean checkpointing) {
-        return new StepSpec(
-                count,
-                new Resources(1_000, 100, 0),
-                60_000,
-                List.of(),
-                gang,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                checkpointing);
+        return new StepSpecBuilder()
+                .count(count)
+                .estimatedMillis(60_000)
+                .gang(gang)
+                .checkpointing(checkpointing)
+                .build();
     }
 
     private void start(QueuePolicy policy, String id, StepSpec step) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCapacityTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCapacityTest.java
@@ -145,23 +145,6 @@
     }
 
     private static StepSpec step(Resources request) {
-        StepSpec s = SchedulerFixture.step(1, request.milliCores());
-        return new StepSpec(
-                s.count(),
-                request,
-                s.estimatedMillis(),
-                s.after(),
-                s.gang(),
-                s.tightlyCoupled(),
-                s.requiredLabel(),
-                s.dataRack(),
-                s.maxPerWorker(),
-                s.allowDuplicates(),
-                s.longRunning(),
-                s.image(),
-                s.tailTargetMillis(),
-                s.fillsSpareCapacity(),
-                s.mayMiss(),
-                s.checkpointing());
+        return new StepSpecBuilder().request(request).build();
     }
 }
