--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/RackPlanner.java
@@ -23,7 +23,7 @@
  */
 final class RackPlanner {
 
-    private final RunExpectation expectation;
+    private final RunEndEstimator runEnds;
     private final JobRanking ranking;
     private final long termBeganAt;
     private final RackWaits waits;
@@ -34,7 +34,7 @@
     private final Map<String, Map<String, List<WorkerRecord>>> racksByPool = new HashMap<>();
     private Optional<Considered> considered = Optional.empty();
 
-    /** The step that is looked at, since its tasks are alike and come one after the other. */
+    /** The step that is planned now; what is found for one of its tasks holds for the next. */
     private static final class Considered {
 
         private final StepEntry step;
@@ -53,16 +53,16 @@
      * @param termBeganAt when this holder's term began, in milliseconds
      */
     RackPlanner(
-            RunExpectation expectation,
+            RunEndEstimator runEnds,
             JobRanking ranking,
             long termBeganAt,
             Consumer<SchedulerEvent> events) {
-        this.expectation = expectation;
+        this.runEnds = runEnds;
         this.ranking = ranking;
         this.termBeganAt = termBeganAt;
         this.waits = new RackWaits(events);
-        this.forecasts = new RackForecasts(expectation);
-        this.anyRack = new RackPreference(expectation.remoteFactor(), List.of());
+        this.forecasts = new RackForecasts(runEnds);
+        this.anyRack = new RackPreference(runEnds.remoteFactor(), List.of());
     }
 
     /** Begins a plan of starts. */
@@ -88,9 +88,9 @@
         return waits;
     }
 
-    /** Returns what is expected of runs. */
-    RunExpectation expectation() {
-        return expectation;
+    /** Returns the estimator of when runs end. */
+    RunEndEstimator runEnds() {
+        return runEnds;
     }
 
     /** Returns the preference of tasks that go to any rack. */
@@ -99,7 +99,7 @@
     }
 
     private boolean isEnabled() {
-        return expectation.remoteFactor() > 1;
+        return runEnds.remoteFactor() > 1;
     }
 
     /**
@@ -152,7 +152,7 @@
     }
 
     private RackPreference preferring(List<String> order) {
-        return new RackPreference(expectation.remoteFactor(), order);
+        return new RackPreference(runEnds.remoteFactor(), order);
     }
 
     private boolean waitsForWhole(
@@ -302,12 +302,12 @@
 
     private RackWait waitOf(StepEntry step, long now) {
         JobEntry job = step.job();
-        boolean runs = job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
+        boolean hasBegunRun = job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
         return new RackWait(
-                expectation.remoteFactor(),
-                expectation.taskMillis(step),
+                runEnds.remoteFactor(),
+                runEnds.taskMillis(step),
                 step.rackWait().since().orElseGet(() -> firstSince(step, now)),
-                runs ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
+                hasBegunRun ? OptionalLong.empty() : OptionalLong.of(job.lastRanAt()),
                 gapMillis(step, now),
                 ranking.latestStart(step));
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ShareMonitor.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ShareMonitor.java
@@ -9,7 +9,7 @@
 import org.chervillift.core.tasks.shares.PoolShares;
 
 /**
- * Tells which customers' steps are postponed, since the customers are beyond their share of a pool.
+ * Reports the customers whose steps are postponed since they are beyond their share of a pool.
  *
  * <p>The state is for the log and the metrics only. It has an entry for each customer that was
  * postponed in a pool within the last seconds.
@@ -49,12 +49,14 @@
         for (String customer : order.postponedCustomers()) {
             PoolCustomer key = new PoolCustomer(pool, customer);
             if (lastPostponedAt.put(key, now) == null) {
-                log(SchedulerEvent.Kind.BEYOND_SHARE, key.text() + use(shares.get(), customer));
+                log(
+                        SchedulerEvent.Kind.BEYOND_SHARE,
+                        key.text() + partAndShare(shares.get(), customer));
             }
         }
     }
 
-    private static String use(PoolShares shares, String customer) {
+    private static String partAndShare(PoolShares shares, String customer) {
         return String.format(
                 Locale.ROOT,
                 " part=%.3f share=%.3f",
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/RunForecast.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StopCostEstimator.java
@@ -2,23 +2,25 @@
 
 import org.chervillift.api.tasks.StepSpec;
 
-/** Estimates how long runs go on, and how much work is lost when they are stopped. */
-final class RunForecast {
+/**
+ * Estimates how long runs go on by their progress, and how much work is lost if they are stopped.
+ */
+final class StopCostEstimator {
 
     private static final int FULL_PERCENT = 100;
 
     /** The remaining time of a run that does not end by itself; far beyond every objective. */
     private static final long UNBOUNDED_MILLIS = Long.MAX_VALUE / 4;
 
-    private final RunExpectation expectation;
+    private final RunEndEstimator runEnds;
 
-    RunForecast(RunExpectation expectation) {
-        this.expectation = expectation;
+    StopCostEstimator(RunEndEstimator runEnds) {
+        this.runEnds = runEnds;
     }
 
     /** Returns the expected run time of a task of a step that begins anew, in milliseconds. */
     long expectedMillis(StepEntry step) {
-        return expectation.taskMillis(step);
+        return runEnds.taskMillis(step);
     }
 
     /**
@@ -29,7 +31,7 @@
         if (run.task().step().spec().longRunning()) {
             return UNBOUNDED_MILLIS;
         }
-        long total = Math.max(expectation.runMillis(run), elapsedMillis(run, now));
+        long total = Math.max(runEnds.runMillis(run), elapsedMillis(run, now));
         return total * (FULL_PERCENT - percentOf(run)) / FULL_PERCENT;
     }
 
@@ -38,7 +40,7 @@
         if (run.startedAt() > 0) {
             return now - run.startSentAt();
         }
-        long byProgress = expectation.runMillis(run) * percentOf(run) / FULL_PERCENT;
+        long byProgress = runEnds.runMillis(run) * percentOf(run) / FULL_PERCENT;
         return Math.max(now - run.openedAt(), byProgress);
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -11,7 +11,6 @@
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.QueuePolicy;
 import org.chervillift.api.tasks.QueueRoute;
-import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.core.tasks.StandstillReport.WaitingSteps;
@@ -105,9 +104,7 @@
         assertThat(fixture.scheduler.stateOf("a").orElseThrow().isFinal()).isTrue();
     }
 
-    /**
-     * A service would otherwise stay in the data centre for ever, or lose several tasks at once.
-     */
+    /** Guards against a service that stays in the data centre, or loses several tasks at once. */
     @Test
     void tasksOfAServiceMoveOneAfterTheOtherAsFarAsItMayMissThem() {
         fixture.addWorker("a1", 3_000, AWAY);
@@ -263,23 +260,7 @@
     }
 
     private static StepSpec stepWithDataIn(String rack) {
-        return new StepSpec(
-                1,
-                new Resources(1_000, 100, 0),
-                1_000,
-                List.of(),
-                false,
-                false,
-                "",
-                rack,
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0,
-                false);
+        return new StepSpecBuilder().dataRack(rack).build();
     }
 
     /** A name that the operator mistyped must change nothing, and be found. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -42,7 +42,7 @@
     private final ManifestTracker manifests;
     private final WaveProgressStore waveProgress;
     private final InitialPoolSizes initialPoolSizes;
-    private final SurgePeakStore surgePeaks;
+    private final SurgeRateStore surgeRates;
     private final RecentVmOrders recentOrders;
     private final VmOrderSender orders;
     private final GoneVmDetector goneVms;
@@ -61,7 +61,7 @@
         this.manifests = Checks.notNull("manifests", manifests);
         this.waveProgress = new WaveProgressStore(context);
         this.initialPoolSizes = new InitialPoolSizes(context);
-        this.surgePeaks = new SurgePeakStore(context);
+        this.surgeRates = new SurgeRateStore(context);
         this.recentOrders = new RecentVmOrders(context);
         this.orders = new VmOrderSender(context, recentOrders);
         Duration longestAbsence =
@@ -82,7 +82,7 @@
     void load() {
         waveProgress.load();
         initialPoolSizes.load();
-        surgePeaks.load();
+        surgeRates.load();
     }
 
     /** Returns what collects the figures for submissions, from the VMs as last listed. */
@@ -120,7 +120,7 @@
         stopped = true;
         waveProgress.stop();
         initialPoolSizes.stop();
-        surgePeaks.stop();
+        surgeRates.stop();
         recentOrders.stop();
     }
 
@@ -314,18 +314,25 @@
     private static Set<String> vmsToKeep(
             Collection<FleetWavePlanner.Decision> decisions, Round round) {
         Set<String> leaving = new HashSet<>();
-        Set<String> urgent = new HashSet<>();
+        Set<String> withDeadlineAtRisk = new HashSet<>();
         for (FleetWavePlanner.Decision decision : decisions) {
-            Set<String> target = decision.deadlineAtRisk() ? urgent : leaving;
-            target.addAll(decision.drain());
-            target.addAll(decision.maintain());
+            leaving.addAll(leavingVms(decision));
+            if (decision.deadlineAtRisk()) {
+                withDeadlineAtRisk.addAll(leavingVms(decision));
+            }
         }
         Set<String> deferrable = new HashSet<>(leaving);
-        deferrable.removeAll(urgent);
-        leaving.addAll(urgent);
+        deferrable.removeAll(withDeadlineAtRisk);
         return DrainReserve.vmsToKeep(round.views().values(), round.loads(), leaving, deferrable);
     }
 
+    /** Returns the VMs that a wave drains or maintains now. */
+    private static Set<String> leavingVms(FleetWavePlanner.Decision decision) {
+        Set<String> leaving = new HashSet<>(decision.drain());
+        leaving.addAll(decision.maintain());
+        return leaving;
+    }
+
     /** Carries out what is decided for a wave; returns the VMs that accept no more tasks. */
     private Set<String> apply(
             FleetWavePlanner.Progress wave,
@@ -333,8 +340,7 @@
             Set<String> kept,
             Round round) {
         Map<String, VmView> views = round.views();
-        Set<String> draining = new HashSet<>(decision.drain());
-        draining.addAll(decision.maintain());
+        Set<String> draining = leavingVms(decision);
         draining.removeAll(kept);
         long number = wave.order().number();
         for (String vm : decision.maintain()) {
@@ -386,11 +392,11 @@
     }
 
     private void decideMoves(Round round, Set<String> draining) {
-        if (!initialPoolSizes.isKnown() || !surgePeaks.isLoaded()) {
+        if (!initialPoolSizes.isKnown() || !surgeRates.isLoaded()) {
             return;
         }
         if (planner == null) {
-            surges = new SurgeForecast(surgePeaks.stored(), VmController::logForecast);
+            surges = new SurgeForecast(surgeRates.stored(), VmController::logForecast);
             planner = new PoolPlanner(initialPoolSizes.sizes(), context.settings().pools(), surges);
         }
         List<Move> moves =
@@ -417,9 +423,9 @@
     }
 
     private void recordSurges(long now) {
-        Map<String, Long> peaks = surges.rates();
-        context.metrics().setSurgePeaks(peaks);
-        surgePeaks.store(peaks, now);
+        Map<String, Long> rates = surges.rates();
+        context.metrics().setSurgeRates(rates);
+        surgeRates.store(rates, now);
     }
 
     private static void logForecast(SurgeForecast.BegunSurge surge) {
