Finish begun jobs up to twice the share of their customer

Cause: in a surge a customer beyond its share had the later steps of its begun jobs put back behind new jobs of others. Many jobs stayed half finished, and all ended later.

Change: a begun job keeps its turn until its customer is beyond twice its share.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartOrder.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartOrder.java
@@ -23,6 +23,12 @@
  */
 final class StartOrder {
 
+    /**
+     * Jobs that have begun may take a customer to twice its share: until they are finished, the
+     * capacity that they have used so far is of no value to anybody.
+     */
+    private static final double SHARES_FOR_BEGUN_JOBS = 2;
+
     private final List<Candidate> ranked;
     private final Optional<PoolShares> shares;
     private final Deque<StepEntry> postponed = new ArrayDeque<>();
@@ -100,7 +106,8 @@
      */
     boolean postponeIfBeyondShare(StepEntry step) {
         String customer = CustomerCompetition.customerOf(step);
-        boolean beyond = shares.filter(s -> s.isBeyond(customer)).isPresent();
+        double multiple = step.job().hasRun() ? SHARES_FOR_BEGUN_JOBS : 1;
+        boolean beyond = shares.filter(s -> s.isBeyond(customer, multiple)).isPresent();
         if (!beyond || handsOutPostponed) {
             return false;
         }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/shares/PoolShares.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/shares/PoolShares.java
@@ -63,9 +63,13 @@
         update(customer);
     }
 
-    /** Returns whether a customer uses more of the pool than its share. */
-    public boolean isBeyond(String customer) {
-        return beyond.contains(customer);
+    /**
+     * Returns whether a customer uses more of the pool than a multiple of its share.
+     *
+     * @param multiple at least 1, which is the share itself
+     */
+    public boolean isBeyond(String customer, double multiple) {
+        return beyond.contains(customer) && partOf(customer) > multiple * shareOf(customer);
     }
 
     /** Returns the part of the pool that a customer uses; 1 is all of it. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/CustomerShareTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/CustomerShareTest.java
@@ -138,6 +138,24 @@
         assertThat(startsByJob()).containsEntry("of-a", 3L).containsEntry("of-b", 5L);
     }
 
+    /** Jobs were left half finished, and all of them ended later. */
+    @Test
+    void aBegunJobIsFinishedUpToTwiceTheShareOfItsCustomer() {
+        configure(Map.of("a", 1.0, "b", 1.0, "c", 1.0));
+        fixture.addWorker("w1", 9_000);
+        accept("a", "begun", step(4, 1_000), step(9, 1_000, List.of(0), false, false, 0));
+        accept("a", "other-of-a", step(1, 1_000, List.of(), false, true, 0));
+        assertThat(startsByJob()).containsEntry("begun", 4L);
+        fixture.report("w1");
+        for (int i = 0; i < 4; i++) {
+            fixture.end("w1", new TaskId("begun", 0, 0, i), RunEnd.DONE);
+        }
+        accept("b", "of-b", step(20, 1_000));
+        accept("c", "of-c", step(20, 1_000));
+        fixture.report("w1");
+        assertThat(startsByJob().get("begun")).isBetween(4L, 6L);
+    }
+
     @Test
     void aCustomerAloneUsesTheWholePool() {
         configure(Map.of("a", 1.0, "b", 100.0));
