Add review case 11: a work unit that crashes executors starts without end

Cause: CrashHistory gives a work unit up, and starts it alone, only after crashes of runs that the executor had confirmed. One whose executor crashes before it answers is never confirmed.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-3.sh" 11 StaleList
+exec "$(dirname "$0")/../run-case-3.sh" 11 DeadlyTask
--- a/review/stand-ins-3/World.java
+++ b/review/stand-ins-3/World.java
@@ -344,6 +344,10 @@
             s.how = how;
         }
 
+        synchronized List<Started> startsOf(String task) {
+            return all.stream().filter(s -> s.task.equals(task)).toList();
+        }
+
         /** Returns the tasks that run now. */
         synchronized List<String> runningTasks() {
             return all.stream()
@@ -619,9 +623,31 @@
             Run run = new Run(task, number, spec.path("ms").asLong(0), cpu);
             running.put(task, run);
             log("start " + task + "#" + number + " on " + id + ", life " + life);
+            if (spec.path("deadly").asBoolean()) {
+                crashUnder(task);
+                throw new IOException("The executor has crashed.");
+            }
             return "";
         }
 
+        /** Ends while it begins a work unit, and is back after some seconds under a new id. */
+        private void crashUnder(String task) {
+            log("executor " + id + " crashes under " + task);
+            up = false;
+            Thread.startVirtualThread(
+                    () -> {
+                        lose(this);
+                        sleep(BACK_AFTER_MILLIS);
+                        try {
+                            cloud.newWorker(machine);
+                        } catch (IOException e) {
+                            log("no executor on " + machine.name + ": " + e);
+                        }
+                    });
+        }
+
+        private static final long BACK_AFTER_MILLIS = 3_000;
+
         private synchronized String stopRun(JsonNode body) {
             if (isFenced(body)) {
                 return "fence";
