Make review case 13 last: by a label, the wait for advice has no end

Cause: StepAdvice asks about the executors with the most free cores, with or without the label of the step, and counts their tickets as places. Change: review/13 uses a label; the work unit waits for ever, not only for as long as the tickets are valid.

--- a/review/stand-ins-3/AdvisedService.java
+++ b/review/stand-ins-3/AdvisedService.java
@@ -1,17 +1,20 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Collection;
 
-/** Executors of a service are lost, and work units that last wait beside executors with room. */
+/**
+ * An executor with the label of a step crashes and is back, and a work unit that lasts waits beside
+ * executors with that label and with room.
+ */
 final class AdvisedService {
 
-    private static final int EXECUTORS = 20;
-    private static final int LOST_EXECUTORS = 3;
-    private static final int UNITS = 12;
-    private static final long WATCH_MILLIS = 40_000;
+    private static final int LARGE_EXECUTORS = 14;
+    private static final int LABELLED_EXECUTORS = 6;
+    private static final int UNITS = 4;
+    private static final String LABEL = "kind-2";
+    private static final long WATCH_MILLIS = 60_000;
 
-    /** 6 s after its last run, and 3 s and the 4 s before them calm; with a margin. */
+    /** 6 s after its last run, and 3 s and the 4 s before them calm. */
     private static final long BOUND_MILLIS = 13_000;
 
     private AdvisedService() {}
@@ -22,19 +25,14 @@
         try (World world = new World(Path.of(args[0]), Path.of(args[1]))) {
             world.store.start();
             world.cloud.start();
+            world.advice.validityMillis = 5_000;
             world.advice.start();
-            ObjectNode manifest = StaleList.manifest(1, "key-1");
-            ((ObjectNode) manifest.path("routes").get(0))
-                    .putObject("placement_advice")
-                    .put("decision_ms", 50)
-                    .put("period_ms", 5)
-                    .put("validity_ms", world.advice.validityMillis);
-            world.store.put("op", "config", manifest);
-            List<World.Worker> workers = new ArrayList<>();
-            for (int i = 0; i < EXECUTORS; i++) {
-                workers.add(
-                        world.cloud.add(
-                                "m-%02d".formatted(i), "p1", "z1", "r" + i / 4, 16_000));
+            world.store.put("op", "config", manifest(world));
+            for (int i = 0; i < LARGE_EXECUTORS; i++) {
+                world.cloud.add("m-a%02d".formatted(i), "p1", "z1", "r" + i / 4, 16_000);
+            }
+            for (int i = 0; i < LABELLED_EXECUTORS; i++) {
+                world.cloud.add("m-b%02d".formatted(i), "p1", "z1", "r8", 8_000, LABEL);
             }
             World.Daemon a = world.new Daemon("edge-1", "z1", world.store.port, world.cloud.port);
             World.Daemon b = world.new Daemon("edge-2", "z2", world.store.port, world.cloud.port);
@@ -45,49 +43,86 @@
                 System.exit(2);
             }
             World.sleep(2_000);
-            String id = "00000000000000c1";
-            String body =
-                    "{\"spec\":\"{\\\"ms\\\":0,\\\"cpu\\\":4000}\",\"steps\":[{\"count\":"
-                            + UNITS
-                            + ",\"cpu\":4000,\"mem_mb\":64,\"max_per_server\":1,"
-                            + "\"long_running\":true}]}";
-            World.Answer answer = world.request(b, "POST", "/q1/" + id, "key-1", body);
-            world.log("POST " + id + " -> " + answer.status());
-            World.sleep(5_000);
-            int begun = world.ledger.runningTasks().size();
-            world.log(begun + " work units run on " + EXECUTORS + " executors");
-            if (answer.status() != 200 || begun < UNITS) {
-                world.log("the job has not begun whole");
+            submit(world, a, "q2", "00000000000000c0", 6_000,
+                    "{\"count\":" + LARGE_EXECUTORS
+                            + ",\"cpu\":12000,\"mem_mb\":64,\"estimated_ms\":6000}", 12_000);
+            World.sleep(1_500);
+            submit(world, b, "q1", "00000000000000c1", 0,
+                    "{\"count\":" + UNITS + ",\"cpu\":4000,\"mem_mb\":64,\"max_per_server\":1,"
+                            + "\"long_running\":true,\"requirements\":\"" + LABEL + "\"}", 4_000);
+            World.sleep(10_000);
+            if (unitsRunning(world) < UNITS) {
+                world.log("only " + unitsRunning(world) + " work units run at first");
                 System.exit(2);
             }
             if (trouble) {
-                workers.stream()
-                        .filter(World.Worker::hasRuns)
-                        .limit(LOST_EXECUTORS)
-                        .forEach(w -> world.lose(w));
+                World.Worker victim =
+                        labelled(world).stream()
+                                .map(m -> m.worker)
+                                .filter(World.Worker::hasRuns)
+                                .findFirst()
+                                .orElseThrow();
+                Thread.startVirtualThread(() -> world.crashAndComeBack(victim));
             }
-            long lostAt = world.now();
+            long crashedAt = world.now();
             long longest = 0;
-            while (world.now() < lostAt + WATCH_MILLIS) {
-                World.sleep(500);
-                int running = world.ledger.runningTasks().size();
-                long free = workers.stream().filter(w -> w.isUp() && !w.hasRuns()).count();
-                if (running < UNITS && free >= 2L * (UNITS - running)) {
-                    longest = world.now() - lostAt;
-                }
+            while (world.now() < crashedAt + WATCH_MILLIS) {
+                World.sleep(1_000);
+                long idle =
+                        labelled(world).stream()
+                                .filter(m -> m.worker.isUp() && !m.worker.hasRuns())
+                                .count();
+                int running = unitsRunning(world);
                 if (running < UNITS) {
                     world.log(
-                            running + " of " + UNITS + " work units run, " + free
-                                    + " executors are idle");
+                            running + " of " + UNITS + " work units run, " + idle
+                                    + " executors with the label are idle");
+                }
+                if (running < UNITS && idle >= 2) {
+                    longest = world.now() - crashedAt;
                 }
             }
             String result =
-                    "work units that last did not run for " + longest / 1000.0
-                            + " s beside idle executors";
+                    "a work unit that lasts did not run for " + longest / 1000.0
+                            + " s beside idle executors with its label";
             world.log(result);
             System.out.println(result);
             status = longest > BOUND_MILLIS ? 1 : 0;
         }
         System.exit(status);
     }
+
+    /** Two queues of one service; the first has placement advice. */
+    private static ObjectNode manifest(World world) {
+        ObjectNode manifest = StaleList.manifest(1, "key-1");
+        ObjectNode first = (ObjectNode) manifest.path("routes").get(0);
+        ObjectNode second = first.deepCopy().put("name", "q2").put("path_prefix", "/q2/");
+        first.putObject("placement_advice")
+                .put("decision_ms", 50)
+                .put("period_ms", 5)
+                .put("validity_ms", world.advice.validityMillis);
+        ((com.fasterxml.jackson.databind.node.ArrayNode) manifest.path("routes")).add(second);
+        return manifest;
+    }
+
+    private static Collection<World.Machine> labelled(World world) {
+        return world.cloud.machines.values().stream().filter(m -> m.kind.equals(LABEL)).toList();
+    }
+
+    private static int unitsRunning(World world) {
+        return (int)
+                world.ledger.runningTasks().stream()
+                        .filter(t -> t.startsWith("00000000000000c1"))
+                        .count();
+    }
+
+    private static void submit(
+            World world, World.Daemon at, String queue, String id, int ms, String step, int cpu) {
+        String body =
+                "{\"spec\":\"{\\\"ms\\\":" + ms + ",\\\"cpu\\\":" + cpu + "}\",\"steps\":[" + step
+                        + "]}";
+        World.Answer answer =
+                world.request(at, "POST", "/" + queue + "/" + id, "key-1", body);
+        world.log("POST " + id + " to " + queue + " -> " + answer.status());
+    }
 }
--- a/review/stand-ins-3/World.java
+++ b/review/stand-ins-3/World.java
@@ -385,13 +385,15 @@
         final String zone;
         final String rack;
         final int cpu;
+        final String kind;
         String pool;
         volatile String state = "up";
         volatile Worker worker;
         final List<String> upkeeps = new CopyOnWriteArrayList<>();
 
-        Machine(String name, String pool, String zone, String rack, int cpu) {
+        Machine(String name, String pool, String zone, String rack, int cpu, String kind) {
             this.name = name;
+            this.kind = kind;
             this.pool = pool;
             this.zone = zone;
             this.rack = rack;
@@ -403,7 +405,7 @@
         }
 
         ArrayNode labels() {
-            return JSON.createArrayNode().add("kind-1").add(rack);
+            return JSON.createArrayNode().add(kind).add(rack);
         }
     }
 
@@ -611,7 +613,7 @@
                     || known != null && number <= known.number) {
                 return "old";
             }
-            if (advice.port > 0 && !advice.isValid(task, id, body.path("ticket").asText())) {
+            if (advice.isNeeded(task) && !advice.isValid(task, id, body.path("ticket").asText())) {
                 return "ticket";
             }
             JsonNode spec = JSON.readTree(body.path("spec").asText());
@@ -634,20 +636,9 @@
         private void crashUnder(String task) {
             log("executor " + id + " crashes under " + task);
             up = false;
-            Thread.startVirtualThread(
-                    () -> {
-                        lose(this);
-                        sleep(BACK_AFTER_MILLIS);
-                        try {
-                            cloud.newWorker(machine);
-                        } catch (IOException e) {
-                            log("no executor on " + machine.name + ": " + e);
-                        }
-                    });
+            Thread.startVirtualThread(() -> crashAndComeBack(this));
         }
 
-        private static final long BACK_AFTER_MILLIS = 3_000;
-
         private synchronized String stopRun(JsonNode body) {
             if (isFenced(body)) {
                 return "fence";
@@ -736,7 +727,12 @@
 
         Worker add(String name, String pool, String zone, String rack, int cpu)
                 throws IOException {
-            Machine machine = new Machine(name, pool, zone, rack, cpu);
+            return add(name, pool, zone, rack, cpu, "kind-1");
+        }
+
+        Worker add(String name, String pool, String zone, String rack, int cpu, String kind)
+                throws IOException {
+            Machine machine = new Machine(name, pool, zone, rack, cpu, kind);
             machines.put(name, machine);
             return newWorker(machine);
         }
@@ -862,6 +858,12 @@
             answer(exchange, 200, answer);
         }
 
+        /** The steps that it was asked about are those of queues with placement advice. */
+        boolean isNeeded(String task) {
+            String step = task.substring(0, task.lastIndexOf('.')) + "/";
+            return validUntil.keySet().stream().anyMatch(t -> t.startsWith(step));
+        }
+
         boolean isValid(String task, String worker, String ticket) {
             String step = task.substring(0, task.lastIndexOf('.'));
             return ticket.equals(step + "/" + worker)
@@ -1068,6 +1070,19 @@
 
     record Answer(int status, String body) {}
 
+    private static final long BACK_AFTER_MILLIS = 3_000;
+
+    /** An executor crashes; after some seconds its machine has another one. */
+    void crashAndComeBack(Worker worker) {
+        lose(worker);
+        sleep(BACK_AFTER_MILLIS);
+        try {
+            cloud.newWorker(worker.machine);
+        } catch (IOException e) {
+            log("no executor on " + worker.machine.name + ": " + e);
+        }
+    }
+
     /** An executor is lost for good; its entry is removed after three check-in intervals. */
     void lose(Worker worker) {
         worker.crash("down");
