--- a/review/stand-ins-3/StaleList.java
+++ b/review/stand-ins-3/StaleList.java
@@ -7,6 +7,7 @@
 /** An executor crashes and starts again under its id, while the platform's list is slow. */
 final class StaleList {
 
+    private static final int EXECUTORS = 7;
     private static final long RUN_MILLIS = 70_000;
 
     private StaleList() {}
@@ -43,8 +44,10 @@
             world.store.start();
             world.cloud.start();
             world.store.put("op", "config", manifest(1, "key-1"));
-            world.cloud.add("m-1", "p1", "z1", "r1", 16_000);
-            World.Worker small = world.cloud.add("m-2", "p1", "z1", "r2", 2_000);
+            for (int i = 1; i < EXECUTORS; i++) {
+                world.cloud.add("m-" + i, "p1", "z1", "r" + i / 4, 16_000);
+            }
+            World.Worker small = world.cloud.add("m-small", "p1", "z1", "r2", 2_000);
             World.Daemon a = world.new Daemon("edge-1", "z1", world.store.port, world.cloud.port);
             World.Daemon b = world.new Daemon("edge-2", "z2", world.store.port, world.cloud.port);
             a.start();
--- a/review/stand-ins-3/World.java
+++ b/review/stand-ins-3/World.java
@@ -426,6 +426,8 @@
         private final List<Ended> ended = new ArrayList<>();
         private volatile boolean up;
         private volatile int life;
+        private volatile long cutAbove = Long.MAX_VALUE;
+        private volatile long cutUntil;
 
         private final class Run {
             final String task;
@@ -561,6 +563,10 @@
                 answer(exchange, 421, JSON.createObjectNode());
                 return;
             }
+            if (body.path("fencing_token").asLong(0) > cutAbove && now() < cutUntil) {
+                sleep(cutUntil - now());
+                throw new IOException("The path was cut.");
+            }
             switch (exchange.getRequestURI().getPath()) {
                 case "/-/hold" -> hold(exchange, body);
                 case "/-/run-start" -> order(exchange, startRun(body));
@@ -699,6 +705,24 @@
             answer(exchange, status, answer);
         }
 
+        /**
+         * Cuts the path to machines of the system other than the one that gives orders now: calls of
+         * the next one to give orders, which have a higher fence number, are not answered.
+         */
+        synchronized void cutFromNextHolder(long millis) {
+            cutAbove = fence;
+            cutUntil = now() + millis;
+            log("executor " + id + " loses the path to the next machine that gives orders");
+        }
+
+        /** Returns the tasks that are at work: past their startup. */
+        synchronized List<String> atWork() {
+            return running.values().stream()
+                    .filter(r -> r.percent() >= 100)
+                    .map(r -> r.task)
+                    .toList();
+        }
+
         boolean isUp() {
             return up;
         }
@@ -719,6 +743,8 @@
         volatile long upkeepMillis = 2_000;
         volatile long moveMillis = 1_500;
         private int nextId = 0x10000;
+        final List<String> endedByUpkeep = new CopyOnWriteArrayList<>();
+        volatile Runnable onUpkeep = () -> {};
 
         void start() throws IOException {
             port = freePort();
@@ -808,6 +834,11 @@
                 return 409;
             }
             Worker old = machine.worker;
+            if (kind.equals("upkeep")) {
+                endedByUpkeep.addAll(old.atWork());
+                log("the upkeep of " + machine.name + " ends " + old.atWork());
+                onUpkeep.run();
+            }
             old.crash(kind.equals("upkeep") ? "upkeep" : "moving");
             store.remove("servers", old.id);
             long millis = moveMillis;
