--- a/review/stand-ins-3/SilentChannels.java
+++ b/review/stand-ins-3/SilentChannels.java
@@ -44,6 +44,7 @@
             int next = 0xd001;
             for (int round = 1; round <= ROUNDS; round++) {
                 World.sleep(random.nextInt(2_000));
+                awaitFeed(world);
                 if (trouble) {
                     proxies.forEach(World.Proxy::silence);
                 }
@@ -85,6 +86,14 @@
         System.exit(status);
     }
 
+    /** Waits until one of the machines has begun to wait for changes of the operator's rows. */
+    private static void awaitFeed(World world) {
+        long from = world.now();
+        while (world.store.operatorFeedAt <= from && world.now() < from + 3_000) {
+            World.sleep(2);
+        }
+    }
+
     /** Hands a job in; returns its identifier if it is accepted. */
     private static String submit(World world, World.Daemon daemon, String key, int number) {
         String id = "%016x".formatted(number);
--- a/review/stand-ins-3/World.java
+++ b/review/stand-ins-3/World.java
@@ -143,6 +143,9 @@
         int port;
         volatile long answerMillis = 4;
 
+        /** When a wait for changes of the operator's rows last began, in milliseconds. */
+        volatile long operatorFeedAt;
+
         record Row(String table, String part, String key, String value, long version) {}
 
         void start() throws IOException {
@@ -279,6 +282,9 @@
         }
 
         private void feed(HttpExchange exchange, Map<String, String> query) throws Exception {
+            if (query.get("table").equals("op")) {
+                operatorFeedAt = now();
+            }
             long after = Long.parseLong(query.get("after"));
             long until = now() + Long.parseLong(query.getOrDefault("wait_ms", "0"));
             ObjectNode answer;
