--- a/review/stand-ins-3/World.java
+++ b/review/stand-ins-3/World.java
@@ -721,6 +721,10 @@
             log("executor " + id + " loses the path to the next machine that gives orders");
         }
 
+        synchronized long leaseLeftMillis() {
+            return leaseEnd - clock();
+        }
+
         /** Returns the tasks that are at work: past their startup. */
         synchronized List<String> atWork() {
             return running.values().stream()
@@ -842,7 +846,8 @@
             Worker old = machine.worker;
             if (kind.equals("upkeep")) {
                 endedByUpkeep.addAll(old.atWork());
-                log("the upkeep of " + machine.name + " ends " + old.atWork());
+                log("the upkeep of " + machine.name + " ends " + old.atWork() + ", whose lease had "
+                        + old.leaseLeftMillis() + " ms to go");
                 onUpkeep.run();
             }
             old.crash(kind.equals("upkeep") ? "upkeep" : "moving");
