Draw the ports of the stand-ins below those of outgoing connections

A port that was free may be taken by an outgoing connection before the daemon binds it. Change: ports from 20,000 to 31,999, and the reason is recorded.

--- a/review/stand-ins-3/World.java
+++ b/review/stand-ins-3/World.java
@@ -6,6 +6,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -32,6 +33,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 
 /**
@@ -80,12 +82,21 @@
         }
     }
 
+    /** Draws a port below those that the system gives to outgoing connections. */
     static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
-            return s.getLocalPort();
+        while (true) {
+            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName(IP))) {
+                return s.getLocalPort();
+            } catch (BindException e) {
+                // It is in use.
+            }
         }
     }
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+
     interface Handler {
         void handle(HttpExchange exchange, JsonNode body) throws Exception;
     }
@@ -927,7 +938,8 @@
 
         Proxy(int target) throws IOException {
             this.target = target;
-            ServerSocket listener = new ServerSocket(0, 512, InetAddress.getByName(IP));
+            ServerSocket listener =
+                    new ServerSocket(freePort(), 512, InetAddress.getByName(IP));
             this.port = listener.getLocalPort();
             Thread.startVirtualThread(
                     () -> {
@@ -1169,6 +1181,9 @@
                     client.send(request.build(), HttpResponse.BodyHandlers.ofString());
             return new Answer(response.statusCode(), response.body());
         } catch (IOException e) {
+            if (millis > 1_000) {
+                log(method + " " + path + " at port " + port + " got no answer: " + e);
+            }
             return new Answer(0, e.toString());
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
