Let a list of VMs speak only of lifetimes known before it was requested

Callers saw tasks run twice: an executor crashed, came back under its identifier, and a task that it had just started was started elsewhere.

Cause: VmController took a worker for ended when a second list without it arrived.

EndedWorkerDetector now weighs what each list can prove. A list counts for a lifetime only if that was known when the list was requested; the absence of a former lifetime is not that of the next one; and a lifetime that has answered since the first list arrived has not ended (the clock of the worker tells when an answer was made that waited on it). A worker that a list lacks is asked at once, so that one that is alive shows it before the next list; one that is gone is noticed by the same two lists as before. Runs whose order was sent after the list was requested stay open. Reports and registry rows of ended lifetimes are ignored. GoneVmDetector counted the time that slow lists take as absence; no longer.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/AdvicePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/AdvicePlanner.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -12,32 +13,59 @@
  * <p>The service answers one request at a time, so jobs are served in the order of their arrival. A
  * step whose last request failed comes after those that have not failed.
  */
-final class AdvicePlanner {
+public final class AdvicePlanner {
 
-    private AdvicePlanner() {}
+    private final JobTable jobs;
+    private final Collection<JobEntry> liveJobs;
+    private final Collection<WorkerRecord> workers;
+
+    AdvicePlanner(JobTable jobs, Collection<JobEntry> liveJobs, Collection<WorkerRecord> workers) {
+        this.jobs = jobs;
+        this.liveJobs = liveJobs;
+        this.workers = workers;
+    }
 
     /** Returns the next request, if a step waits for tickets. */
-    static Optional<AdviceRequest> nextRequest(
-            Collection<JobEntry> liveJobs, Collection<WorkerRecord> workers, long now) {
-        return stepsToAskAbout(liveJobs, workers, now)
+    public Optional<AdviceRequest> nextRequest(long now) {
+        return stepsToAskAbout(now)
                 .filter(s -> !s.advice().hasFailed())
                 .findFirst()
-                .or(() -> failedLongestAgo(stepsToAskAbout(liveJobs, workers, now)))
-                .map(s -> requestFor(s, poolOf(s.job(), workers), now));
+                .or(() -> failedLongestAgo(stepsToAskAbout(now)))
+                .map(s -> requestFor(s, poolOf(s.job()), now));
+    }
+
+    /** Records that a request failed, so that others go first. */
+    public void recordFailure(AdviceRequest request, long now) {
+        stepOf(request).ifPresent(s -> s.advice().recordFailure(now));
+    }
+
+    /**
+     * Applies an answer.
+     *
+     * @param tickets the tickets of the workers that may run the step, by worker
+     * @param validUntil when they expire, in milliseconds
+     */
+    public void applyAnswer(AdviceRequest request, Map<String, String> tickets, long validUntil) {
+        stepOf(request)
+                .ifPresent(s -> s.advice().applyAnswer(request.workers(), tickets, validUntil));
+    }
+
+    private Optional<StepEntry> stepOf(AdviceRequest request) {
+        return jobs.findLoaded(request.job())
+                .map(j -> j.step(request.occurrence(), request.step()));
     }
 
     private static Optional<StepEntry> failedLongestAgo(Stream<StepEntry> steps) {
         return steps.min(Comparator.comparingLong(s -> s.advice().failedAt()));
     }
 
-    private static Stream<StepEntry> stepsToAskAbout(
-            Collection<JobEntry> liveJobs, Collection<WorkerRecord> workers, long now) {
+    private Stream<StepEntry> stepsToAskAbout(long now) {
         return liveJobs.stream()
                 .filter(j -> j.policy().advised())
-                .flatMap(j -> stepsToAskAbout(j, poolOf(j, workers), now));
+                .flatMap(j -> stepsToAskAbout(j, poolOf(j), now));
     }
 
-    private static List<WorkerRecord> poolOf(JobEntry job, Collection<WorkerRecord> workers) {
+    private List<WorkerRecord> poolOf(JobEntry job) {
         return workers.stream().filter(w -> w.pool().equals(job.policy().pool())).toList();
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -69,6 +69,7 @@
      */
     boolean apply(WorkerRecord worker, RunReport report, long sentAt, long now) {
         checkLifetime(worker, report, now);
+        worker.recordReport(sentAt, report.clockMillis());
         List<EndedRun> unapplied = applyEnds(worker, report, now);
         Set<Run> listed = findRuns(worker, unapplied);
         for (RunningTask running : report.running()) {
@@ -122,7 +123,7 @@
         if (worker.bornAtMillis() != 0) {
             startNewLifetime(worker, report.bornAtMillis(), now);
         } else {
-            worker.startNewLifetime(report.bornAtMillis());
+            worker.startNewLifetime(report.bornAtMillis(), now);
         }
     }
 
@@ -138,7 +139,7 @@
                         worker.id(),
                         "born=" + bornAtMillis + " before=" + worker.bornAtMillis()));
         losses.lifetimeEnded(worker, now);
-        worker.startNewLifetime(bornAtMillis);
+        worker.startNewLifetime(bornAtMillis, now);
     }
 
     /**
@@ -255,6 +256,7 @@
         if (run.phase() == Run.Phase.STARTING || run.phase() == Run.Phase.UNCERTAIN) {
             run.enterPhase(Run.Phase.RUNNING, now);
         }
+        run.markListed();
         task.step().job().recordRun(now);
         run.updateProgress(running.percent(), workerClock);
         run.gauge(running.gauge());
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -39,6 +39,7 @@
     private long progressClock = NEVER_LISTED;
     private long listedClock = NEVER_LISTED;
     private boolean begun;
+    private boolean listed;
     private boolean startHeld;
     private long startSentAt;
     private OptionalLong savedAt = OptionalLong.empty();
@@ -92,6 +93,17 @@
         return begun;
     }
 
+    /**
+     * Returns whether a report has listed the run, so that it is of that lifetime of its worker.
+     */
+    boolean isListed() {
+        return listed;
+    }
+
+    void markListed() {
+        listed = true;
+    }
+
     TaskEntry task() {
         return task;
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -58,6 +58,7 @@
     private final WorkerLeases leases;
     private final StandstillDetector standstills;
     private final Evacuation evacuation = new Evacuation(workers.values());
+    private final AdvicePlanner advice = new AdvicePlanner(jobs, liveJobs, workers.values());
     private Manifest manifest;
 
     /**
@@ -228,21 +229,14 @@
         predecessor.add(workerId, pool);
     }
 
-    /**
-     * Returns whether an earlier holder may have started tasks on a worker that this holder cannot
-     * reach: the registry does not list it, or the last call to it failed.
-     */
-    public boolean isUnreachablePredecessorWorker(String workerId, long now) {
-        WorkerRecord worker = workers.get(workerId);
-        boolean unreachable = worker == null || worker.unreachableMillis(now) > 0;
-        return unreachable && predecessor.contains(workerId);
-    }
-
     /** Adds or updates a worker as listed by the registry. */
     public void workerListed(WorkerEntry entry, long now) {
         WorkerRecord worker = workers.get(entry.id());
         if (worker == null) {
-            workers.put(entry.id(), new WorkerRecord(entry, evacuation));
+            workers.put(entry.id(), new WorkerRecord(entry, evacuation, now));
+            return;
+        }
+        if (worker.isEndedLifetime(entry.bornAtMillis())) {
             return;
         }
         boolean restarted =
@@ -261,13 +255,18 @@
         Optional.ofNullable(workers.get(workerId)).ifPresent(WorkerRecord::markUnlisted);
     }
 
-    /** Closes all runs of a worker whose lifetime has ended. */
-    public void workerLifetimeEnded(String workerId, long now) {
+    /**
+     * Closes the runs of a worker whose lifetime has ended.
+     *
+     * @param evidenceFrom from when the evidence may be, in milliseconds; an order to start that
+     *     was sent later may have reached the next lifetime
+     */
+    public void workerLifetimeEnded(String workerId, long evidenceFrom, long now) {
         predecessor.remove(workerId);
         inheritedStarts.lifetimeEnded(workerId, now);
         WorkerRecord worker = workers.get(workerId);
         if (worker != null && !worker.runs().isEmpty()) {
-            losses.lifetimeEndedWithRuns(worker, now);
+            losses.lifetimeEndedWithRuns(worker, evidenceFrom, now);
         }
         if (worker != null) {
             worker.reported(false);
@@ -306,7 +305,7 @@
      */
     public boolean applyReport(String workerId, RunReport report, long sentAt, long now) {
         WorkerRecord worker = workers.get(workerId);
-        if (worker == null) {
+        if (worker == null || worker.isEndedLifetime(report.bornAtMillis())) {
             return false;
         }
         long before = worker.lastAppliedEnd();
@@ -392,23 +391,9 @@
         return orders;
     }
 
-    /** Returns the next request to the advice service, if a step waits for tickets. */
-    public Optional<AdviceRequest> nextAdviceRequest(long now) {
-        return AdvicePlanner.nextRequest(liveJobs, workers.values(), now);
-    }
-
-    /** Records that a request to the advice service failed, so that others go first. */
-    public void adviceFailed(AdviceRequest request, long now) {
-        jobs.findLoaded(request.job())
-                .map(j -> j.step(request.occurrence(), request.step()))
-                .ifPresent(s -> s.advice().recordFailure(now));
-    }
-
-    /** Applies an answer of the advice service: tickets for the workers that may run the step. */
-    public void applyAdvice(AdviceRequest request, Map<String, String> tickets, long validUntil) {
-        jobs.findLoaded(request.job())
-                .map(j -> j.step(request.occurrence(), request.step()))
-                .ifPresent(s -> s.advice().applyAnswer(request.workers(), tickets, validUntil));
+    /** Returns what decides about which workers the advice service is asked. */
+    public AdvicePlanner advice() {
+        return advice;
     }
 
     /** Returns whether a worker has reported its runs to this holder. */
@@ -453,11 +438,22 @@
         return evacuation;
     }
 
+    /** Returns whether a report is of a lifetime of its worker that has ended since. */
+    public boolean isOfEndedLifetime(String workerId, RunReport report) {
+        WorkerRecord worker = workers.get(workerId);
+        return worker != null && worker.isEndedLifetime(report.bornAtMillis());
+    }
+
     /** Returns the pools, by worker identifier, of the workers that are listed or may have runs. */
     public Map<String, String> workersInUse() {
         return leases.workersInUse();
     }
 
+    /** Returns what is known of the lifetimes of the workers that are listed or may have runs. */
+    public List<WorkerEvidence> evidenceOfWorkersInUse(long now) {
+        return leases.evidenceOfWorkersInUse(now);
+    }
+
     /** Returns what tells why work waits. */
     public StandstillDetector standstills() {
         return standstills;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
@@ -7,7 +7,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** Closes the runs of workers whose leases have expired, and forgets workers that have left. */
+/**
+ * Closes the runs of workers whose leases have expired, forgets workers that have left, and tells
+ * which others may have runs.
+ */
 final class WorkerLeases {
 
     private final Map<String, WorkerRecord> workers;
@@ -80,4 +83,18 @@
                 .forEach(w -> inUse.put(w.id(), w.pool()));
         return inUse;
     }
+
+    /** Returns what is known of the lifetimes of these workers. */
+    List<WorkerEvidence> evidenceOfWorkersInUse(long now) {
+        return workersInUse().keySet().stream().map(id -> evidenceOf(id, now)).toList();
+    }
+
+    private WorkerEvidence evidenceOf(String workerId, long now) {
+        WorkerRecord worker = workers.get(workerId);
+        if (worker == null) {
+            return WorkerEvidence.ofUnlisted(workerId);
+        }
+        boolean unreachable = worker.unreachableMillis(now) > 0;
+        return worker.evidence(unreachable && predecessor.contains(workerId));
+    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Closes the runs of lost workers, and records which tasks were running on a worker that crashed.
@@ -18,8 +19,13 @@
         this.events = events;
     }
 
-    /** Logs the end of a worker's lifetime, and closes the runs that it had. */
-    void lifetimeEndedWithRuns(WorkerRecord worker, long now) {
+    /**
+     * Logs the end of a worker's lifetime, and closes the runs that it had.
+     *
+     * @param evidenceFrom from when the evidence may be, in milliseconds; a run stays open if its
+     *     order to start was sent later and no report has listed it
+     */
+    void lifetimeEndedWithRuns(WorkerRecord worker, long evidenceFrom, long now) {
         events.accept(
                 new SchedulerEvent(
                         SchedulerEvent.Kind.LIFETIME,
@@ -27,29 +33,37 @@
                         "",
                         worker.id(),
                         "lifetime ended, runs=" + worker.runs().size()));
-        lifetimeEnded(worker, now);
+        closeRuns(
+                worker,
+                r -> r.isListed() || r.startSentAt() <= evidenceFrom,
+                endCauseOf(worker),
+                now);
     }
 
     /** Closes all runs of a worker whose lifetime has ended: none of them can still exist. */
     void lifetimeEnded(WorkerRecord worker, long now) {
-        closeRuns(worker, worker.isEndExpected() ? LossCause.PLANNED : LossCause.CRASH, now);
+        closeRuns(worker, r -> true, endCauseOf(worker), now);
+    }
+
+    private static LossCause endCauseOf(WorkerRecord worker) {
+        return worker.isEndExpected() ? LossCause.PLANNED : LossCause.CRASH;
     }
 
     /** Closes all runs of a worker whose lease has expired: it has ended them itself. */
     void leaseExpired(WorkerRecord worker, long now) {
-        closeRuns(worker, LossCause.LEASE_EXPIRED, now);
+        closeRuns(worker, r -> true, LossCause.LEASE_EXPIRED, now);
     }
 
-    private void closeRuns(WorkerRecord worker, LossCause cause, long now) {
-        List<Run> lost = worker.runsCopy();
-        for (Run run : lost) {
+    private void closeRuns(WorkerRecord worker, Predicate<Run> isLost, LossCause cause, long now) {
+        List<Run> open = worker.runsCopy();
+        for (Run run : open.stream().filter(isLost).toList()) {
             runs.close(run);
             if (cause == LossCause.CRASH) {
-                recordCrash(run, lost.size() == 1, now);
+                recordCrash(run, open.size() == 1, now);
             }
             events.accept(
                     SchedulerEvent.of(
-                            SchedulerEvent.Kind.LOST, run, inputs(run, cause, lost.size(), now)));
+                            SchedulerEvent.Kind.LOST, run, inputs(run, cause, open.size(), now)));
         }
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -1,6 +1,8 @@
 package org.chervillift.core.tasks;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -19,6 +21,9 @@
     /** Longer than the longest back-off, after which a faulty worker fails again. */
     private static final long MAX_FAILURE_GAP_MILLIS = 2 * MAX_BACK_OFF_MILLIS;
 
+    /** The ended lifetimes whose late reports are recognized; reports are seconds late at most. */
+    private static final int MAX_ENDED_LIFETIMES = 8;
+
     private final Set<Run> runs = new LinkedHashSet<>();
     private final Evacuation evacuation;
     private WorkerEntry entry;
@@ -27,7 +32,10 @@
     private boolean reachable;
     private boolean cordoned;
     private boolean maintenanceDue;
+    private final Deque<Long> endedLifetimes = new ArrayDeque<>();
     private long bornAtMillis;
+    private long lifetimeKnownSince;
+    private WorkerClockReading lastReading = WorkerClockReading.NONE;
     private long leaseEndsAt = Long.MIN_VALUE;
     private long acknowledgedEnd;
     private long lastAppliedEnd;
@@ -49,10 +57,11 @@
      *
      * @param evacuation tells in which data centres no task may be started
      */
-    WorkerRecord(WorkerEntry entry, Evacuation evacuation) {
+    WorkerRecord(WorkerEntry entry, Evacuation evacuation, long now) {
         this.entry = entry;
         this.evacuation = evacuation;
         this.bornAtMillis = entry.bornAtMillis();
+        this.lifetimeKnownSince = now;
     }
 
     WorkerEntry entry() {
@@ -137,8 +146,32 @@
         return bornAtMillis;
     }
 
-    void startNewLifetime(long newBornAtMillis) {
+    /** Returns whether a lifetime has ended before the present one; its reports may come late. */
+    boolean isEndedLifetime(long otherBornAtMillis) {
+        return endedLifetimes.contains(otherBornAtMillis);
+    }
+
+    /** Returns what is known of the present lifetime. */
+    WorkerEvidence evidence(boolean registeredBeforeTerm) {
+        return new WorkerEvidence(
+                id(), lifetimeKnownSince, lastReading.aliveAt(), registeredBeforeTerm);
+    }
+
+    /** Records that the worker reported at a time of its own clock, in milliseconds. */
+    void recordReport(long sentAt, long clockMillis) {
+        lastReading = lastReading.next(sentAt, clockMillis);
+    }
+
+    void startNewLifetime(long newBornAtMillis, long now) {
+        if (bornAtMillis != 0) {
+            endedLifetimes.addLast(bornAtMillis);
+        }
+        if (endedLifetimes.size() > MAX_ENDED_LIFETIMES) {
+            endedLifetimes.removeFirst();
+        }
         bornAtMillis = newBornAtMillis;
+        lifetimeKnownSince = now;
+        lastReading = WorkerClockReading.NONE;
         acknowledgedEnd = 0;
         lastAppliedEnd = 0;
         oddEntryNoted = false;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/GoneVmDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/GoneVmDetector.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
+import org.chervillift.api.tasks.ListedFleetVm;
 
 /**
  * Detects which VMs are gone, as opposed to missing from a single list.
@@ -22,7 +24,7 @@
     /**
      * The absence of a VM from consecutive lists.
      *
-     * @param since when the first of these lists was applied, in milliseconds
+     * @param since when the first of these lists arrived, in milliseconds
      * @param lists the number of these lists
      */
     private record Absence(long since, int lists) {}
@@ -41,10 +43,11 @@
      * Applies a list.
      *
      * @param watched the VMs to watch
-     * @param listed the VMs that the list contains
      * @return the watched VMs that are gone
      */
-    public Set<String> applyList(Set<String> watched, Set<String> listed, long now) {
+    public Set<String> applyList(Set<String> watched, VmList list) {
+        Set<String> listed =
+                list.vms().stream().map(ListedFleetVm::name).collect(Collectors.toSet());
         absences.keySet().retainAll(watched);
         absences.keySet().removeAll(listed);
         Set<String> gone = new HashSet<>();
@@ -55,9 +58,10 @@
             Absence absence =
                     absences.merge(
                             vm,
-                            new Absence(now, 1),
+                            new Absence(list.receivedAt(), 1),
                             (known, first) -> new Absence(known.since(), known.lists() + 1));
-            if (absence.lists() >= MIN_LISTS && now - absence.since() >= minAbsenceMillis) {
+            long surelyAbsentMillis = list.requestedAt() - absence.since();
+            if (absence.lists() >= MIN_LISTS && surelyAbsentMillis >= minAbsenceMillis) {
                 gone.add(vm);
             }
         }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/AdvicePlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/AdvicePlannerTest.java
@@ -18,12 +18,12 @@
         fixture.addWorker("w1", 4_000);
         fixture.acceptAdvised("a");
         fixture.starts();
-        AdviceRequest first = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
-        fixture.scheduler.applyAdvice(first, Map.of("w1", "t"), fixture.now + 60_000);
+        AdviceRequest first = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
+        fixture.scheduler.advice().applyAnswer(first, Map.of("w1", "t"), fixture.now + 60_000);
         fixture.scheduler.setReachable("w1", false, fixture.now);
         fixture.addWorker("w2", 4_000);
         assertThat(fixture.starts()).isEmpty();
-        assertThat(fixture.scheduler.nextAdviceRequest(fixture.now))
+        assertThat(fixture.scheduler.advice().nextRequest(fixture.now))
                 .hasValueSatisfying(r -> assertThat(r.workers()).contains("w2"));
     }
 
@@ -36,9 +36,9 @@
         fixture.starts();
         List<String> asked = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            AdviceRequest next = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
+            AdviceRequest next = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
             asked.add(next.job());
-            fixture.scheduler.adviceFailed(next, fixture.now);
+            fixture.scheduler.advice().recordFailure(next, fixture.now);
             fixture.now += 200;
         }
         assertThat(asked).contains("b");
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -244,9 +244,9 @@
         evacuate(AWAY);
         fixture.acceptAdvised("a");
         fixture.plan();
-        AdviceRequest request = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
+        AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
         assertThat(request.workers()).containsExactly("w1");
-        fixture.scheduler.applyAdvice(request, Map.of("w1", "t"), fixture.now + 5_000);
+        fixture.scheduler.advice().applyAnswer(request, Map.of("w1", "t"), fixture.now + 5_000);
         assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w1");
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/IsolationPlannerTest.java
@@ -312,7 +312,7 @@
         fixture.runningByWorker.remove(worker).forEach(r -> lost.add(r.task().job()));
         lostTogether.add(lost);
         fixture.scheduler.workerUnlisted(worker);
-        fixture.scheduler.workerLifetimeEnded(worker, fixture.now);
+        fixture.scheduler.workerLifetimeEnded(worker, fixture.now, fixture.now);
         backAt.put(worker, fixture.now + WORKER_AWAY_MILLIS);
     }
 }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
@@ -75,9 +75,11 @@
         fixture.acceptAdvised("a");
         assertThat(fixture.starts()).isEmpty();
 
-        AdviceRequest request = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
+        AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
         assertThat(request.workers()).containsExactlyInAnyOrder("w1", "w2");
-        fixture.scheduler.applyAdvice(request, Map.of("w2", "ticket-2"), fixture.now + 3_000);
+        fixture.scheduler
+                .advice()
+                .applyAnswer(request, Map.of("w2", "ticket-2"), fixture.now + 3_000);
 
         assertThat(fixture.starts())
                 .singleElement()
@@ -86,7 +88,7 @@
                             assertThat(s.worker()).isEqualTo("w2");
                             assertThat(s.ticket()).contains("ticket-2");
                         });
-        assertThat(fixture.scheduler.nextAdviceRequest(fixture.now)).isEmpty();
+        assertThat(fixture.scheduler.advice().nextRequest(fixture.now)).isEmpty();
     }
 
     @Test
@@ -94,10 +96,10 @@
         fixture.addWorker("w1", 4_000);
         fixture.acceptAdvised("a");
         fixture.starts();
-        AdviceRequest request = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
-        fixture.scheduler.applyAdvice(request, Map.of("w1", "old"), fixture.now + 100);
+        AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
+        fixture.scheduler.advice().applyAnswer(request, Map.of("w1", "old"), fixture.now + 100);
         assertThat(fixture.starts()).isEmpty();
-        assertThat(fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow().workers())
+        assertThat(fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow().workers())
                 .containsExactly("w1");
     }
 
@@ -108,22 +110,22 @@
         fixture.addWorker("w2", 4_000);
         fixture.acceptAdvised("a");
         fixture.starts();
-        AdviceRequest first = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
-        fixture.scheduler.applyAdvice(first, Map.of("w1", "ticket"), fixture.now + 300);
+        AdviceRequest first = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
+        fixture.scheduler.advice().applyAnswer(first, Map.of("w1", "ticket"), fixture.now + 300);
 
         replace("w2", "w3");
-        AdviceRequest second = fixture.scheduler.nextAdviceRequest(fixture.now).orElseThrow();
-        fixture.scheduler.applyAdvice(second, Map.of("w1", "ticket"), fixture.now + 300);
+        AdviceRequest second = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
+        fixture.scheduler.advice().applyAnswer(second, Map.of("w1", "ticket"), fixture.now + 300);
         fixture.now += 1_000;
 
-        assertThat(fixture.scheduler.nextAdviceRequest(fixture.now))
+        assertThat(fixture.scheduler.advice().nextRequest(fixture.now))
                 .hasValueSatisfying(r -> assertThat(r.workers()).contains("w1"));
     }
 
     /** Ends a worker, lets its lease run out, and adds another worker. */
     private void replace(String worker, String successor) {
         fixture.scheduler.workerUnlisted(worker);
-        fixture.scheduler.workerLifetimeEnded(worker, fixture.now);
+        fixture.scheduler.workerLifetimeEnded(worker, fixture.now, fixture.now);
         fixture.now += SchedulerFixture.LEASE_MILLIS + 1;
         fixture.report("w1");
         fixture.scheduler.leaseGranted("w1", fixture.now + SchedulerFixture.LEASE_MILLIS);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PoolDemandTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PoolDemandTest.java
@@ -35,7 +35,7 @@
             assertThat(fixture.starts()).isNotEmpty();
             fixture.runningByWorker.clear();
             fixture.scheduler.workerUnlisted("w" + crash);
-            fixture.scheduler.workerLifetimeEnded("w" + crash, fixture.now);
+            fixture.scheduler.workerLifetimeEnded("w" + crash, fixture.now, fixture.now);
             fixture.addWorker("w" + (crash + 1), WORKER_MILLI_CORES);
         }
         for (int i = 0; i < FURTHER_WORKERS; i++) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/ProgressInPartsTest.java
@@ -23,7 +23,7 @@
         fixture.store();
         fixture.runningByWorker.clear();
         fixture.scheduler.workerUnlisted("w1");
-        fixture.scheduler.workerLifetimeEnded("w1", fixture.now);
+        fixture.scheduler.workerLifetimeEnded("w1", fixture.now, fixture.now);
         fixture.addWorker("w2", 1_000 * TASKS);
         assertThat(plan()).isEmpty();
     }
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
@@ -240,7 +240,7 @@
     private void crash(String worker) {
         fixture.runningByWorker.remove(worker);
         fixture.scheduler.workerUnlisted(worker);
-        fixture.scheduler.workerLifetimeEnded(worker, fixture.now);
+        fixture.scheduler.workerLifetimeEnded(worker, fixture.now, fixture.now);
     }
 
     @Test
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -84,7 +84,7 @@
         fixture.starts();
         fixture.addWorker("w2", 1_000);
 
-        fixture.scheduler.workerLifetimeEnded("w1", fixture.now);
+        fixture.scheduler.workerLifetimeEnded("w1", fixture.now, fixture.now);
 
         assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w2");
     }
@@ -235,7 +235,7 @@
         fixture.scheduler.workerUnlisted("w2");
         String busy = fixture.runningByWorker.keySet().iterator().next();
         assertThat(fixture.scheduler.workersInUse()).containsOnlyKeys(busy);
-        fixture.scheduler.workerLifetimeEnded(busy, fixture.now);
+        fixture.scheduler.workerLifetimeEnded(busy, fixture.now, fixture.now);
         assertThat(fixture.scheduler.workersInUse()).isEmpty();
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -113,7 +113,7 @@
             String worker = "w" + term;
             holder.addWorker(worker, WORKER_MILLI_CORES);
             for (String lost : started) {
-                holder.scheduler.workerLifetimeEnded(lost, holder.now);
+                holder.scheduler.workerLifetimeEnded(lost, holder.now, holder.now);
             }
             starts += holder.starts().size();
             if (term == 1) {
@@ -152,7 +152,7 @@
         holder.scheduler.restore("a", stored);
         holder.addWorker("w1", WORKER_MILLI_CORES);
         holder.scheduler.workerUnlisted("w1");
-        holder.scheduler.workerLifetimeEnded("w1", holder.now);
+        holder.scheduler.workerLifetimeEnded("w1", holder.now, holder.now);
 
         assertThat(holder.events).noneMatch(e -> e.kind() == SchedulerEvent.Kind.LOST);
     }
@@ -311,6 +311,6 @@
     private static void crash(SchedulerFixture fixture, String worker) {
         fixture.runningByWorker.put(worker, List.of());
         fixture.scheduler.workerUnlisted(worker);
-        fixture.scheduler.workerLifetimeEnded(worker, fixture.now);
+        fixture.scheduler.workerLifetimeEnded(worker, fixture.now, fixture.now);
     }
 }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.PlacementAdvice;
+import org.chervillift.core.tasks.AdvicePlanner;
 import org.chervillift.core.tasks.AdviceRequest;
-import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.runtime.events.EventLog;
 import org.chervillift.runtime.events.Field;
 
@@ -15,14 +15,14 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
     private final HolderContext context;
-    private final TaskScheduler board;
+    private final AdvicePlanner advice;
     private final Runnable onAnswer;
     private boolean requestInProgress;
     private boolean stopped;
 
-    AdviceRequester(HolderContext context, TaskScheduler board, Runnable onAnswer) {
+    AdviceRequester(HolderContext context, AdvicePlanner advice, Runnable onAnswer) {
         this.context = Checks.notNull("context", context);
-        this.board = Checks.notNull("board", board);
+        this.advice = Checks.notNull("advice", advice);
         this.onAnswer = Checks.notNull("onAnswer", onAnswer);
     }
 
@@ -36,7 +36,7 @@
         if (requestInProgress || stopped || service.isEmpty()) {
             return;
         }
-        board.nextAdviceRequest(context.nowMillis()).ifPresent(q -> ask(service.get(), q));
+        advice.nextRequest(context.nowMillis()).ifPresent(q -> ask(service.get(), q));
     }
 
     private void ask(PlacementAdvice service, AdviceRequest question) {
@@ -61,7 +61,7 @@
                                 onFailure(question);
                                 return;
                             }
-                            board.applyAdvice(
+                            advice.applyAnswer(
                                     question,
                                     allowed.tickets(),
                                     context.nowMillis() + allowed.validity().toMillis());
@@ -72,7 +72,7 @@
     }
 
     private void onFailure(AdviceRequest question) {
-        board.adviceFailed(question, context.nowMillis());
+        advice.recordFailure(question, context.nowMillis());
         context.scheduler().schedule(RETRY_DELAY, this::retry);
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -89,8 +89,8 @@
         this.progress = new ProgressWriter(context, board, this::onStored, this::onEndStored);
         this.storedProgress = new StoredProgress(progress);
         this.finishedJobs = new FinishedJobRemover(context, board, progress);
-        this.advice = new AdviceRequester(context, board, this::replanSoon);
-        this.vmController = new VmController(context, board, manifests);
+        this.advice = new AdviceRequester(context, board.advice(), this::replanSoon);
+        this.vmController = new VmController(context, board, manifests, this::askWorker);
         this.statusPublisher =
                 new HolderStatusPublisher(context, this::currentBoard, vmController.figures());
         this.jobsFollower =
@@ -122,6 +122,10 @@
         return ready ? Optional.of(currentBoard()) : Optional.empty();
     }
 
+    private void askWorker(String id) {
+        workerSessions.ask(id);
+    }
+
     private HolderBoard currentBoard() {
         AnswerBasis.Board basis =
                 new AnswerBasis.Board(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -10,11 +10,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.chervillift.api.Checks;
 import org.chervillift.api.tasks.ListedFleetVm;
-import org.chervillift.api.tasks.ListedFleetVm.Status;
 import org.chervillift.api.tasks.Manifest;
+import org.chervillift.core.tasks.EndedWorkerDetector;
 import org.chervillift.core.tasks.PoolLoad;
 import org.chervillift.core.tasks.TaskScheduler;
 import org.chervillift.core.tasks.WorkerLoad;
@@ -25,6 +26,7 @@
 import org.chervillift.core.tasks.vms.PoolPlanner;
 import org.chervillift.core.tasks.vms.PoolPlanner.Move;
 import org.chervillift.core.tasks.vms.SurgeForecast;
+import org.chervillift.core.tasks.vms.VmList;
 import org.chervillift.core.tasks.vms.VmView;
 import org.chervillift.core.tasks.vms.VmView.PendingOrder;
 import org.chervillift.runtime.events.EventLog;
@@ -35,7 +37,6 @@
 
     private static final Duration ROUND_INTERVAL = Duration.ofMillis(300);
     private static final Duration SURGE_ROUND_INTERVAL = Duration.ofMillis(100);
-    private static final long UNLISTED_WORKER_GRACE_MILLIS = 1_500;
 
     private final HolderContext context;
     private final TaskScheduler board;
@@ -46,19 +47,29 @@
     private final RecentVmOrders recentOrders;
     private final VmOrderSender orders;
     private final GoneVmDetector goneVms;
+    private final EndedWorkerDetector endedWorkers = new EndedWorkerDetector();
+    private final Consumer<String> askWorker;
     private final Set<String> cordoned = new HashSet<>();
     private final Map<String, ListedFleetVm> lastListed = new HashMap<>();
-    private final Set<String> everListed = new HashSet<>();
-    private final Map<String, Long> missingSince = new HashMap<>();
     private PoolPlanner planner;
     private SurgeForecast surges;
     private Map<String, String> cordonedForPredecessor = Map.of();
     private boolean stopped;
 
-    VmController(HolderContext context, TaskScheduler board, ManifestTracker manifests) {
+    /**
+     * Creates a controller that has not listed the VMs yet.
+     *
+     * @param askWorker asks a worker for a report at once
+     */
+    VmController(
+            HolderContext context,
+            TaskScheduler board,
+            ManifestTracker manifests,
+            Consumer<String> askWorker) {
         this.context = Checks.notNull("context", context);
         this.board = Checks.notNull("board", board);
         this.manifests = Checks.notNull("manifests", manifests);
+        this.askWorker = Checks.notNull("askWorker", askWorker);
         this.waveProgress = new WaveProgressStore(context);
         this.initialPoolSizes = new InitialPoolSizes(context);
         this.surgeRates = new SurgeRateStore(context);
@@ -139,7 +150,11 @@
                                 boolean listed =
                                         fault == null && !vms.isEmpty() && waveProgress.isLoaded();
                                 Duration pause =
-                                        listed ? decide(vms, sentAt) : pauseFor(poolLoads());
+                                        listed
+                                                ? decide(
+                                                        new VmList(
+                                                                vms, sentAt, context.nowMillis()))
+                                                : pauseFor(poolLoads());
                                 runRoundAfter(pause);
                             }
                         },
@@ -160,31 +175,42 @@
     }
 
     /** Decides from a list; returns the pause until the next one. */
-    private Duration decide(List<ListedFleetVm> listed, long listedAt) {
-        recordList(listed, listedAt);
+    private Duration decide(VmList list) {
+        recordList(list);
         Map<String, PoolLoad> loads = poolLoads();
-        decide(listed, loads);
+        decide(list, loads);
         return pauseFor(loads);
     }
 
     /** Records what a list shows, before decisions are made from it. */
-    private void recordList(List<ListedFleetVm> listed, long listedAt) {
-        initialPoolSizes.recordFirst(listed);
-        orders.removeConfirmed(listed, listedAt);
-        listed.forEach(this::logStatusChange);
-        detectEndedWorkers(listed, context.nowMillis());
+    private void recordList(VmList list) {
+        initialPoolSizes.recordFirst(list.vms());
+        orders.removeConfirmed(list);
+        list.vms().forEach(this::logStatusChange);
+        closeEndedWorkers(list);
+    }
+
+    /**
+     * Closes the runs of workers that no VM runs any more, and asks those that are newly absent.
+     */
+    private void closeEndedWorkers(VmList list) {
+        long now = list.receivedAt();
+        EndedWorkerDetector.Findings findings =
+                endedWorkers.applyList(list, standbyPools(), board.evidenceOfWorkersInUse(now));
+        findings.ended().forEach(w -> board.workerLifetimeEnded(w, list.requestedAt(), now));
+        findings.newlyAbsent().forEach(askWorker);
     }
 
-    private void decide(List<ListedFleetVm> listed, Map<String, PoolLoad> loads) {
-        long now = context.nowMillis();
+    private void decide(VmList list, Map<String, PoolLoad> loads) {
+        long now = list.receivedAt();
         List<FleetWavePlanner.Progress> open =
                 waveProgress.openWaves(manifests.waveOrders().values(), now);
-        Set<String> gone = goneVms.applyList(vmsOf(open), names(listed), now);
+        Set<String> gone = goneVms.applyList(vmsOf(open), list);
         if (!orders.mayDecide()) {
             return;
         }
         Map<String, VmView> views = new TreeMap<>();
-        listed.forEach(vm -> views.put(vm.name(), view(vm)));
+        list.vms().forEach(vm -> views.put(vm.name(), view(vm)));
         Round round = new Round(views, loads, standbyPools(), gone, now);
         Set<String> draining = decideWaves(open, round);
         decideMoves(round, draining);
@@ -211,10 +237,6 @@
         return open.stream().flatMap(w -> w.order().vms().stream()).collect(Collectors.toSet());
     }
 
-    private static Set<String> names(List<ListedFleetVm> listed) {
-        return listed.stream().map(ListedFleetVm::name).collect(Collectors.toSet());
-    }
-
     /**
      * Returns whether an order for a VM may be sent now.
      *
@@ -228,43 +250,6 @@
                 || (runsKnown && !recentOrders.mayBeOrderedByPredecessor(vm.name(), round.now()));
     }
 
-    /**
-     * Detects workers that no VM runs any more; each worker is one lifetime of a VM.
-     *
-     * <p>A worker that was listed before counts as ended when two consecutive lists lack it. So
-     * does an unreachable worker of an earlier holder, since it registered before this holder's
-     * first list. Another worker that was never listed may be newer than the list, and gets more
-     * time. A list that names no worker for a VM that is up is ignored, except for VMs in standby,
-     * which are off.
-     */
-    private void detectEndedWorkers(List<ListedFleetVm> listed, long now) {
-        Set<String> standby = standbyPools();
-        Set<String> running = new HashSet<>();
-        for (ListedFleetVm vm : listed) {
-            boolean off = standby.contains(vm.pool()) && vm.worker().isEmpty();
-            if (vm.status() == Status.UP && !off) {
-                running.add(vm.worker());
-            }
-        }
-        if (running.isEmpty() || running.contains("")) {
-            return;
-        }
-        everListed.addAll(running);
-        Set<String> missing = new HashSet<>(board.workersInUse().keySet());
-        missing.removeAll(running);
-        missingSince.keySet().retainAll(missing);
-        for (String worker : missing) {
-            Long since = missingSince.putIfAbsent(worker, now);
-            boolean missingTwice = since != null;
-            boolean olderThanLists =
-                    everListed.contains(worker)
-                            || board.isUnreachablePredecessorWorker(worker, now);
-            if (missingTwice && (olderThanLists || now - since >= UNLISTED_WORKER_GRACE_MILLIS)) {
-                board.workerLifetimeEnded(worker, now);
-            }
-        }
-    }
-
     private void logStatusChange(ListedFleetVm vm) {
         ListedFleetVm before = lastListed.put(vm.name(), vm);
         if (before == null
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmOrderSender.java
@@ -13,6 +13,7 @@
 import org.chervillift.api.platform.FleetVms.VmAnswer;
 import org.chervillift.api.tasks.ListedFleetVm;
 import org.chervillift.api.tasks.ListedFleetVm.Status;
+import org.chervillift.core.tasks.vms.VmList;
 import org.chervillift.core.tasks.vms.VmView.PendingOrder;
 import org.chervillift.daemon.tasks.RecentVmOrders.NewOrder;
 import org.chervillift.runtime.events.EventLog;
@@ -74,9 +75,9 @@
     }
 
     /** Removes orders whose effect is shown by a list that was requested after they were sent. */
-    void removeConfirmed(List<ListedFleetVm> listed, long listedAt) {
+    void removeConfirmed(VmList list) {
         Set<String> up =
-                listed.stream()
+                list.vms().stream()
                         .filter(v -> v.status() == Status.UP)
                         .map(ListedFleetVm::name)
                         .collect(Collectors.toSet());
@@ -85,7 +86,7 @@
                 .removeIf(
                         e ->
                                 e.getValue().inForce()
-                                        && e.getValue().sentAt() < listedAt
+                                        && e.getValue().sentAt() < list.requestedAt()
                                         && up.contains(e.getKey()));
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
@@ -157,6 +157,10 @@
     }
 
     private void onReport(RunReport report, long sentAt) {
+        if (board.isOfEndedLifetime(entry.id(), report)) {
+            pollAfter(POLL_DELAY_AFTER_FAILURE);
+            return;
+        }
         long now = context.nowMillis();
         boolean firstReport = workerClock.isEmpty();
         workerClock = Optional.of(new ClockReading(report.clockMillis(), now));
@@ -192,9 +196,8 @@
         pollAfter(POLL_DELAY_AFTER_FAILURE);
     }
 
-    /** Asks at once for the effect of an order, in parallel with the long poll. */
-    private void checkStatus() {
-        statusCheckScheduled = false;
+    /** Asks for a report at once, in parallel with the long poll. */
+    void checkStatus() {
         if (stopped || !context.maySendOrders().getAsBoolean()) {
             return;
         }
@@ -220,6 +223,11 @@
                         onChange);
     }
 
+    private void checkOrder() {
+        statusCheckScheduled = false;
+        checkStatus();
+    }
+
     /** Sends an order, and passes its answer to the board. */
     void send(Order order) {
         CompletionStage<OrderAnswer> answer =
@@ -260,7 +268,7 @@
         board.applyAnswer(order, answer, context.nowMillis());
         if (board.needsFreshReport(entry.id()) && !statusCheckScheduled) {
             statusCheckScheduled = true;
-            context.scheduler().schedule(STATUS_CHECK_DELAY, this::checkStatus);
+            context.scheduler().schedule(STATUS_CHECK_DELAY, this::checkOrder);
         }
         if (answer == OrderAnswer.FENCED) {
             onFenced.run();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -120,6 +120,12 @@
         }
     }
 
+    /** Asks a worker for a report at once, if there is a session with it. */
+    void ask(String id) {
+        Optional.ofNullable(sessions.get(id))
+                .ifPresent(s -> context.supervision().run("worker status", s::checkStatus));
+    }
+
     /** Applies the rows of the worker registry to the board. */
     private final class RegistryListener implements TableFollower.Listener {
 
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
@@ -36,6 +36,7 @@
     private final List<String> maintained = new ArrayList<>();
     private Set<String> leftOut = Set.of();
     private Duration orderLatency = LATENCY;
+    private Duration listLatency = Duration.ZERO;
     private int ordersReceived;
     private boolean movesHeld;
     private long heartbeats;
@@ -77,7 +78,10 @@
         if (standbyPools.contains(vm.pool())) {
             return;
         }
-        WorkerEntry entry = vm.nextEntry(nowMillis());
+        begin(vm, vm.nextEntry(nowMillis()));
+    }
+
+    private void begin(MemoryVm vm, WorkerEntry entry) {
         MemoryWorker worker = new MemoryWorker(entry, times.task(), starts::add, scheduler);
         vm.setWorker(worker);
         workers.put(entry.id(), worker);
@@ -109,6 +113,24 @@
         this.orderLatency = Checks.notNull("latency", latency);
     }
 
+    /** Sets how long after it shows what was the case a list arrives, beside the usual latency. */
+    public void setListLatency(Duration latency) {
+        this.listLatency = Checks.notNull("latency", latency);
+    }
+
+    /** Ends the worker of a VM without notice; it starts again under its identifier. */
+    public void restartUnderSameId(String name, Duration away) {
+        MemoryVm vm = vms.get(name);
+        WorkerEntry former = vm.worker().orElseThrow().entry();
+        vm.leave(Status.DOWN);
+        scheduler.schedule(
+                away,
+                () -> {
+                    vm.comeBack(vm.pool());
+                    begin(vm, vm.entryOf(former.id(), nowMillis()));
+                });
+    }
+
     /** Returns how many orders have arrived. */
     public int ordersReceived() {
         return ordersReceived;
@@ -146,13 +168,16 @@
 
     @Override
     public CompletionStage<List<ListedFleetVm>> list() {
-        return later.complete(
-                LATENCY,
-                () ->
-                        vms.values().stream()
-                                .filter(v -> !leftOut.contains(v.name()))
-                                .map(MemoryVm::listed)
-                                .toList());
+        Duration latency = listLatency;
+        return later.complete(LATENCY, this::listNow)
+                .thenCompose(list -> later.complete(latency, () -> list));
+    }
+
+    private List<ListedFleetVm> listNow() {
+        return vms.values().stream()
+                .filter(v -> !leftOut.contains(v.name()))
+                .map(MemoryVm::listed)
+                .toList();
     }
 
     @Override
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryVm.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryVm.java
@@ -54,6 +54,11 @@
     WorkerEntry nextEntry(long nowMillis) {
         lifetimes++;
         String id = lifetimes == 1 ? template.id() : template.id() + "-" + lifetimes;
+        return entryOf(id, nowMillis);
+    }
+
+    /** Returns what a lifetime of its worker under an identifier says of itself. */
+    WorkerEntry entryOf(String id, long nowMillis) {
         return new WorkerEntry(
                 id,
                 nowMillis,
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryWorker.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryWorker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -75,6 +76,11 @@
         return running.size();
     }
 
+    /** Returns the tasks that it runs. */
+    public Set<TaskId> runningTasks() {
+        return Set.copyOf(running.keySet());
+    }
+
     /** Returns whether it has crashed. */
     public boolean isCrashed() {
         return crashed;
