Keep runs open whose order may have reached the next lifetime of a worker

Callers could see tasks run twice: a worker restarts under its identifier, the new lifetime takes an order to start, and the registry shows the restart before a report lists the run.

All open runs of the worker counted as ended with the former lifetime, also those that no report had placed in it.

A restart now closes the runs that the former lifetime listed, and starts that were not sent. Others stay open until a report of the new lifetime tells: a run that was answered and is not listed there was lost, one without an answer is stopped there first, so that it cannot begin late. The crash is counted when the run is closed. The session asks again at once where only a report tells.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Closes all runs of a worker that has restarted: nothing of its former lifetime still runs.
+     * Closes the runs of a worker that has restarted: nothing of its former lifetime still runs.
      */
     void startNewLifetime(WorkerRecord worker, long bornAtMillis, long now) {
         events.accept(
@@ -138,7 +138,7 @@
                         "",
                         worker.id(),
                         "born=" + bornAtMillis + " before=" + worker.bornAtMillis()));
-        losses.lifetimeEnded(worker, now);
+        losses.lifetimeReplaced(worker, now);
         worker.startNewLifetime(bornAtMillis, now);
     }
 
@@ -316,21 +316,21 @@
             }
             case RUNNING -> {
                 if (sentAt > run.phaseSince()) {
-                    closeVanished(run, "not listed");
+                    closeVanished(run, "not listed", now);
                 }
             }
             case STOPPING -> {
                 if (run.stopConfirmedBefore(sentAt)) {
-                    closeVanished(run, "stopped");
+                    closeVanished(run, "stopped", now);
                 }
             }
             default -> throw new AssertionError(run.phase());
         }
     }
 
-    private void closeVanished(Run run, String reason) {
+    private void closeVanished(Run run, String reason, long now) {
         events.accept(SchedulerEvent.of(SchedulerEvent.Kind.VANISHED, run, reason));
-        runs.close(run);
+        losses.closeVanished(run, now);
     }
 
     private Optional<TaskEntry> findTask(TaskId id) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -1,5 +1,6 @@
 package org.chervillift.core.tasks;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.chervillift.api.tasks.Resources;
 
@@ -18,6 +19,13 @@
         STOPPING
     }
 
+    /**
+     * A crash that may have ended a run, or may have come before the run began.
+     *
+     * @param alone whether no other run was on the worker
+     */
+    record CrashDoubt(boolean alone) {}
+
     private static final long PACE_RETRY_MILLIS = 300;
     private static final long NEVER_LISTED = Long.MIN_VALUE;
 
@@ -40,6 +48,7 @@
     private long listedClock = NEVER_LISTED;
     private boolean begun;
     private boolean listed;
+    private Optional<CrashDoubt> crashDoubt = Optional.empty();
     private boolean startHeld;
     private long startSentAt;
     private OptionalLong savedAt = OptionalLong.empty();
@@ -102,6 +111,17 @@
 
     void markListed() {
         listed = true;
+        crashDoubt = Optional.empty();
+    }
+
+    /** Records that the worker restarted after a crash, under the run or before it began. */
+    void markInDoubt(CrashDoubt doubt) {
+        crashDoubt = Optional.of(doubt);
+    }
+
+    /** Returns what is known of a crash that may have ended the run; empty if there was none. */
+    Optional<CrashDoubt> crashDoubt() {
+        return crashDoubt;
     }
 
     TaskEntry task() {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -40,9 +40,25 @@
                 now);
     }
 
-    /** Closes all runs of a worker whose lifetime has ended: none of them can still exist. */
-    void lifetimeEnded(WorkerRecord worker, long now) {
-        closeRuns(worker, r -> true, endCauseOf(worker), now);
+    /**
+     * Closes the runs of the former lifetime of a worker that has restarted.
+     *
+     * <p>An order to start that no report has shown may have reached either lifetime. Its run stays
+     * open until a report of the new one tells.
+     */
+    void lifetimeReplaced(WorkerRecord worker, long now) {
+        LossCause cause = endCauseOf(worker);
+        boolean alone = worker.runs().size() == 1;
+        closeRuns(worker, r -> r.isListed() || r.isStartHeld(), cause, now);
+        if (cause == LossCause.CRASH) {
+            worker.runs().forEach(r -> r.markInDoubt(new Run.CrashDoubt(alone)));
+        }
+    }
+
+    /** Closes a run that its worker has not, or no longer. */
+    void closeVanished(Run run, long now) {
+        runs.close(run);
+        run.crashDoubt().ifPresent(d -> recordCrash(run, d.alone(), now));
     }
 
     private static LossCause endCauseOf(WorkerRecord worker) {
@@ -60,6 +76,8 @@
             runs.close(run);
             if (cause == LossCause.CRASH) {
                 recordCrash(run, open.size() == 1, now);
+            } else {
+                run.crashDoubt().ifPresent(d -> recordCrash(run, d.alone(), now));
             }
             events.accept(
                     SchedulerEvent.of(
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
@@ -169,6 +169,7 @@
             EventLog.log(TaskEvent.WORKER_REACHABLE, Field.of("worker", entry.id()));
         }
         boolean newEndedRuns = board.applyReport(entry.id(), report, sentAt, now);
+        checkOrdersSoon();
         onChange.run();
         if (firstReport) {
             pollAfter(Duration.ZERO);
@@ -223,9 +224,18 @@
                         onChange);
     }
 
-    private void checkOrder() {
-        statusCheckScheduled = false;
-        checkStatus();
+    /** Asks for a report soon, if only that tells the outcome of an order. */
+    private void checkOrdersSoon() {
+        if (board.needsFreshReport(entry.id()) && !statusCheckScheduled) {
+            statusCheckScheduled = true;
+            context.scheduler()
+                    .schedule(
+                            STATUS_CHECK_DELAY,
+                            () -> {
+                                statusCheckScheduled = false;
+                                checkStatus();
+                            });
+        }
     }
 
     /** Sends an order, and passes its answer to the board. */
@@ -266,10 +276,7 @@
             return;
         }
         board.applyAnswer(order, answer, context.nowMillis());
-        if (board.needsFreshReport(entry.id()) && !statusCheckScheduled) {
-            statusCheckScheduled = true;
-            context.scheduler().schedule(STATUS_CHECK_DELAY, this::checkOrder);
-        }
+        checkOrdersSoon();
         if (answer == OrderAnswer.FENCED) {
             onFenced.run();
         }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLink.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakLink.java
@@ -48,7 +48,9 @@
         /** Calls of any kind are never completed. */
         CALLS_HANG,
         /** Answers of any kind are null. */
-        NULL_ANSWERS
+        NULL_ANSWERS,
+        /** Lists of VMs arrive long after the moment that they show. */
+        VM_LISTS_SLOW
     }
 
     SoakLink(RowStore store, SoakProcess process, LongUnaryOperator storeClock) {
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakTroubles.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakTroubles.java
@@ -68,7 +68,8 @@
         CALLS_THROW,
         CALLS_HANG,
         NULL_ANSWERS,
-        EVACUATION
+        EVACUATION,
+        VM_LISTS_SLOW
     }
 
     SoakTroubles(SoakWorld world, Set<Kind> kinds) {
@@ -130,6 +131,7 @@
             case CALLS_HANG -> link(SoakLink.Fault.CALLS_HANG);
             case NULL_ANSWERS -> link(SoakLink.Fault.NULL_ANSWERS);
             case EVACUATION -> evacuation();
+            case VM_LISTS_SLOW -> link(SoakLink.Fault.VM_LISTS_SLOW);
             case WORKER_SILENT -> mode(SoakMode.SILENT);
             case WORKER_SLOW -> mode(SoakMode.SLOW);
             case WORKER_RESETTING -> mode(SoakMode.RESETTING);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakVms.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/SoakVms.java
@@ -15,6 +15,8 @@
 
     private static final Duration LATENCY = Duration.ofMillis(4);
     private static final double LISTED_SHARE = 0.7;
+    private static final int MIN_SLOW_MILLIS = 300;
+    private static final int MAX_SLOW_MILLIS = 2_000;
 
     private final SoakLink link;
     private final SoakFleet fleet;
@@ -30,7 +32,14 @@
 
     @Override
     public CompletionStage<List<ListedFleetVm>> list() {
-        return call(this::listNow);
+        return call(this::listNow, listDelay());
+    }
+
+    private Duration listDelay() {
+        return link.has(SoakLink.Fault.VM_LISTS_SLOW)
+                ? Duration.ofMillis(
+                        MIN_SLOW_MILLIS + random.nextInt(MAX_SLOW_MILLIS - MIN_SLOW_MILLIS))
+                : Duration.ZERO;
     }
 
     private List<ListedFleetVm> listNow() {
@@ -47,15 +56,16 @@
 
     @Override
     public CompletionStage<VmAnswer> move(String vm, String pool, Duty duty) {
-        return call(() -> fleet.move(vm, pool, duty.fence()));
+        return call(() -> fleet.move(vm, pool, duty.fence()), Duration.ZERO);
     }
 
     @Override
     public CompletionStage<VmAnswer> maintain(String vm, long wave, Duty duty) {
-        return call(() -> fleet.maintain(vm, duty.fence()));
+        return call(() -> fleet.maintain(vm, duty.fence()), Duration.ZERO);
     }
 
-    private <T> CompletionStage<T> call(Supplier<T> action) {
+    /** Carries out a call, whose answer arrives after a delay. */
+    private <T> CompletionStage<T> call(Supplier<T> action, Duration delay) {
         CompletableFuture<T> odd = link.oddAnswer();
         if (odd != null) {
             return odd;
@@ -68,9 +78,17 @@
                         Throwable fault = new IllegalStateException("the platform fails");
                         link.process().complete(future, null, fault);
                     } else {
-                        link.process().complete(future, action.get(), null);
+                        complete(future, action.get(), delay);
                     }
                 });
         return future;
     }
+
+    private <T> void complete(CompletableFuture<T> future, T value, Duration delay) {
+        if (delay.isZero()) {
+            link.process().complete(future, value, null);
+        } else {
+            base.schedule(delay, () -> link.process().complete(future, value, null));
+        }
+    }
 }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StandstillSoakTest.java
@@ -66,6 +66,24 @@
         checkWorkGoesOn(seed, kinds);
     }
 
+    /** Lists that show what was the case before a worker was back ended its runs. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noTaskRunsTwiceWhereListsAreSlowAndWorkersComeBackUnderTheirIdentifiers(long seed) {
+        Set<Kind> kinds =
+                EnumSet.of(
+                        Kind.VM_LISTS_SLOW,
+                        Kind.WORKER_RESTARTED,
+                        Kind.WORKER_REPLACED,
+                        Kind.WORKER_SLOW,
+                        Kind.WORKER_RESETTING,
+                        Kind.LATE_ORDERS,
+                        Kind.NODE_KILLED,
+                        Kind.NODE_PAUSED,
+                        Kind.STORE_SLOW);
+        checkWorkGoesOn(seed, kinds);
+    }
+
     private static void checkWorkGoesOn(long seed, Set<Kind> kinds) {
         boolean evacuates = kinds.contains(Kind.EVACUATION);
         Duration within = evacuates ? SoakFleet.EVACUATE_WITHIN : Duration.ZERO;
