Count a crash before the answer if the worker had just shown that it lives

Cause: a crash counted only where the worker had confirmed the run; one without an answer counted beside two confirmed ones, since the worker may have been gone when the order came. Nothing told the two apart.

The doubt is now taken out before the next attempt, in place of being weighed after it. After a crash that may have been under a task, its next start is held until its worker has just reported (StartGate asks the worker at once). If that worker then crashes before it answers, the crash counts like one of a confirmed run; one that was gone does not report and gets no order. So the first such crash may stay in doubt, no later one. A task with a crash in doubt is a suspect: its crash and its next start are stored first, it keeps apart from other suspects, and it avoids VMs on which a worker crashed under it. Starts that were held back and not sent no longer count. A worker has ended once a newer one registers on its VM, so that crashes are counted while the platform cannot be asked.

WorkerCrashTest: two tests meant workers that were gone and let them report at the moment of the order, which is now evidence; they let them be silent before, and the second one also leaves questions to them unanswered.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -49,6 +49,7 @@
     private final SortedSet<Integer> unconfirmed = new TreeSet<>();
     private final Set<Integer> storedStarts = new HashSet<>();
     private final Set<Integer> storedCrashes = new HashSet<>();
+    private final Set<String> vms = new HashSet<>();
 
     /**
      * Creates an empty history.
@@ -60,7 +61,7 @@
     }
 
     /**
-     * Records that the worker of a run crashed; returns false if it is recorded already.
+     * Records that a worker surely crashed under a run; returns false if it is recorded already.
      *
      * @param wasAlone whether no other run was on the worker
      */
@@ -72,8 +73,9 @@
     }
 
     /**
-     * Records that a worker crashed that had not confirmed a run; returns false if it is recorded
-     * already. The run may have begun and crashed the worker, or the worker may have been gone.
+     * Records that a worker crashed that had not confirmed a run, nor shown just before that it was
+     * alive; returns false if it is recorded already. The run may have begun and crashed the
+     * worker, or the worker may have been gone.
      */
     boolean recordUnconfirmed(int run) {
         return add(unconfirmed, run);
@@ -93,6 +95,7 @@
         alone.addAll(stored.alone());
         unconfirmed.addAll(stored.unconfirmed());
         storedCrashes.addAll(confirmed);
+        storedCrashes.addAll(unconfirmed);
     }
 
     /**
@@ -114,9 +117,10 @@
         alone.clear();
         unconfirmed.clear();
         storedCrashes.clear();
+        vms.clear();
     }
 
-    /** Returns the number of the runs whose workers crashed after they had confirmed them. */
+    /** Returns the number of the runs under which workers surely crashed. */
     int count() {
         return confirmed.size();
     }
@@ -130,14 +134,26 @@
         return confirmed.isEmpty() && unconfirmed.isEmpty();
     }
 
-    /** Returns whether a worker has crashed under the task. */
+    /** Returns whether a worker has crashed under the task, or may have. */
     boolean isSuspect() {
-        return !confirmed.isEmpty();
+        return !isEmpty();
     }
 
     /** Returns whether the task must start alone on its worker. */
     boolean needsIsolation() {
-        return confirmed.size() >= CRASHES_BEFORE_ISOLATION;
+        return confirmed.size() + unconfirmed.size() >= CRASHES_BEFORE_ISOLATION;
+    }
+
+    /** Records on which VM a worker crashed. */
+    void recordVm(String vm) {
+        if (vms.size() < MAX_KEPT_CRASHES) {
+            vms.add(vm);
+        }
+    }
+
+    /** Returns whether a worker of a VM has crashed under the task, or may have. */
+    boolean hasCrashedOn(String vm) {
+        return vms.contains(vm);
     }
 
     /** Returns whether the task must not be started again. */
@@ -163,13 +179,17 @@
      * @param run the number of the run
      */
     boolean isStartStored(int run) {
-        return !isSuspect() || (storedCrashes.containsAll(confirmed) && storedStarts.contains(run));
+        return !isSuspect()
+                || (storedCrashes.containsAll(confirmed)
+                        && storedCrashes.containsAll(unconfirmed)
+                        && storedStarts.contains(run));
     }
 
     /** Records what is stored of this task. */
     void markStored(TaskCrashes stored) {
         storedCrashes.clear();
         storedCrashes.addAll(stored.confirmed());
+        storedCrashes.addAll(stored.unconfirmed());
         storedStarts.clear();
         stored.started().forEach(r -> storedStarts.add(r.run()));
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -66,7 +66,7 @@
     }
 
     /**
-     * Counts a worker that crashed under a run; the job fails once there are too many.
+     * Counts a worker that surely crashed under a run; the job fails once there are too many.
      *
      * @param alone whether no other run was on the worker
      */
@@ -77,7 +77,7 @@
         }
     }
 
-    /** Counts a worker that crashed and had not confirmed a run, which may have begun. */
+    /** Counts a worker that crashed when a run may have begun on it, or not. */
     void workerCrashedUnconfirmed(TaskEntry task, int run, long now) {
         JobEntry job = task.step().job();
         if (!job.state().isFinal() && !task.isDone() && task.crashes().recordUnconfirmed(run)) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -107,7 +107,10 @@
     private static Comparator<WorkerRecord> preference(TaskEntry task, RackPreference racks) {
         StepSpec spec = task.step().spec();
         Comparator<WorkerRecord> failedHere =
-                Comparator.comparing(w -> task.failedWorkers().contains(w.id()));
+                Comparator.comparing(
+                        w ->
+                                task.failedWorkers().contains(w.id())
+                                        || task.crashes().hasCrashedOn(w.entry().vm()));
         Comparator<WorkerRecord> awayFromData = Comparator.comparing(w -> isAwayFromData(spec, w));
         Comparator<WorkerRecord> rackPosition =
                 Comparator.comparingInt(w -> racks.positionOf(w.rack()));
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -69,7 +69,7 @@
      */
     boolean apply(WorkerRecord worker, RunReport report, long sentAt, long now) {
         checkLifetime(worker, report, now);
-        worker.recordReport(sentAt, report.clockMillis());
+        worker.recordReport(sentAt, report.clockMillis(), now);
         List<EndedRun> unapplied = applyEnds(worker, report, now);
         Set<Run> listed = findRuns(worker, unapplied);
         for (RunningTask running : report.running()) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -50,6 +50,7 @@
     private boolean listed;
     private Optional<CrashDoubt> crashDoubt = Optional.empty();
     private boolean startHeld;
+    private boolean sentToLiveWorker;
     private long startSentAt;
     private OptionalLong savedAt = OptionalLong.empty();
 
@@ -85,6 +86,12 @@
     void markStartSent(long now) {
         startHeld = false;
         startSentAt = now;
+        sentToLiveWorker = worker.isSurelyAlive(now);
+    }
+
+    /** Returns whether the worker had just shown that it was alive when the start was sent. */
+    boolean wasSentToLiveWorker() {
+        return sentToLiveWorker;
     }
 
     /** Returns whether the order to start is decided, and held back until progress is stored. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -4,25 +4,30 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Holds back start orders until the store records what a new holder must know of the task: that its
  * step has begun in the pool of the worker, and after a crash of its worker that crash and the next
- * start.
+ * start. The worker of such a task must also have just shown that it is alive: if it then crashes
+ * before it answers, the task is known to have been there.
  *
  * <p>When a holder is lost under load, its successor therefore knows which steps cannot have been
  * started. It starts these at once, even while some workers do not answer yet. When holders are
  * lost one after the other, each knows the crashes that its predecessors have seen.
  */
-final class StartGate {
+public final class StartGate {
 
     private final ProgressChanges changes;
     private final RunRegistry runs;
     private final Function<Order, Optional<Run>> findRun;
     private final Consumer<SchedulerEvent> events;
     private List<Order.Start> heldStarts = List.of();
+    private Set<String> workersToAsk = Set.of();
     private OptionalLong lastRoundAt = OptionalLong.empty();
     private OptionalLong lastReleaseAt = OptionalLong.empty();
 
@@ -44,10 +49,15 @@
     }
 
     /** Returns whether starts are held back until progress is stored. */
-    boolean hasHeldStarts() {
+    public boolean hasHeldStarts() {
         return !heldStarts.isEmpty();
     }
 
+    /** Returns the workers of held-back starts that are to show first that they are alive. */
+    public Set<String> workersToAsk() {
+        return workersToAsk;
+    }
+
     /** Returns when starts were last planned, in milliseconds. */
     OptionalLong lastRoundAt() {
         return lastRoundAt;
@@ -71,7 +81,7 @@
                 // The job was cancelled, the worker is gone, or the start was dropped.
                 continue;
             }
-            if (mayBeSent(run.get())) {
+            if (mayBeSent(run.get()) && areWorkersAlive(run.get(), now)) {
                 run.get().markStartSent(now);
                 ready.add(start);
             } else {
@@ -80,6 +90,15 @@
             }
         }
         heldStarts = held;
+        workersToAsk =
+                held.stream()
+                        .flatMap(s -> startingRun(s).stream())
+                        .filter(StartGate::mayBeSent)
+                        .flatMap(StartGate::runsThatStartTogether)
+                        .map(Run::worker)
+                        .filter(w -> !w.isSurelyAlive(now))
+                        .map(WorkerRecord::id)
+                        .collect(Collectors.toSet());
         lastRoundAt = OptionalLong.of(now);
         lastReleaseAt = ready.isEmpty() ? lastReleaseAt : OptionalLong.of(now);
         return ready;
@@ -93,6 +112,19 @@
                 && isStartStored(run);
     }
 
+    /**
+     * Returns whether the worker of a suspect has just shown that it is alive, so that its crash
+     * before it answers is known to be under the task.
+     */
+    private static boolean areWorkersAlive(Run run, long now) {
+        return runsThatStartTogether(run).noneMatch(r -> r.task().crashes().isSuspect())
+                || runsThatStartTogether(run).allMatch(r -> r.worker().isSurelyAlive(now));
+    }
+
+    private static Stream<Run> runsThatStartTogether(Run run) {
+        return run.task().step().spec().gang() ? run.task().step().runs() : Stream.of(run);
+    }
+
     private void hold(Run run) {
         StepEntry step = run.task().step();
         step.begunPools().add(run.worker().pool());
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -234,6 +234,7 @@
         WorkerRecord worker = workers.get(entry.id());
         if (worker == null) {
             workers.put(entry.id(), new WorkerRecord(entry, evacuation, now));
+            endFormerWorkers(entry, now);
             return;
         }
         if (worker.isEndedLifetime(entry.bornAtMillis())) {
@@ -250,6 +251,11 @@
         worker.updateEntry(entry);
     }
 
+    /** A VM has one worker at a time: the one that registers last. */
+    private void endFormerWorkers(WorkerEntry newest, long now) {
+        leases.formerWorkersOf(newest).forEach(id -> workerLifetimeEnded(id, now, now));
+    }
+
     /** Marks a worker as unlisted; its runs may go on until its lease ends. */
     public void workerUnlisted(String workerId) {
         Optional.ofNullable(workers.get(workerId)).ifPresent(WorkerRecord::markUnlisted);
@@ -459,9 +465,9 @@
         return standstills;
     }
 
-    /** Returns whether starts are held back until progress is stored. */
-    public boolean hasHeldStarts() {
-        return startGate.hasHeldStarts();
+    /** Returns what holds back starts until they may be sent. */
+    public StartGate startGate() {
+        return startGate;
     }
 
     /** Returns all progress to store, after which the ends that caused it may be acknowledged. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.chervillift.api.tasks.WorkerEntry;
 
 /**
  * Closes the runs of workers whose leases have expired, forgets workers that have left, and tells
@@ -84,6 +85,14 @@
         return inUse;
     }
 
+    /** Returns the workers on whose VM a newer one has registered. */
+    List<String> formerWorkersOf(WorkerEntry newest) {
+        return workers.values().stream()
+                .filter(w -> w.isFormerOf(newest))
+                .map(WorkerRecord::id)
+                .toList();
+    }
+
     /** Returns what is known of the lifetimes of these workers. */
     List<WorkerEvidence> evidenceOfWorkersInUse(long now) {
         return workersInUse().keySet().stream().map(id -> evidenceOf(id, now)).toList();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -85,8 +85,19 @@
         }
     }
 
+    /**
+     * Counts a crash under a run.
+     *
+     * <p>A run that its worker has not confirmed may have crashed it, unless its order was never
+     * sent. If the worker had shown just before that it was alive, the crash is taken to be under
+     * the run; else the worker may have been gone when the order came.
+     */
     private void recordCrash(Run run, boolean alone, long now) {
-        if (run.hasBegun()) {
+        if (run.isStartHeld()) {
+            return;
+        }
+        run.task().crashes().recordVm(run.worker().entry().vm());
+        if (run.hasBegun() || run.wasSentToLiveWorker()) {
             lifecycle.workerCrashed(run.task(), run.number(), alone, now);
         } else {
             lifecycle.workerCrashedUnconfirmed(run.task(), run.number(), now);
@@ -100,6 +111,8 @@
                 + runsLost
                 + " begun="
                 + run.hasBegun()
+                + " sentToLiveWorker="
+                + run.wasSentToLiveWorker()
                 + " ageMillis="
                 + (now - run.openedAt())
                 + " crashes="
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerRecord.java
@@ -21,6 +21,9 @@
     /** Longer than the longest back-off, after which a faulty worker fails again. */
     private static final long MAX_FAILURE_GAP_MILLIS = 2 * MAX_BACK_OFF_MILLIS;
 
+    /** How long a report shows that a worker is alive; a plan follows each report sooner. */
+    private static final long PROOF_OF_LIFE_MILLIS = 300;
+
     /** The ended lifetimes whose late reports are recognized; reports are seconds late at most. */
     private static final int MAX_ENDED_LIFETIMES = 8;
 
@@ -36,6 +39,7 @@
     private long bornAtMillis;
     private long lifetimeKnownSince;
     private WorkerClockReading lastReading = WorkerClockReading.NONE;
+    private long lastReportAt = Long.MIN_VALUE / 2;
     private long leaseEndsAt = Long.MIN_VALUE;
     private long acknowledgedEnd;
     private long lastAppliedEnd;
@@ -146,6 +150,14 @@
         return bornAtMillis;
     }
 
+    /** Returns whether a newer worker has registered on the VM of this one. */
+    boolean isFormerOf(WorkerEntry newest) {
+        return entry.vm().equals(newest.vm())
+                && !id().equals(newest.id())
+                && bornAtMillis != 0
+                && bornAtMillis < newest.bornAtMillis();
+    }
+
     /** Returns whether a lifetime has ended before the present one; its reports may come late. */
     boolean isEndedLifetime(long otherBornAtMillis) {
         return endedLifetimes.contains(otherBornAtMillis);
@@ -158,8 +170,17 @@
     }
 
     /** Records that the worker reported at a time of its own clock, in milliseconds. */
-    void recordReport(long sentAt, long clockMillis) {
+    void recordReport(long sentAt, long clockMillis, long now) {
         lastReading = lastReading.next(sentAt, clockMillis);
+        lastReportAt = now;
+    }
+
+    /**
+     * Returns whether the worker has just reported, so that it was alive when an order that is sent
+     * now was on its way, unless it ends in this short time.
+     */
+    boolean isSurelyAlive(long now) {
+        return reachable && now - lastReportAt <= PROOF_OF_LIFE_MILLIS;
     }
 
     void startNewLifetime(long newBornAtMillis, long now) {
@@ -172,6 +193,7 @@
         bornAtMillis = newBornAtMillis;
         lifetimeKnownSince = now;
         lastReading = WorkerClockReading.NONE;
+        lastReportAt = Long.MIN_VALUE / 2;
         acknowledgedEnd = 0;
         lastAppliedEnd = 0;
         oddEntryNoted = false;
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -65,7 +65,7 @@
         fixture.addWorker("a1", 1_000, AWAY);
         fixture.accept("a", step(1, 1_000));
         assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
-        assertThat(fixture.scheduler.hasHeldStarts()).isTrue();
+        assertThat(fixture.scheduler.startGate().hasHeldStarts()).isTrue();
         evacuate(AWAY);
         fixture.store();
         assertThat(fixture.starts()).isEmpty();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/MovedQueueTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/MovedQueueTest.java
@@ -109,7 +109,7 @@
 
         holder.scheduler.configure(manifest(2, OTHER_POOL));
         assertThat(holder.scheduler.plan(holder.now, holder.now)).isEmpty();
-        assertThat(holder.scheduler.hasHeldStarts()).isTrue();
+        assertThat(holder.scheduler.startGate().hasHeldStarts()).isTrue();
         holder.store();
         assertThat(holder.lastStored.get("a").steps().getFirst().pools())
                 .containsExactlyInAnyOrder(SchedulerFixture.POOL, OTHER_POOL);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -205,7 +205,7 @@
         scheduler.applyReport(
                 id,
                 new RunReport(
-                        1,
+                        bornAtMillisOf(id),
                         now,
                         runningByWorker.getOrDefault(id, List.of()),
                         endedByWorker.getOrDefault(id, List.of()),
@@ -214,6 +214,14 @@
                 now);
     }
 
+    private long bornAtMillisOf(String id) {
+        return scheduler.listedWorkers().stream()
+                .filter(w -> w.id().equals(id))
+                .mapToLong(WorkerEntry::bornAtMillis)
+                .findFirst()
+                .orElse(1);
+    }
+
     /** Plans, and executes the orders on the simulated workers. */
     List<Order> plan() {
         List<Order> orders = orders();
@@ -229,10 +237,14 @@
     /** Plans at a wall-clock time, and stores the progress that held-back starts wait for. */
     List<Order> orders(long wallMillis) {
         List<Order> orders = new ArrayList<>(scheduler.plan(now, wallMillis));
-        if (scheduler.hasHeldStarts()) {
+        if (scheduler.startGate().hasHeldStarts()) {
             store();
             orders.addAll(scheduler.plan(now, wallMillis));
         }
+        if (!scheduler.startGate().workersToAsk().isEmpty()) {
+            scheduler.startGate().workersToAsk().forEach(this::report);
+            orders.addAll(scheduler.plan(now, wallMillis));
+        }
         return orders;
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/TaskSchedulerTest.java
@@ -294,7 +294,7 @@
         fixture.addWorker("w1", 2_000);
         fixture.accept("a", step(2, 1_000));
         assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
-        assertThat(fixture.scheduler.hasHeldStarts()).isTrue();
+        assertThat(fixture.scheduler.startGate().hasHeldStarts()).isTrue();
 
         UnstoredProgress unstored = fixture.scheduler.unstoredProgress();
         assertThat(unstored.progress().get("a").steps()).hasSize(1);
@@ -302,7 +302,7 @@
         assertThat(fixture.scheduler.plan(fixture.now, fixture.now))
                 .hasSize(2)
                 .hasOnlyElementsOfType(Order.Start.class);
-        assertThat(fixture.scheduler.hasHeldStarts()).isFalse();
+        assertThat(fixture.scheduler.startGate().hasHeldStarts()).isFalse();
     }
 
     @Test
@@ -401,6 +401,7 @@
         fixture.addWorker("w1", 1_000);
         fixture.accept("a", step(1, 1_000));
         fixture.starts();
+        fixture.now += 1;
 
         fixture.scheduler.applyReport(
                 "w1", new RunReport(2, 5, List.of(), List.of(), false), fixture.now, fixture.now);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCapacityTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCapacityTest.java
@@ -62,7 +62,7 @@
         addWorker(fixture, FULL);
         fixture.accept("a", SchedulerFixture.step(3, 1_000));
         assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
-        assertThat(fixture.scheduler.hasHeldStarts()).isTrue();
+        assertThat(fixture.scheduler.startGate().hasHeldStarts()).isTrue();
 
         list(fixture, SHRUNK);
         fixture.store();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.Resources;
@@ -21,6 +24,9 @@
     private static final long WORKER_MILLI_CORES = 4_000;
     private static final long CRASH_NOTICED_MILLIS = 400;
 
+    /** Longer than a report shows that its worker is alive. */
+    private static final long SILENCE_MILLIS = 1_000;
+
     private final SchedulerFixture fixture = new SchedulerFixture();
 
     @Test
@@ -73,7 +79,7 @@
         crash(fixture, first.worker());
 
         assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).isEmpty();
-        assertThat(fixture.scheduler.hasHeldStarts()).isTrue();
+        assertThat(fixture.scheduler.startGate().hasHeldStarts()).isTrue();
         fixture.store();
         assertThat(fixture.scheduler.plan(fixture.now, fixture.now)).hasSize(1);
     }
@@ -174,9 +180,10 @@
     }
 
     @Test
-    void aStartThatTheWorkerDidNotConfirmIsNoCrashUnderTheTask() {
+    void aStartToAWorkerThatMayHaveBeenGoneIsNoCrashUnderTheTask() {
         fixture.addWorker("w1", 1_000);
         fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        fixture.now += SILENCE_MILLIS;
         Order start = fixture.orders().getFirst();
         fixture.scheduler.applyAnswer(start, OrderAnswer.UNKNOWN, fixture.now);
         crash(fixture, "w1");
@@ -211,16 +218,32 @@
         addWorkers(fixture);
         fixture.accept("a", SchedulerFixture.step(1, 1_000));
         crash(fixture, fixture.starts().getFirst().worker());
+        int gone = 0;
         for (int i = 0; i < 6; i++) {
-            Order start = fixture.orders().getFirst();
-            fixture.scheduler.applyAnswer(start, OrderAnswer.UNKNOWN, fixture.now);
-            crash(fixture, start.worker());
+            fixture.now += SILENCE_MILLIS;
+            grantLeases(fixture);
+            for (String worker : workersThatGetAStartOrAreAsked()) {
+                crash(fixture, worker);
+                gone++;
+            }
         }
 
+        assertThat(gone).isGreaterThanOrEqualTo(6);
         fixture.store();
         assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
     }
 
+    /** Plans, and leaves each order and each question unanswered. */
+    private Set<String> workersThatGetAStartOrAreAsked() {
+        List<Order> orders = new ArrayList<>(fixture.scheduler.plan(fixture.now, fixture.now));
+        fixture.store();
+        orders.addAll(fixture.scheduler.plan(fixture.now, fixture.now));
+        orders.forEach(o -> fixture.scheduler.applyAnswer(o, OrderAnswer.UNKNOWN, fixture.now));
+        Set<String> workers = new HashSet<>(fixture.scheduler.startGate().workersToAsk());
+        orders.forEach(o -> workers.add(o.worker()));
+        return workers;
+    }
+
     @Test
     void aLongRunningTaskThatHasRunForLongIsNoLongerSuspected() {
         addWorkers(fixture);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/HolderController.java
@@ -481,6 +481,7 @@
     private void sendOrders() {
         long now = context.nowMillis();
         planOrders(now, System.currentTimeMillis()).forEach(workerSessions::send);
+        board.startGate().workersToAsk().forEach(this::askWorker);
         lastPlanMillis = context.nowMillis() - now;
     }
 
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/ProgressWriter.java
@@ -100,7 +100,7 @@
         if (!scheduled && !stopped) {
             scheduled = true;
             context.recordProgress(LOOP);
-            Duration delay = board.hasHeldStarts() ? START_BATCH_DELAY : BATCH_DELAY;
+            Duration delay = board.startGate().hasHeldStarts() ? START_BATCH_DELAY : BATCH_DELAY;
             writeAfter(delay);
         }
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSession.java
@@ -40,6 +40,7 @@
     private WorkerCalls calls;
     private Optional<ClockReading> workerClock = Optional.empty();
     private boolean statusCheckScheduled;
+    private boolean asking;
     private boolean unreachable;
     private boolean stopped;
 
@@ -197,9 +198,18 @@
         pollAfter(POLL_DELAY_AFTER_FAILURE);
     }
 
+    /** Asks for a report at once, unless one was asked for and has not come. */
+    void ask() {
+        if (!asking) {
+            asking = true;
+            checkStatus(() -> asking = false);
+        }
+    }
+
     /** Asks for a report at once, in parallel with the long poll. */
-    void checkStatus() {
+    private void checkStatus(Runnable onEnd) {
         if (stopped || !context.maySendOrders().getAsBoolean()) {
+            onEnd.run();
             return;
         }
         long sentAt = context.nowMillis();
@@ -213,6 +223,7 @@
                                 board.acknowledgedEnd(entry.id()),
                                 Duration.ZERO),
                         (answer, fault) -> {
+                            onEnd.run();
                             if (usedCalls == calls
                                     && !stopped
                                     && answer instanceof HoldAnswer.Reported r) {
@@ -221,7 +232,10 @@
                                 onChange.run();
                             }
                         },
-                        onChange);
+                        () -> {
+                            onEnd.run();
+                            onChange.run();
+                        });
     }
 
     /** Asks for a report soon, if only that tells the outcome of an order. */
@@ -233,7 +247,7 @@
                             STATUS_CHECK_DELAY,
                             () -> {
                                 statusCheckScheduled = false;
-                                checkStatus();
+                                checkStatus(() -> {});
                             });
         }
     }
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/WorkerSessions.java
@@ -123,7 +123,7 @@
     /** Asks a worker for a report at once, if there is a session with it. */
     void ask(String id) {
         Optional.ofNullable(sessions.get(id))
-                .ifPresent(s -> context.supervision().run("worker status", s::checkStatus));
+                .ifPresent(s -> context.supervision().run("worker status", s::ask));
     }
 
     /** Applies the rows of the worker registry to the board. */
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/CrashingTaskTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/CrashingTaskTest.java
@@ -26,6 +26,7 @@
 
     private static final Duration CRASH_DELAY = Duration.ofMillis(10);
     private static final int ROUNDS = 2_000;
+    private static final int OTHER_JOBS = 40;
 
     private final NodeFixture fixture = new NodeFixture();
     private final List<String> workers =
@@ -89,6 +90,69 @@
         assertThat(stateAtLastNode()).isEqualTo(JobState.FAILED);
     }
 
+    /** Without an answer no crash counted, and the task crashed worker after worker. */
+    @Test
+    void aTaskThatCrashesItsWorkersBeforeTheyAnswerIsNotStartedWithoutLimit() {
+        TaskNode holder = fixture.startNodeAndWait("h");
+        fixture.fleet.crashUnder(t -> t.job().equals(JOB));
+        fixture.ask(holder, Action.SUBMIT, JOB);
+        for (int i = 0; i < OTHER_JOBS; i++) {
+            fixture.ask(holder, Action.SUBMIT, otherJob(i));
+        }
+        fixture.advanceMillis(30_000);
+        assertThat(startsOf(JOB)).isLessThanOrEqualTo(MAX_STARTS);
+        assertThat(stateAtLastNode()).isEqualTo(JobState.FAILED);
+        for (int i = 0; i < OTHER_JOBS; i++) {
+            assertThat(stateOf(holder, otherJob(i))).isEqualTo(JobState.COMPLETED);
+        }
+    }
+
+    @Test
+    void suchATaskIsNotStartedWithoutLimitWhenTheHolderChangesAfterEachStart() {
+        fixture.startNodeAndWait("h0");
+        TaskNode reader = fixture.startNodeAndWait("r");
+        fixture.fleet.crashUnder(t -> t.job().equals(JOB));
+        fixture.ask(reader, Action.SUBMIT, JOB);
+        int known = 0;
+        for (long t = 0; t < 60_000; t += CRASH_DELAY.toMillis()) {
+            fixture.advanceMillis(CRASH_DELAY.toMillis());
+            if (startsOf(JOB) > known) {
+                known = startsOf(JOB);
+                replaceHolder();
+            }
+        }
+        assertThat(startsOf(JOB)).isLessThanOrEqualTo(MAX_STARTS);
+        assertThat(stateAtLastNode()).isEqualTo(JobState.FAILED);
+    }
+
+    /** Orders that fall into crashes of other causes must not make a job fail, nor late. */
+    @Test
+    void noJobIsGivenUpForOrdersThatMeetWorkersWhichCrashByThemselves() {
+        TaskNode holder = fixture.startNodeAndWait("h");
+        for (int i = 0; i < OTHER_JOBS; i++) {
+            String vm = Integer.toString(i % WORKERS);
+            fixture.scheduler.schedule(CRASH_DELAY, () -> fixture.fleet.crash(vm));
+            fixture.ask(holder, Action.SUBMIT, otherJob(i));
+            fixture.advanceMillis(300);
+        }
+        fixture.advanceMillis(10_000);
+        for (int i = 0; i < OTHER_JOBS; i++) {
+            assertThat(stateOf(holder, otherJob(i))).isEqualTo(JobState.COMPLETED);
+        }
+    }
+
+    private static String otherJob(int number) {
+        return String.format("%016x", number);
+    }
+
+    private int startsOf(String job) {
+        return (int) fixture.fleet.starts().stream().filter(s -> s.startsWith(job)).count();
+    }
+
+    private JobState stateOf(TaskNode node, String job) {
+        return ((JobAnswer.State) fixture.ask(node, Action.READ, job)).status().state();
+    }
+
     /** Crashes each worker soon after it starts a task, and does something after each crash. */
     private void crashWorkersThatRunTasks(Runnable afterCrash) {
         crashBusyWorkers();
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryFleet.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Predicate;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.FleetVms;
 import org.chervillift.api.platform.Transaction.Write;
 import org.chervillift.api.platform.WorkerCalls;
 import org.chervillift.api.tasks.ListedFleetVm;
 import org.chervillift.api.tasks.ListedFleetVm.Status;
+import org.chervillift.api.tasks.TaskId;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.chervillift.runtime.supervision.Scheduler;
 
@@ -22,6 +24,7 @@
 public final class MemoryFleet implements FleetVms {
 
     private static final Duration LATENCY = MemoryStore.LATENCY;
+    private static final Duration REPLACEMENT_TIME = Duration.ofSeconds(3);
 
     private final Scheduler scheduler;
     private final Later later;
@@ -35,6 +38,7 @@
     private final List<SeenMove> moves = new ArrayList<>();
     private final List<String> maintained = new ArrayList<>();
     private Set<String> leftOut = Set.of();
+    private Predicate<TaskId> deadlyTasks = t -> false;
     private Duration orderLatency = LATENCY;
     private Duration listLatency = Duration.ZERO;
     private int ordersReceived;
@@ -83,6 +87,7 @@
 
     private void begin(MemoryVm vm, WorkerEntry entry) {
         MemoryWorker worker = new MemoryWorker(entry, times.task(), starts::add, scheduler);
+        worker.crashUnder(deadlyTasks, () -> replaceWorker(vm));
         vm.setWorker(worker);
         workers.put(entry.id(), worker);
         register(entry);
@@ -118,6 +123,32 @@
         this.listLatency = Checks.notNull("latency", latency);
     }
 
+    /** Lets workers crash under some tasks before they answer; their VMs get new workers. */
+    public void crashUnder(Predicate<TaskId> tasks) {
+        this.deadlyTasks = Checks.notNull("tasks", tasks);
+        vms.values()
+                .forEach(
+                        v ->
+                                v.worker()
+                                        .ifPresent(
+                                                w -> w.crashUnder(tasks, () -> replaceWorker(v))));
+    }
+
+    /** Ends the worker of a VM without notice; a new one begins after a while. */
+    public void crash(String name) {
+        replaceWorker(vms.get(name));
+    }
+
+    private void replaceWorker(MemoryVm vm) {
+        vm.leave(Status.DOWN);
+        scheduler.schedule(
+                REPLACEMENT_TIME,
+                () -> {
+                    vm.comeBack(vm.pool());
+                    enter(vm);
+                });
+    }
+
     /** Ends the worker of a VM without notice; it starts again under its identifier. */
     public void restartUnderSameId(String name, Duration away) {
         MemoryVm vm = vms.get(name);
--- a/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryWorker.java
+++ b/chervillift-standin/src/main/java/org/chervillift/standin/tasks/MemoryWorker.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.chervillift.api.Checks;
 import org.chervillift.api.platform.WorkerCalls;
@@ -41,6 +42,8 @@
     private final Map<TaskId, Started> running = new HashMap<>();
     private final Map<TaskId, Integer> highestEnded = new HashMap<>();
     private final List<EndedRun> ended = new ArrayList<>();
+    private Predicate<TaskId> crashesUnder = t -> false;
+    private Runnable onCrash = () -> {};
     private boolean crashed;
     private boolean silent;
     private long fence;
@@ -86,6 +89,16 @@
         return crashed;
     }
 
+    /**
+     * Lets it crash under some tasks, as soon as they begin and before it answers.
+     *
+     * @param then runs after the crash
+     */
+    public void crashUnder(Predicate<TaskId> tasks, Runnable then) {
+        this.crashesUnder = Checks.notNull("tasks", tasks);
+        this.onCrash = Checks.notNull("then", then);
+    }
+
     /** Ends it for good, with all that it runs and knows. */
     public void crash() {
         crashed = true;
@@ -167,6 +180,11 @@
             return OrderAnswer.EXPIRED;
         }
         starts.accept(call.task() + "#" + call.run() + "@" + entry.id());
+        if (crashesUnder.test(call.task())) {
+            crash();
+            onCrash.run();
+            return OrderAnswer.UNKNOWN;
+        }
         Started started = new Started(call.run(), nowMillis());
         running.put(call.task(), started);
         scheduler.schedule(runTime, () -> finish(call.task(), started));
