Ask for advice about workers on which a task could start

Cause: one place counted workers as places for a task, another decided whether the task could go there. StepAdvice asked about the workers with the most free cores, and counted each ticket as a place; Placement then found that none had the label (or room, an accelerator, or one more task of the step allowed). When the tickets had expired, the same workers were asked about again.

The question has one answer now: Placement.obstacle is that of obstacleBesideAdvice and the ticket, and StartPlanner.couldStart adds room, isolation and workers kept free. AdvicePlanner asks first about workers on which a task could start as soon as it is allowed there, and counts places on those with tickets (Places). Only then does it ask ahead, about workers that suit and may have room later, so that a job that waits for room does not keep the service from one that can start.

PaceAndAdviceTest: a ticket that is valid for 100 ms is not used after 80 ms, before at once.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -100,6 +100,11 @@
         }
     }
 
+    /** Forgets what is known of a worker that has left the fleet, or has begun a new lifetime. */
+    void forgetWorker(String worker) {
+        liveJobs.stream().flatMap(JobEntry::steps).forEach(s -> s.forgetWorker(worker));
+    }
+
     void cancel(JobEntry job, long now) {
         if (!job.state().isFinal()) {
             end(job, JobState.CANCELLED, now);
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -54,6 +54,15 @@
 
     /** Returns why a worker may not run tasks of a step, whatever its free capacity. */
     static WorkerObstacle obstacle(StepEntry step, WorkerRecord worker, long now) {
+        WorkerObstacle besideAdvice = obstacleBesideAdvice(step, worker, now);
+        if (besideAdvice != WorkerObstacle.NONE) {
+            return besideAdvice;
+        }
+        return isAdvised(step, worker, now) ? WorkerObstacle.NONE : WorkerObstacle.NO_ADVICE;
+    }
+
+    /** Returns why a worker may not run tasks of a step even if the advice service allows it. */
+    static WorkerObstacle obstacleBesideAdvice(StepEntry step, WorkerRecord worker, long now) {
         WorkerObstacle ofWorker = worker.obstacle(now);
         if (ofWorker != WorkerObstacle.NONE) {
             return ofWorker;
@@ -64,9 +73,6 @@
         if (!hasLabel(step.spec(), worker)) {
             return WorkerObstacle.LABEL_MISSING;
         }
-        if (!isAdvised(step, worker, now)) {
-            return WorkerObstacle.NO_ADVICE;
-        }
         return isBelowMaximum(step, worker) ? WorkerObstacle.NONE : WorkerObstacle.MAX_PER_WORKER;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -140,6 +140,7 @@
                         "born=" + bornAtMillis + " before=" + worker.bornAtMillis()));
         losses.lifetimeReplaced(worker, now);
         worker.startNewLifetime(bornAtMillis, now);
+        lifecycle.forgetWorker(worker.id());
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartPlanner.java
@@ -173,6 +173,29 @@
                 .isPresent();
     }
 
+    /**
+     * Returns whether a task of a step could start on a worker now, if the advice service allows
+     * it: the worker may run the step, has room, and is not kept for other tasks.
+     */
+    boolean couldStart(StepEntry step, WorkerRecord worker, long now) {
+        KeptWorker kept = keptFree.get(worker.pool());
+        boolean keptForOther = kept != null && kept.worker() == worker && kept.step() != step;
+        return Placement.obstacleBesideAdvice(step, worker, now) == WorkerObstacle.NONE
+                && worker.hasRoomFor(step.spec().footprint())
+                && !keptForOther
+                && isAllowedByIsolation(step, worker, now);
+    }
+
+    /** Returns whether the next task of a step may start on a worker, as far as isolation goes. */
+    boolean isAllowedByIsolation(StepEntry step, WorkerRecord worker, long now) {
+        for (TaskEntry task : step.tasks().waiting()) {
+            if (task.notBefore() <= now) {
+                return isAllowedByIsolation(task, worker, now);
+            }
+        }
+        return true;
+    }
+
     /** Returns whether the last plan kept a worker free for a step that may not stop runs. */
     boolean isKeptFromUrgent(WorkerRecord worker) {
         return isKeptFree(worker)
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StepEntry.java
@@ -48,7 +48,7 @@
         return advice;
     }
 
-    /** Forgets what is known of a worker that has left the fleet. */
+    /** Forgets what is known of a worker that has left the fleet, or has begun a new lifetime. */
     void forgetWorker(String worker) {
         advice.forgetWorker(worker);
         tasks.kept().forEach(t -> t.failedWorkers().remove(worker));
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -58,7 +58,7 @@
     private final WorkerLeases leases;
     private final StandstillDetector standstills;
     private final Evacuation evacuation = new Evacuation(workers.values());
-    private final AdvicePlanner advice = new AdvicePlanner(jobs, liveJobs, workers.values());
+    private final AdvicePlanner advice;
     private Manifest manifest;
 
     /**
@@ -87,6 +87,9 @@
                 new ReportHandler(jobs, runs, numbers, lifecycle, losses, backlog, runEnds, events);
         RackPlanner racks = new RackPlanner(runEnds, ranking, now, events);
         this.startPlanner = new StartPlanner(runs, lifecycle, ranking, racks, settings, events);
+        this.advice =
+                new AdvicePlanner(
+                        jobs, liveJobs, workers.values(), startPlanner, () -> this.manifest);
         this.stops =
                 new RunStops(
                         startPlanner,
@@ -97,7 +100,7 @@
         this.paceControl = new PaceControl(events);
         this.startGate = new StartGate(changes, runs, this::runOf, events);
         this.predecessor = new PredecessorWorkers(now + settings.predecessorLeaseMillis());
-        this.leases = new WorkerLeases(workers, predecessor, losses, liveJobs, events);
+        this.leases = new WorkerLeases(workers, predecessor, losses, lifecycle, events);
         this.standstills =
                 new StandstillDetector(
                         liveJobs,
@@ -340,9 +343,8 @@
 
     /** Returns the number of the last end of a run that a worker need not report again. */
     public long acknowledgedEnd(String workerId) {
-        return Optional.ofNullable(workers.get(workerId))
-                .map(WorkerRecord::acknowledgedEnd)
-                .orElse(0L);
+        WorkerRecord worker = workers.get(workerId);
+        return worker == null ? 0 : worker.acknowledgedEnd();
     }
 
     /** Returns whether the outcome of an order to a worker can only be known from a new report. */
@@ -404,9 +406,8 @@
 
     /** Returns whether a worker has reported its runs to this holder. */
     public boolean hasReported(String workerId) {
-        return Optional.ofNullable(workers.get(workerId))
-                .filter(WorkerRecord::hasReported)
-                .isPresent();
+        WorkerRecord worker = workers.get(workerId);
+        return worker != null && worker.hasReported();
     }
 
     /** Returns the load of a worker. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitExplainer.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WaitExplainer.java
@@ -90,7 +90,9 @@
                     : WaitReason.NO_ROOM;
         }
         List<WorkerRecord> allowed =
-                eligible.stream().filter(w -> isAllowedByIsolation(step, w, at.now())).toList();
+                eligible.stream()
+                        .filter(w -> planner.isAllowedByIsolation(step, w, at.now()))
+                        .toList();
         if (!fits(step, allowed)) {
             return WaitReason.ISOLATION;
         }
@@ -135,13 +137,4 @@
                 workers,
                 at::roomOn);
     }
-
-    private boolean isAllowedByIsolation(StepEntry step, WorkerRecord worker, long now) {
-        for (TaskEntry task : step.tasks().waiting()) {
-            if (task.notBefore() <= now) {
-                return planner.isAllowedByIsolation(task, worker, now);
-            }
-        }
-        return true;
-    }
 }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
@@ -1,6 +1,5 @@
 package org.chervillift.core.tasks;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,19 +16,19 @@
     private final Map<String, WorkerRecord> workers;
     private final PredecessorWorkers predecessor;
     private final WorkerLossHandler losses;
-    private final Collection<JobEntry> liveJobs;
+    private final JobLifecycle lifecycle;
     private final Consumer<SchedulerEvent> events;
 
     WorkerLeases(
             Map<String, WorkerRecord> workers,
             PredecessorWorkers predecessor,
             WorkerLossHandler losses,
-            Collection<JobEntry> liveJobs,
+            JobLifecycle lifecycle,
             Consumer<SchedulerEvent> events) {
         this.workers = workers;
         this.predecessor = predecessor;
         this.losses = losses;
-        this.liveJobs = liveJobs;
+        this.lifecycle = lifecycle;
         this.events = events;
     }
 
@@ -58,7 +57,7 @@
 
     private void forget(String workerId) {
         workers.remove(workerId);
-        liveJobs.stream().flatMap(JobEntry::steps).forEach(s -> s.forgetWorker(workerId));
+        lifecycle.forgetWorker(workerId);
     }
 
     /** Returns the pools of the workers that may have runs which this holder does not know. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/AdvicePlannerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/AdvicePlannerTest.java
@@ -19,7 +19,9 @@
         fixture.acceptAdvised("a");
         fixture.starts();
         AdviceRequest first = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
-        fixture.scheduler.advice().applyAnswer(first, Map.of("w1", "t"), fixture.now + 60_000);
+        fixture.scheduler
+                .advice()
+                .applyAnswer(first, Map.of("w1", "t"), fixture.now + 60_000, fixture.now);
         fixture.scheduler.setReachable("w1", false, fixture.now);
         fixture.addWorker("w2", 4_000);
         assertThat(fixture.starts()).isEmpty();
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/EvacuationTest.java
@@ -246,7 +246,9 @@
         fixture.plan();
         AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
         assertThat(request.workers()).containsExactly("w1");
-        fixture.scheduler.advice().applyAnswer(request, Map.of("w1", "t"), fixture.now + 5_000);
+        fixture.scheduler
+                .advice()
+                .applyAnswer(request, Map.of("w1", "t"), fixture.now + 5_000, fixture.now);
         assertThat(fixture.starts()).extracting(Order.Start::worker).containsExactly("w1");
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/PaceAndAdviceTest.java
@@ -79,7 +79,7 @@
         assertThat(request.workers()).containsExactlyInAnyOrder("w1", "w2");
         fixture.scheduler
                 .advice()
-                .applyAnswer(request, Map.of("w2", "ticket-2"), fixture.now + 3_000);
+                .applyAnswer(request, Map.of("w2", "ticket-2"), fixture.now + 3_000, fixture.now);
 
         assertThat(fixture.starts())
                 .singleElement()
@@ -97,7 +97,10 @@
         fixture.acceptAdvised("a");
         fixture.starts();
         AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
-        fixture.scheduler.advice().applyAnswer(request, Map.of("w1", "old"), fixture.now + 100);
+        fixture.scheduler
+                .advice()
+                .applyAnswer(request, Map.of("w1", "old"), fixture.now + 100, fixture.now);
+        fixture.now += 80;
         assertThat(fixture.starts()).isEmpty();
         assertThat(fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow().workers())
                 .containsExactly("w1");
@@ -111,11 +114,15 @@
         fixture.acceptAdvised("a");
         fixture.starts();
         AdviceRequest first = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
-        fixture.scheduler.advice().applyAnswer(first, Map.of("w1", "ticket"), fixture.now + 300);
+        fixture.scheduler
+                .advice()
+                .applyAnswer(first, Map.of("w1", "ticket"), fixture.now + 300, fixture.now);
 
         replace("w2", "w3");
         AdviceRequest second = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
-        fixture.scheduler.advice().applyAnswer(second, Map.of("w1", "ticket"), fixture.now + 300);
+        fixture.scheduler
+                .advice()
+                .applyAnswer(second, Map.of("w1", "ticket"), fixture.now + 300, fixture.now);
         fixture.now += 1_000;
 
         assertThat(fixture.scheduler.advice().nextRequest(fixture.now))
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/AdviceRequester.java
@@ -61,10 +61,9 @@
                                 onFailure(question);
                                 return;
                             }
-                            advice.applyAnswer(
-                                    question,
-                                    allowed.tickets(),
-                                    context.nowMillis() + allowed.validity().toMillis());
+                            long now = context.nowMillis();
+                            long validUntil = now + allowed.validity().toMillis();
+                            advice.applyAnswer(question, allowed.tickets(), validUntil, now);
                             onAnswer.run();
                             retry();
                         },
