Report a long-running task that waits beside others of its job

StandstillDetectorTest: a job of which one of two tasks gets no advice was not reported, now is after 6 s.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -31,10 +31,14 @@
  * place, since it does not reach the worker or counts a run that never began. So places are counted
  * by what runs, and the reason says why the holder does not use them. A step that waits for a place
  * in its rack has no other place until that wait ends.
+ *
+ * <p>A job that runs stands still as well, if a long-running task of it has had such a place for 6 s
+ * and no run.
  */
 public final class StandstillDetector {
 
     private static final long STANDSTILL_MILLIS = 3_000;
+    private static final long LONG_RUNNING_STANDSTILL_MILLIS = 6_000;
 
     /** The room that must be free, in times of what a task takes, so that no close call counts. */
     private static final long ROOM_FACTOR = 2;
@@ -198,17 +202,28 @@
     }
 
     private Optional<Standing> standingStep(JobEntry job, List<StepEntry> steps, Round round) {
-        if (steps.isEmpty() || runs(job) || !hasPlace(steps.get(0), round)) {
+        boolean runs = runs(job);
+        Optional<StepEntry> step =
+                runs ? longRunningStepThatLacksTasks(job) : steps.stream().findFirst();
+        if (step.filter(s -> hasPlace(s, round)).isEmpty()) {
             placeSince.remove(job);
             return Optional.empty();
         }
-        long since = Math.max(job.lastRanAt(), placeSince.computeIfAbsent(job, j -> round.now()));
+        long placeSinceMillis = placeSince.computeIfAbsent(job, j -> round.now());
+        long since = runs ? placeSinceMillis : Math.max(job.lastRanAt(), placeSinceMillis);
         long millis = round.now() - since;
-        return millis >= STANDSTILL_MILLIS
-                ? Optional.of(new Standing(job, steps.get(0), millis))
+        return millis >= (runs ? LONG_RUNNING_STANDSTILL_MILLIS : STANDSTILL_MILLIS)
+                ? Optional.of(new Standing(job, step.get(), millis))
                 : Optional.empty();
     }
 
+    private static Optional<StepEntry> longRunningStepThatLacksTasks(JobEntry job) {
+        return job.steps()
+                .filter(s -> s.spec().longRunning() && s.isReady())
+                .filter(s -> s.tasks().waitingCount() > 0)
+                .findFirst();
+    }
+
     private static boolean runs(JobEntry job) {
         return job.steps().flatMap(StepEntry::runs).anyMatch(Run::hasBegun);
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillReport.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillReport.java
@@ -34,8 +34,8 @@
     }
 
     /**
-     * The jobs of a pool that stand still for one reason: nothing of them runs, though a worker has
-     * room by what really runs on it.
+     * The jobs of a pool that stand still for one reason: nothing of them runs, or a long-running
+     * task does not, though a worker has room by what really runs on it.
      *
      * @param pool the pool
      * @param reason why no task starts on the workers that have room
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.tuple;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.OrderAnswer;
@@ -86,6 +87,31 @@
         assertThat(report.standing()).isEmpty();
     }
 
+    /** A task that was never started again showed in no log, since others of its job ran. */
+    @Test
+    void aJobStandsOfWhichALongRunningTaskWaitsBesideOthersThatRun() {
+        fixture.addWorker("w1", 1_000);
+        fixture.scheduler.configure(
+                Manifest.of(
+                        2,
+                        List.of(new QueueRoute("h.example", "/q/", true, ADVISED_POLICY)),
+                        List.of(),
+                        List.of(),
+                        1_000));
+        fixture.accept("a", SchedulerFixture.step(2, 1_000, List.of(), false, true, 0));
+        fixture.starts();
+        AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
+        fixture.scheduler
+                .advice()
+                .applyAnswer(request, Map.of("w1", "t"), fixture.now + SECOND, fixture.now);
+        assertThat(fixture.starts()).hasSize(1);
+        assertThat(pass(10, true).standing()).isEmpty();
+
+        fixture.addWorker("w2", 4_000);
+        assertThat(pass(5, true).standing()).isEmpty();
+        assertThat(reasonOf(pass(2, true))).isEqualTo(WaitReason.NO_ADVICE);
+    }
+
     @Test
     void aFullFleetDoesNotStand() {
         fixture.addWorker("w1", 4_000);
