Count a service as alone beside services that have run for long

A run that lasts counts as alone if all others on its worker last as well and have run for 10 s, after which the product takes a long-running task for harmless already. Beside tasks that end by themselves, or services that have just started, nothing changes.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -16,6 +16,9 @@
  */
 final class CrashHistory {
 
+    /** A long-running task that has run for this long does not crash workers that start it. */
+    static final long PROBATION_MILLIS = 10_000;
+
     /** The number of crashed workers from which on a task starts alone on its worker. */
     static final int CRASHES_BEFORE_ISOLATION = 2;
 
@@ -63,7 +66,7 @@
     /**
      * Records that a worker surely crashed under a run; returns false if it is recorded already.
      *
-     * @param wasAlone whether no other run was on the worker
+     * @param wasAlone whether no other run on the worker may have caused the crash
      */
     boolean record(int run, boolean wasAlone) {
         if (wasAlone) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -68,7 +68,7 @@
     /**
      * Counts a worker that surely crashed under a run; the job fails once there are too many.
      *
-     * @param alone whether no other run was on the worker
+     * @param alone whether no other run on the worker may have caused the crash
      */
     void workerCrashed(TaskEntry task, int run, boolean alone, long now) {
         JobEntry job = task.step().job();
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/ReportHandler.java
@@ -28,9 +28,6 @@
      */
     private static final long MAX_ENDS_BEYOND_CLOCK = 1_000_000;
 
-    /** A long-running task that has run for this long does not crash workers that start it. */
-    private static final long CRASH_PROBATION_MILLIS = 10_000;
-
     private final JobTable jobs;
     private final RunRegistry runs;
     private final RunNumbers numbers;
@@ -264,7 +261,8 @@
         if (task.updateCheckpoint(running.checkpoint())) {
             run.markSaved(now);
         }
-        if (task.step().spec().longRunning() && now - run.openedAt() >= CRASH_PROBATION_MILLIS) {
+        if (task.step().spec().longRunning()
+                && now - run.openedAt() >= CrashHistory.PROBATION_MILLIS) {
             lifecycle.clearCrashes(task);
         }
         return run;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -22,7 +22,7 @@
     /**
      * A crash that may have ended a run, or may have come before the run began.
      *
-     * @param alone whether no other run was on the worker
+     * @param alone whether no other run on the worker may have caused the crash
      */
     record CrashDoubt(boolean alone) {}
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StandstillDetector.java
@@ -32,8 +32,8 @@
  * by what runs, and the reason says why the holder does not use them. A step that waits for a place
  * in its rack has no other place until that wait ends.
  *
- * <p>A job that runs stands still as well, if a long-running task of it has had such a place for 6 s
- * and no run.
+ * <p>A job that runs stands still as well, if a long-running task of it has had such a place for 6
+ * s and no run.
  */
 public final class StandstillDetector {
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -48,10 +48,10 @@
      */
     void lifetimeReplaced(WorkerRecord worker, long now) {
         LossCause cause = endCauseOf(worker);
-        boolean alone = worker.runs().size() == 1;
+        List<Run> open = worker.runsCopy();
         closeRuns(worker, r -> r.isListed() || r.isStartHeld(), cause, now);
         if (cause == LossCause.CRASH) {
-            worker.runs().forEach(r -> r.markInDoubt(new Run.CrashDoubt(alone)));
+            worker.runs().forEach(r -> r.markInDoubt(new Run.CrashDoubt(isAlone(r, open, now))));
         }
     }
 
@@ -75,7 +75,7 @@
         for (Run run : open.stream().filter(isLost).toList()) {
             runs.close(run);
             if (cause == LossCause.CRASH) {
-                recordCrash(run, open.size() == 1, now);
+                recordCrash(run, isAlone(run, open, now), now);
             } else {
                 run.crashDoubt().ifPresent(d -> recordCrash(run, d.alone(), now));
             }
@@ -85,6 +85,25 @@
         }
     }
 
+    /**
+     * Returns whether no other run on a worker may have caused its crash.
+     *
+     * <p>Beside a long-running run, others of its kind that have run for long do not come into
+     * question: a pool may have no worker without them.
+     */
+    private static boolean isAlone(Run run, List<Run> open, long now) {
+        boolean longRunning = run.task().step().spec().longRunning();
+        return open.stream()
+                .filter(other -> other != run)
+                .allMatch(other -> longRunning && isProvenHarmless(other, now));
+    }
+
+    private static boolean isProvenHarmless(Run run, long now) {
+        return run.task().step().spec().longRunning()
+                && run.isListed()
+                && now - run.openedAt() >= CrashHistory.PROBATION_MILLIS;
+    }
+
     /**
      * Counts a crash under a run.
      *
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerCrashTest.java
@@ -10,6 +10,7 @@
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunningTask;
+import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.TaskId;
 import org.junit.jupiter.api.Test;
 
@@ -260,6 +261,53 @@
         assertThat(fixture.scheduler.stateOf("a")).contains(JobState.RUNNING);
     }
 
+    /** Where each worker had another service, a task was never alone, and started without limit. */
+    @Test
+    void aLongRunningTaskThatCrashesItsWorkersBesideOtherServicesIsNotStartedWithoutLimit() {
+        addWorkers(fixture);
+        fixture.accept("s", service(WORKERS, 1));
+        fixture.starts();
+        passProbation();
+        fixture.accept("a", service(1, 0));
+
+        int starts = 0;
+        for (int round = 0; round < WORKERS; round++) {
+            for (int i = 0; i < 20; i++) {
+                fixture.now += CRASH_NOTICED_MILLIS;
+                grantLeases(fixture);
+                for (Order.Start start : fixture.starts()) {
+                    if (start.task().job().equals("a")) {
+                        starts++;
+                        crash(fixture, start.worker());
+                    }
+                }
+            }
+        }
+        assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.FAILED);
+        assertThat(fixture.scheduler.stateOf("s")).contains(JobState.RUNNING);
+    }
+
+    private static StepSpec service(int count, int maxPerWorker) {
+        return new StepSpecBuilder()
+                .count(count)
+                .longRunning(true)
+                .maxPerWorker(maxPerWorker)
+                .build();
+    }
+
+    /** Lets long-running tasks run until they do not come into question for a crash. */
+    private void passProbation() {
+        for (int i = 0; i < 6; i++) {
+            fixture.now += 2_000;
+            grantLeases(fixture);
+            for (int w = 0; w < WORKERS; w++) {
+                fixture.report("w" + w);
+            }
+        }
+    }
+
     @Test
     void aServiceIsNotGivenUpWhenTheWorkerOfATaskThatRunsAloneCrashesByItself() {
         addWorkers(fixture);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -80,7 +80,9 @@
             "The store's clock has started anew or was set; its time is corrected."),
     /** Jobs have nothing running, although workers have room. */
     WORK_STANDS_STILL(
-            7070, Level.WARN, "Jobs stand still: a worker has room, and a task of them that could run does not."),
+            7070,
+            Level.WARN,
+            "Jobs stand still: a worker has room, and a task of them that could run does not."),
     /** No job stands still any more. */
     WORK_GOES_ON(7071, Level.INFO, "No job stands still any more."),
     /** The holder has not read all jobs for long. */
