Order no VM whose runs a new holder does not know

Cause: what was not known counted as nothing. A worker that had not reported to the new holder had the load of an idle one, and the planner of waves takes idle VMs first. Orders waited for reports only while the predecessor's orders might be under way (3 s), though the leases that it granted go on for up to 4.7 s.

A load now says whether all runs are known: the worker has reported to this holder, or the leases of its former runs are over. An unknown load is not idle, comes after the known ones, and its VM gets no order. Moves and evacuations ask the same load. VMs whose workers have reported are ordered as soon as before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/TaskScheduler.java
@@ -404,17 +404,11 @@
         return advice;
     }
 
-    /** Returns whether a worker has reported its runs to this holder. */
-    public boolean hasReported(String workerId) {
-        WorkerRecord worker = workers.get(workerId);
-        return worker != null && worker.hasReported();
-    }
-
     /** Returns the load of a worker. */
     public WorkerLoad loadOf(String workerId, long now) {
-        return Optional.ofNullable(workers.get(workerId))
-                .map(w -> LoadCalculator.loadOf(w, now))
-                .orElse(WorkerLoad.IDLE);
+        WorkerRecord worker = workers.get(workerId);
+        WorkerLoad load = worker == null ? WorkerLoad.IDLE : LoadCalculator.loadOf(worker, now);
+        return leases.areRunsKnown(workerId, now) ? load : load.withUnknownRuns();
     }
 
     /** Returns the load of the pools by name. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLeases.java
@@ -84,6 +84,16 @@
         return inUse;
     }
 
+    /**
+     * Returns whether all runs of a worker are known: it has reported to this holder, or the leases
+     * of its former runs are over.
+     */
+    boolean areRunsKnown(String workerId, long now) {
+        WorkerRecord worker = workers.get(workerId);
+        boolean reported = worker != null && worker.hasReported();
+        return reported || now > lastLeaseEndsAt(workerId);
+    }
+
     /** Returns the workers on whose VM a newer one has registered. */
     List<String> formerWorkersOf(WorkerEntry newest) {
         return workers.values().stream()
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/vms/FleetWavePlanner.java
@@ -232,6 +232,7 @@
 
     private static Comparator<VmView> maintenanceOrder(Collection<String> draining) {
         return Comparator.comparing((VmView v) -> !v.load().isIdle())
+                .thenComparing(v -> !v.load().known())
                 .thenComparing(v -> !v.evacuated())
                 .thenComparing(v -> !draining.contains(v.vm().name()))
                 .thenComparing(v -> v.load().longRunningRuns())
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -241,13 +241,13 @@
      * Returns whether an order for a VM may be sent now.
      *
      * <p>A new holder sends orders at once, except for VMs that its predecessor may recently have
-     * ordered, and for VMs whose workers have not yet reported their runs to it.
+     * ordered, and for VMs whose workers may have runs that it does not know.
      */
     private boolean mayOrder(VmView view, Round round) {
-        ListedFleetVm vm = view.vm();
-        boolean runsKnown = round.standby().contains(vm.pool()) || board.hasReported(vm.worker());
-        return recentOrders.isHandoverOver(round.now())
-                || (runsKnown && !recentOrders.mayBeOrderedByPredecessor(vm.name(), round.now()));
+        boolean handoverOver =
+                recentOrders.isHandoverOver(round.now())
+                        || !recentOrders.mayBeOrderedByPredecessor(view.vm().name(), round.now());
+        return handoverOver && view.load().known();
     }
 
     private void logStatusChange(ListedFleetVm vm) {
@@ -267,10 +267,8 @@
     }
 
     private VmView view(ListedFleetVm vm) {
-        WorkerLoad load =
-                vm.worker().isEmpty()
-                        ? WorkerLoad.IDLE
-                        : board.loadOf(vm.worker(), context.nowMillis());
+        boolean off = vm.worker().isEmpty() || standbyPools().contains(vm.pool());
+        WorkerLoad load = off ? WorkerLoad.IDLE : board.loadOf(vm.worker(), context.nowMillis());
         boolean evacuated = manifests.evacuatedDataCentres().contains(vm.dataCentre());
         return new VmView(vm, load, orders.openOrder(vm), evacuated);
     }
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/WaveNodeTest.java
@@ -13,6 +13,9 @@
     private static final String RUNNING = "{\"state\":\"running\"}";
     private static final String COMPLETED = "{\"state\":\"completed\"}";
 
+    /** The leases that a former holder granted may last for this long after it. */
+    private static final long FORMER_LEASES_MILLIS = 4_500;
+
     private final NodeFixture fixture = new NodeFixture();
 
     WaveNodeTest() {
@@ -55,6 +58,32 @@
         assertThat(fixture.fleet.maintained()).containsExactlyInAnyOrder("a", "b");
     }
 
+    /** A worker that had not reported to a new holder counted as idle, and its VM came first. */
+    @Test
+    void aNewHolderMaintainsNoVmWhoseRunsItDoesNotKnow() {
+        TaskNode holder = fixture.startNodeAndWait("n");
+        fixture.startNodeAndWait("m");
+        fixture.advanceMillis(10_000);
+        List<String> vms = List.of("c", "d", "e", "f");
+        vms.forEach(fixture::addVm);
+        fixture.advanceMillis(1_000);
+        List<String> silent = List.of("c", "d");
+        silent.forEach(vm -> fixture.fleet.worker("w-" + vm).setSilent(true));
+        holder.drain();
+        fixture.orderWave(new WaveOrder(2, vms, 9_000, 2));
+        int before = fixture.fleet.maintained().size();
+
+        fixture.advanceMillis(FORMER_LEASES_MILLIS);
+        assertThat(maintainedFrom(before)).contains("e", "f").doesNotContainAnyElementsOf(silent);
+        fixture.advanceMillis(FORMER_LEASES_MILLIS);
+        assertThat(maintainedFrom(before)).containsAll(silent);
+    }
+
+    private List<String> maintainedFrom(int first) {
+        List<String> all = fixture.fleet.maintained();
+        return all.subList(first, all.size());
+    }
+
     @Test
     void delayedWriteDoesNotUndoACompletedWave() {
         fixture.delayingStore.hold(w -> w.value().filter(RUNNING::equals).isPresent());
