Take an answer of the moment at which a list arrived as later than the list

A worker that a list lacks is asked at once, and its answer has the time of the call, which is that of the list's arrival. The comparison took that for earlier, so two lists that lacked a VM still ended the runs of a worker that had answered in between. A moment that is the same to the millisecond now counts as later: the list shows a moment before its arrival.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/EndedWorkerDetector.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/EndedWorkerDetector.java
@@ -115,7 +115,7 @@
         Absence absence = absences.get(worker.workerId());
         return absence != null
                 && absence.knownSince() == worker.knownSince()
-                && worker.aliveAt() <= absence.shownAt();
+                && worker.aliveAt() < absence.shownAt();
     }
 
     private boolean mayBeJudged(WorkerEvidence worker, long now) {
