Write the log before a process ends that cannot listen

Lines go through a queue, and the process was halted before the one with the cause was written.

The log is closed first.

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
@@ -123,6 +123,7 @@
             }
         } catch (IOException e) {
             EventLog.log(DaemonEvent.FAILED, e);
+            EventLog.close();
             Runtime.getRuntime().halt(EXIT_FAILED);
         }
         Runtime.getRuntime()
