--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/AdviceShapesTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/AdviceShapesTest.java
@@ -64,17 +64,7 @@
 
     private void add(String id, Resources capacity, String label, String rack) {
         WorkerEntry entry =
-                new WorkerEntry(
-                        id,
-                        1,
-                        "vm-" + id,
-                        SchedulerFixture.POOL,
-                        "127.0.0.1:1",
-                        "dc",
-                        false,
-                        0,
-                        capacity,
-                        List.of(label, rack));
+                SchedulerFixture.entry(id, 1, "vm-" + id, capacity, List.of(label, rack));
         fixture.scheduler.workerListed(entry, fixture.now);
         keepAlive(id);
         allowed.add(id);
@@ -181,19 +171,8 @@
         run(500);
         assertThat(running("a")).isZero();
         allowed.add("only");
-        WorkerEntry former = fixture.scheduler.listedWorkers().getFirst();
         fixture.scheduler.workerListed(
-                new WorkerEntry(
-                        "only",
-                        2,
-                        former.vm(),
-                        former.pool(),
-                        former.address(),
-                        former.dataCentre(),
-                        false,
-                        0,
-                        former.capacity(),
-                        former.labels()),
+                SchedulerFixture.entry("only", 2, "vm-only", SMALL, List.of("a", "r1")),
                 fixture.now);
         run(500);
         assertThat(running("a")).isEqualTo(1);
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/CrashBeforeAnswerTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/CrashBeforeAnswerTest.java
@@ -11,6 +11,8 @@
 import org.chervillift.api.tasks.JobState;
 import org.chervillift.api.tasks.OrderAnswer;
 import org.chervillift.api.tasks.Resources;
+import org.chervillift.api.tasks.RunEnd;
+import org.chervillift.api.tasks.RunningTask;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.junit.jupiter.api.Test;
 
@@ -73,6 +75,56 @@
         return starts;
     }
 
+    @Test
+    void aTaskThatAnswersOnlySomeOfItsStartsIsNotStartedWithoutLimit() {
+        SchedulerFixture fixture = holder(1);
+        fixture.accept("a", SchedulerFixture.step(1, 1_000));
+        int starts = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            for (Order order : fixture.orders()) {
+                starts++;
+                OrderAnswer answer = round % 2 == 0 ? OrderAnswer.DONE : OrderAnswer.UNKNOWN;
+                fixture.scheduler.applyAnswer(order, answer, fixture.now);
+                endWorker(fixture, order.worker());
+            }
+        }
+        assertThat(starts).isLessThanOrEqualTo(MAX_STARTS);
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.FAILED);
+    }
+
+    @Test
+    void aGangOfWhichOneTaskCrashesItsWorkerIsNotStartedWithoutLimit() {
+        SchedulerFixture fixture = holder(1);
+        fixture.accept("a", new StepSpecBuilder().count(3).gang(true).maxPerWorker(1).build());
+        int starts = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            List<Order> orders = fixture.orders();
+            starts += orders.isEmpty() ? 0 : 1;
+            for (Order order : orders) {
+                Order.Start start = (Order.Start) order;
+                if (start.task().index() == 0) {
+                    crashBeforeAnswer(fixture, start);
+                } else {
+                    fixture.scheduler.applyAnswer(start, OrderAnswer.DONE, fixture.now);
+                    fixture.runningByWorker
+                            .computeIfAbsent(start.worker(), w -> new ArrayList<>())
+                            .add(new RunningTask(start.task(), start.run(), "", 10, 0));
+                }
+            }
+            fixture.now += CRASH_NOTICED_MILLIS;
+            for (Order order : orders) {
+                if (!gone.contains(order.worker())) {
+                    fixture.endAll(order.worker(), RunEnd.GANG_BROKEN);
+                }
+            }
+            keepAlive(fixture);
+        }
+        assertThat(starts).isBetween(1, MAX_STARTS);
+        fixture.store();
+        assertThat(fixture.scheduler.stateOf("a")).contains(JobState.FAILED);
+    }
+
     /** A new holder began to count anew, since nothing was stored of such a crash. */
     @Test
     void aNewHolderKnowsSuchCrashesOfItsPredecessors() {
@@ -188,20 +240,14 @@
     private void addWorkerOn(SchedulerFixture fixture, String vm) {
         lifetimes++;
         String id = vm + "/" + lifetimes;
-        WorkerEntry template = SchedulerFixture.entry(id, MILLI_CORES);
-        fixture.scheduler.workerListed(
-                new WorkerEntry(
+        WorkerEntry entry =
+                SchedulerFixture.entry(
                         id,
                         lifetimes,
                         vm,
-                        template.pool(),
-                        template.address(),
-                        template.dataCentre(),
-                        false,
-                        0,
-                        template.capacity(),
-                        template.labels()),
-                fixture.now);
+                        new Resources(MILLI_CORES, 10_000, 0),
+                        List.of("a", "rack-1"));
+        fixture.scheduler.workerListed(entry, fixture.now);
         keepAlive(fixture, id);
     }
 
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -200,6 +200,13 @@
                 List.of("a", rack));
     }
 
+    /** Returns what a lifetime of a worker says of itself. */
+    static WorkerEntry entry(
+            String id, long bornAtMillis, String vm, Resources capacity, List<String> labels) {
+        return new WorkerEntry(
+                id, bornAtMillis, vm, POOL, "127.0.0.1:1", "dc", false, 0, capacity, labels);
+    }
+
     /** Applies a report of the worker's current runs. */
     void report(String id) {
         scheduler.applyReport(
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerRestartTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/WorkerRestartTest.java
@@ -98,20 +98,14 @@
     }
 
     private void restart() {
-        WorkerEntry former = SchedulerFixture.entry("w1", MILLI_CORES);
-        fixture.scheduler.workerListed(
-                new WorkerEntry(
+        WorkerEntry next =
+                SchedulerFixture.entry(
                         "w1",
                         NEXT,
-                        former.vm(),
-                        former.pool(),
-                        former.address(),
-                        former.dataCentre(),
-                        false,
-                        0,
+                        "vm-w1",
                         new Resources(MILLI_CORES, 10_000, 0),
-                        former.labels()),
-                fixture.now);
+                        List.of("a", "rack-1"));
+        fixture.scheduler.workerListed(next, fixture.now);
         fixture.now += 1;
     }
 
