--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -90,20 +90,24 @@
             }
         }
         heldStarts = held;
-        workersToAsk =
-                held.stream()
-                        .flatMap(s -> startingRun(s).stream())
-                        .filter(StartGate::mayBeSent)
-                        .flatMap(StartGate::runsThatStartTogether)
-                        .map(Run::worker)
-                        .filter(w -> !w.isSurelyAlive(now))
-                        .map(WorkerRecord::id)
-                        .collect(Collectors.toSet());
+        workersToAsk = workersToAsk(held, now);
         lastRoundAt = OptionalLong.of(now);
         lastReleaseAt = ready.isEmpty() ? lastReleaseAt : OptionalLong.of(now);
         return ready;
     }
 
+    /** Returns the workers whose reports the stored ones of held-back starts wait for. */
+    private Set<String> workersToAsk(List<Order.Start> held, long now) {
+        return held.stream()
+                .flatMap(s -> startingRun(s).stream())
+                .filter(StartGate::mayBeSent)
+                .flatMap(StartGate::runsThatStartTogether)
+                .map(Run::worker)
+                .filter(w -> !w.isSurelyAlive(now))
+                .map(WorkerRecord::id)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns whether all is stored that a new holder must know of a start. */
     private static boolean mayBeSent(Run run) {
         StepEntry step = run.task().step();
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -210,8 +210,9 @@
             return;
         }
         Map<String, VmView> views = new TreeMap<>();
-        list.vms().forEach(vm -> views.put(vm.name(), view(vm)));
-        Round round = new Round(views, loads, standbyPools(), gone, now);
+        Set<String> standby = standbyPools();
+        list.vms().forEach(vm -> views.put(vm.name(), view(vm, standby, now)));
+        Round round = new Round(views, loads, standby, gone, now);
         Set<String> draining = decideWaves(open, round);
         decideMoves(round, draining);
         orders.sendAll();
@@ -266,9 +267,9 @@
                 Field.of("workerBefore", before.worker()));
     }
 
-    private VmView view(ListedFleetVm vm) {
-        boolean off = vm.worker().isEmpty() || standbyPools().contains(vm.pool());
-        WorkerLoad load = off ? WorkerLoad.IDLE : board.loadOf(vm.worker(), context.nowMillis());
+    private VmView view(ListedFleetVm vm, Set<String> standby, long now) {
+        boolean off = vm.worker().isEmpty() || standby.contains(vm.pool());
+        WorkerLoad load = off ? WorkerLoad.IDLE : board.loadOf(vm.worker(), now);
         boolean evacuated = manifests.evacuatedDataCentres().contains(vm.dataCentre());
         return new VmView(vm, load, orders.openOrder(vm), evacuated);
     }
