--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/AdviceShapesTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/AdviceShapesTest.java
@@ -197,6 +197,18 @@
         assertThat(running("a")).isEqualTo(1);
     }
 
+    /** A job that waits for room must not take up the service with the same questions. */
+    @Test
+    void aJobThatWaitsForRoomIsAskedAboutOnceForEachValidity() {
+        addLarge(MANY);
+        accept("full", service(MANY).request(LARGE).build());
+        run(3_000);
+        sizes.clear();
+        accept("waits", service(1).request(LARGE).build());
+        run(3 * VALIDITY_MILLIS);
+        assertThat(sizes).hasSizeBetween(1, 4);
+    }
+
     /** The tickets of a gang ran out before it had all of them. */
     @Test
     void aLargeGangAsksForAllItsTicketsTogether() {
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/VmController.java
@@ -176,32 +176,33 @@
 
     /** Decides from a list; returns the pause until the next one. */
     private Duration decide(VmList list) {
-        recordList(list);
+        Set<String> standby = standbyPools();
+        recordList(list, standby);
         Map<String, PoolLoad> loads = poolLoads();
-        decide(list, loads);
+        decide(list, loads, standby);
         return pauseFor(loads);
     }
 
     /** Records what a list shows, before decisions are made from it. */
-    private void recordList(VmList list) {
+    private void recordList(VmList list, Set<String> standby) {
         initialPoolSizes.recordFirst(list.vms());
         orders.removeConfirmed(list);
         list.vms().forEach(this::logStatusChange);
-        closeEndedWorkers(list);
+        closeEndedWorkers(list, standby);
     }
 
     /**
      * Closes the runs of workers that no VM runs any more, and asks those that are newly absent.
      */
-    private void closeEndedWorkers(VmList list) {
+    private void closeEndedWorkers(VmList list, Set<String> standby) {
         long now = list.receivedAt();
         EndedWorkerDetector.Findings findings =
-                endedWorkers.applyList(list, standbyPools(), board.evidenceOfWorkersInUse(now));
+                endedWorkers.applyList(list, standby, board.evidenceOfWorkersInUse(now));
         findings.ended().forEach(w -> board.workerLifetimeEnded(w, list.requestedAt(), now));
         findings.newlyAbsent().forEach(askWorker);
     }
 
-    private void decide(VmList list, Map<String, PoolLoad> loads) {
+    private void decide(VmList list, Map<String, PoolLoad> loads, Set<String> standby) {
         long now = list.receivedAt();
         List<FleetWavePlanner.Progress> open =
                 waveProgress.openWaves(manifests.waveOrders().values(), now);
@@ -210,7 +211,6 @@
             return;
         }
         Map<String, VmView> views = new TreeMap<>();
-        Set<String> standby = standbyPools();
         list.vms().forEach(vm -> views.put(vm.name(), view(vm, standby, now)));
         Round round = new Round(views, loads, standby, gone, now);
         Set<String> draining = decideWaves(open, round);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateListTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/LateListTest.java
@@ -20,7 +20,7 @@
     private static final int MANY_TASKS = 12;
     private static final int STEP_MILLIS = 10;
 
-    /** From a crash until its tasks run elsewhere: two lists, and the pause between them. */
+    /** From a crash until its tasks run elsewhere: two quick lists, and the pauses before them. */
     private static final long NOTICED_WITHIN_MILLIS = 900;
 
     private final NodeFixture fixture = new NodeFixture();
@@ -66,7 +66,20 @@
     /** A worker that is gone must be noticed as soon as before, whatever identifier it comes by. */
     @Test
     void theTasksOfAWorkerThatIsGoneStartElsewhereAsSoonAsTwoListsShowIt() {
+        assertTasksOfALostWorkerStartElsewhereWithin(NOTICED_WITHIN_MILLIS);
+    }
+
+    /** Lists that were asked for before a lifetime was known must not put off its end. */
+    @Test
+    void theTasksOfAWorkerThatIsGoneStartElsewhereAsSoonAsTwoSlowListsShowIt() {
+        fixture.fleet.setListLatency(LIST_TIME);
+        assertTasksOfALostWorkerStartElsewhereWithin(
+                NOTICED_WITHIN_MILLIS + 3 * LIST_TIME.toMillis());
+    }
+
+    private void assertTasksOfALostWorkerStartElsewhereWithin(long millis) {
         TaskNode node = fixture.startNodeAndWait("h");
+        fixture.advanceMillis(2 * LIST_TIME.toMillis());
         IntStream.range(0, MANY_TASKS).forEach(i -> submit(node));
         fixture.advanceMillis(100);
         long lost = worker().runningCount();
@@ -74,7 +87,7 @@
         int before = fixture.fleet.starts().size();
 
         fixture.fleet.restartUnderSameId(VM, Duration.ofSeconds(30));
-        fixture.advanceMillis(NOTICED_WITHIN_MILLIS);
+        fixture.advanceMillis(millis);
         assertThat(fixture.fleet.starts().subList(before, fixture.fleet.starts().size()))
                 .filteredOn(s -> !s.contains("#1@"))
                 .hasSize((int) lost);
