Let tests of advised queues use one policy and one manifest

The same policy stood in three test files, and the manifest with it in four places. SchedulerFixture has both; the assertions are as they were.

--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/AdviceShapesTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/AdviceShapesTest.java
@@ -12,14 +12,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.chervillift.api.tasks.AcceptedJob;
-import org.chervillift.api.tasks.JobSpec;
-import org.chervillift.api.tasks.Manifest;
-import org.chervillift.api.tasks.QueuePolicy;
-import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
-import org.chervillift.api.tasks.Schedule;
 import org.chervillift.api.tasks.StepSpec;
 import org.chervillift.api.tasks.WorkerEntry;
 import org.junit.jupiter.api.Test;
@@ -32,8 +26,6 @@
  */
 class AdviceShapesTest {
 
-    private static final QueuePolicy ADVISED =
-            new QueuePolicy(SchedulerFixture.QUEUE, SchedulerFixture.POOL, 0, 2, 1.6, 600, true);
     private static final Resources LARGE = new Resources(16_000, 32_000, 0);
     private static final Resources SMALL = new Resources(4_000, 8_000, 0);
     private static final long VALIDITY_MILLIS = 5_000;
@@ -47,19 +39,12 @@
     private final Map<String, StepSpec> steps = new HashMap<>();
 
     AdviceShapesTest() {
-        fixture.scheduler.configure(
-                Manifest.of(
-                        2,
-                        List.of(new QueueRoute("h.example", "/q/", true, ADVISED)),
-                        List.of(),
-                        List.of(),
-                        1_000));
+        fixture.advise();
     }
 
     private void accept(String id, StepSpec step) {
         steps.put(id, step);
-        JobSpec spec = new JobSpec(id, "p", List.of(step), Schedule.ONCE);
-        fixture.scheduler.accept(new AcceptedJob(spec, ADVISED, "", 0), 0, fixture.now);
+        fixture.acceptAdvised(id, step);
     }
 
     private void add(String id, Resources capacity, String label, String rack) {
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/SchedulerFixture.java
@@ -32,6 +32,7 @@
     static final String CUSTOMER = "distiller";
     static final long LEASE_MILLIS = 4_500;
     static final QueuePolicy QUEUE_POLICY = new QueuePolicy(QUEUE, POOL, 0, 2, 1.6, 600, false);
+    static final QueuePolicy ADVISED_POLICY = new QueuePolicy(QUEUE, POOL, 0, 2, 1.6, 600, true);
 
     final TaskScheduler scheduler;
     final List<SchedulerEvent> events = new ArrayList<>();
@@ -138,16 +139,25 @@
 
     /** Adds a job of one task to an advised queue. */
     void acceptAdvised(String id) {
-        QueuePolicy policy = new QueuePolicy(QUEUE, POOL, 0, 2, 1.6, 600, true);
+        advise();
+        acceptAdvised(id, step(1, 1_000));
+    }
+
+    /** Adds a job of one step to the queue, which is advised. */
+    void acceptAdvised(String id, StepSpec step) {
+        JobSpec spec = new JobSpec(id, "p", List.of(step), Schedule.ONCE);
+        scheduler.accept(new AcceptedJob(spec, ADVISED_POLICY, "", 0), 0, now);
+    }
+
+    /** Lets the queue need placement advice from now on. */
+    void advise() {
         scheduler.configure(
                 Manifest.of(
                         2,
-                        List.of(new QueueRoute("h.example", "/q/", true, policy)),
+                        List.of(new QueueRoute("h.example", "/q/", true, ADVISED_POLICY)),
                         List.of(),
                         List.of(),
                         1_000));
-        JobSpec spec = new JobSpec(id, "p", List.of(step(1, 1_000)), Schedule.ONCE);
-        scheduler.accept(new AcceptedJob(spec, policy, "", 0), 0, now);
     }
 
     /** Adds a job whose first step an earlier holder may have started. */
--- a/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
+++ b/chervillift-core/src/test/java/org/chervillift/core/tasks/StandstillDetectorTest.java
@@ -6,10 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.chervillift.api.tasks.Manifest;
 import org.chervillift.api.tasks.OrderAnswer;
-import org.chervillift.api.tasks.QueuePolicy;
-import org.chervillift.api.tasks.QueueRoute;
 import org.chervillift.api.tasks.Resources;
 import org.chervillift.api.tasks.RunEnd;
 import org.chervillift.api.tasks.StepSpec;
@@ -26,8 +23,6 @@
 class StandstillDetectorTest {
 
     private static final long SECOND = 1_000;
-    private static final QueuePolicy ADVISED_POLICY =
-            new QueuePolicy(SchedulerFixture.QUEUE, SchedulerFixture.POOL, 0, 2, 1.6, 600, true);
 
     private SchedulerFixture fixture = new SchedulerFixture();
 
@@ -91,13 +86,7 @@
     @Test
     void aJobStandsOfWhichALongRunningTaskWaitsBesideOthersThatRun() {
         fixture.addWorker("w1", 1_000);
-        fixture.scheduler.configure(
-                Manifest.of(
-                        2,
-                        List.of(new QueueRoute("h.example", "/q/", true, ADVISED_POLICY)),
-                        List.of(),
-                        List.of(),
-                        1_000));
+        fixture.advise();
         fixture.accept("a", SchedulerFixture.step(2, 1_000, List.of(), false, true, 0));
         fixture.starts();
         AdviceRequest request = fixture.scheduler.advice().nextRequest(fixture.now).orElseThrow();
@@ -405,13 +394,7 @@
 
     @Test
     void aStepWithoutAdviceSaysSo() {
-        fixture.scheduler.configure(
-                Manifest.of(
-                        2,
-                        List.of(new QueueRoute("h.example", "/q/", true, ADVISED_POLICY)),
-                        List.of(),
-                        List.of(),
-                        1_000));
+        fixture.advise();
         fixture.addWorker("w1", 4_000);
         fixture.accept("a", SchedulerFixture.step(1, 1_000));
 
