--- /dev/null
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/start/package-info.java
@@ -0,0 +1,2 @@
+/** Starts the built program by the command of the deploy file, until it is ready. */
+package org.chervillift.bench.start;
