Say what keeps a started process from ready, in log, metrics and answer

What operators saw: a process said "starting", and nothing more about being ready; the readiness answer was "not ready" for each cause alike.

Change: events 7006 (listens), 7007 (ready), 7008 (not ready: state, since when, last failure of the store; again each 5 s) and 7009 (event loop held up, with its stack, from a thread of its own); the readiness answer and chervillift_readiness_seconds{state} say the same. A process that cannot open its servers names the address and ends with code 1, whatever it failed for; a failure that was no IOException left it alive without listening (by reading).

--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/FleetDaemonMain.java
@@ -24,6 +24,7 @@
 import org.chervillift.http.Answers;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorScheduler;
+import org.chervillift.http.ReactorWatch;
 import org.chervillift.http.Reactors;
 import org.chervillift.platform.fleet.FleetRowCodec;
 import org.chervillift.platform.fleet.JobServlet;
@@ -80,13 +81,39 @@
                         "daemon", fault -> EventLog.log(DaemonEvent.UNEXPECTED_ERROR, fault));
         String process = settings.vm() + "/" + Long.toHexString(System.currentTimeMillis());
         EventLog.limit(new LogBudget(MAX_LOG_LINES_PER_SECOND));
-        EventLog.log(TaskEvent.STARTING, Field.of("process", process));
+        EventLog.log(
+                TaskEvent.STARTING,
+                Field.of("process", process),
+                Field.of("java", Runtime.version()),
+                Field.of("processors", Runtime.getRuntime().availableProcessors()),
+                Field.of("maxHeapBytes", Runtime.getRuntime().maxMemory()));
         reactor.keepAlive(true);
-        reactor.post(() -> open(reactor, settings, file, process));
+        reactor.post(() -> openOrExit(reactor, settings, file, process));
+        ReactorWatch.start(reactor, FleetDaemonMain::logStall);
         reactor.run();
     }
 
-    private static void open(Eventloop reactor, FleetSettings settings, Path file, String process) {
+    private static void logStall(ReactorWatch.Stall stall) {
+        EventLog.log(
+                TaskEvent.LOOP_HELD_UP,
+                Field.of("atLeastMillis", stall.lasted().toMillis()),
+                Field.of("stack", stall.stack()));
+    }
+
+    /** Opens the servers and starts the node; a process that cannot do so says why and ends. */
+    private static void openOrExit(
+            Eventloop reactor, FleetSettings settings, Path file, String process) {
+        try {
+            open(reactor, settings, file, process);
+        } catch (IOException | RuntimeException | Error e) {
+            EventLog.log(DaemonEvent.FAILED, e);
+            EventLog.close();
+            Runtime.getRuntime().halt(EXIT_FAILED);
+        }
+    }
+
+    private static void open(Eventloop reactor, FleetSettings settings, Path file, String process)
+            throws IOException {
         Scheduler scheduler = new ReactorScheduler(reactor);
         TaskNode node =
                 new TaskNode(
@@ -102,7 +129,7 @@
                         .withKeepAliveTimeout(KEEP_ALIVE)
                         .build();
         HttpServer readiness =
-                HttpServer.builder(reactor, new ReadinessServlet(node::isReady))
+                HttpServer.builder(reactor, new ReadinessServlet(node::readiness))
                         .withListenAddress(settings.readiness().toSocketAddress())
                         .withKeepAliveTimeout(KEEP_ALIVE)
                         .build();
@@ -110,22 +137,20 @@
                 HttpServer.builder(reactor, r -> metrics(node, r))
                         .withListenAddress(settings.metrics().toSocketAddress())
                         .build();
-        List<HttpServer> peers =
-                settings.peers().stream().map(a -> peerServer(reactor, node, a)).toList();
-        List<HttpServer> servers = new ArrayList<>(peers);
-        servers.add(callers);
-        try {
-            callers.listen();
-            readiness.listen();
-            metrics.listen();
-            for (HttpServer server : peers) {
-                server.listen();
-            }
-        } catch (IOException e) {
-            EventLog.log(DaemonEvent.FAILED, e);
-            EventLog.close();
-            Runtime.getRuntime().halt(EXIT_FAILED);
+        listen(callers, settings.callers());
+        listen(readiness, settings.readiness());
+        listen(metrics, settings.metrics());
+        List<HttpServer> servers = new ArrayList<>(List.of(callers));
+        if (settings.peers().isPresent()) {
+            HttpServer peers = peerServer(reactor, node, settings.peers().get());
+            listen(peers, settings.peers().get());
+            servers.add(peers);
         }
+        EventLog.log(
+                TaskEvent.LISTENING,
+                Field.of("callers", settings.callers()),
+                Field.of("readiness", settings.readiness()),
+                Field.of("metrics", settings.metrics()));
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(
@@ -137,6 +162,14 @@
         node.start();
     }
 
+    private static void listen(HttpServer server, HostPort address) throws IOException {
+        try {
+            server.listen();
+        } catch (IOException e) {
+            throw new IOException("Cannot listen at " + address, e);
+        }
+    }
+
     private static HttpServer peerServer(Eventloop reactor, TaskNode node, HostPort address) {
         return HttpServer.builder(
                         reactor, new PeerServlet(node::answerForPeer, JobServlet::decodeJob))
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/MonitoredStore.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/MonitoredStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -32,6 +33,7 @@
     private long nextChangeLogAt = Long.MIN_VALUE;
     private boolean unresponsive;
     private long unresponsiveSince;
+    private Optional<String> lastFailure = Optional.empty();
 
     /** The store's time and its newest version in an answer; 0 if it contains none. */
     private record StoreTime(long millis, long version) {
@@ -53,6 +55,11 @@
         return unresponsive ? nowMillis() - unresponsiveSince : 0;
     }
 
+    /** Returns the failure of the last call, if it failed. */
+    Optional<String> lastFailure() {
+        return lastFailure;
+    }
+
     /** Returns what the answers of the store tell of its clock. */
     StoreClock clock() {
         return clock;
@@ -131,7 +138,10 @@
     private void recordResult(Throwable fault) {
         if (fault == null) {
             onAnswer();
-        } else if (!unresponsive) {
+            return;
+        }
+        lastFailure = Optional.of(String.valueOf(fault.getMessage()));
+        if (!unresponsive) {
             unresponsive = true;
             unresponsiveSince = nowMillis();
             EventLog.log(TaskEvent.STORE_UNAVAILABLE, Field.of("why", fault.getMessage()));
@@ -140,6 +150,7 @@
     }
 
     private void onAnswer() {
+        lastFailure = Optional.empty();
         if (unresponsive) {
             unresponsive = false;
             EventLog.log(TaskEvent.STORE_AVAILABLE);
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskEvent.java
@@ -8,6 +8,14 @@
 public enum TaskEvent implements Event {
     /** The process is starting. */
     STARTING(7001, Level.INFO, "The process is starting."),
+    /** The process listens. */
+    LISTENING(7006, Level.INFO, "The process listens at its addresses."),
+    /** The process accepts new connections. */
+    READY(7007, Level.INFO, "The process is ready for new connections."),
+    /** The process accepts no new connections. */
+    NOT_READY(7008, Level.WARN, "The process is not ready for new connections."),
+    /** The event loop runs nothing. */
+    LOOP_HELD_UP(7009, Level.ERROR, "The event loop is held up; nothing is answered meanwhile."),
     /** The process is shutting down. */
     STOPPING(7002, Level.INFO, "The process is shutting down."),
     /** The process has shut down. */
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskMetrics.java
@@ -32,6 +32,7 @@
     private final Gauge pendingJobs;
     private final WaitMetrics waits = new WaitMetrics(registry);
     private final ShareMetrics shares = new ShareMetrics(registry);
+    private final ReadinessMetrics readiness = new ReadinessMetrics(registry);
     private final LeaseMetrics lease = new LeaseMetrics(registry);
     private final EvacuationMetrics evacuation = new EvacuationMetrics(registry);
     private final RelayMetrics relay = new RelayMetrics(registry);
@@ -128,6 +129,11 @@
         shares.clearHolderMetrics();
     }
 
+    /** Returns the metric that tells whether this process is ready. */
+    ReadinessMetrics readiness() {
+        return readiness;
+    }
+
     /** Returns the metrics that tell who holds the lease. */
     LeaseMetrics lease() {
         return lease;
--- a/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
+++ b/chervillift-daemon/src/main/java/org/chervillift/daemon/tasks/TaskNode.java
@@ -1,5 +1,6 @@
 package org.chervillift.daemon.tasks;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -8,6 +9,7 @@
 import org.chervillift.api.platform.FleetRows;
 import org.chervillift.api.platform.FleetVms;
 import org.chervillift.api.platform.PlacementAdvice;
+import org.chervillift.api.platform.Readiness;
 import org.chervillift.api.platform.RowStore;
 import org.chervillift.api.platform.WorkerCalls;
 import org.chervillift.api.tasks.JobAnswer;
@@ -19,6 +21,8 @@
 import org.chervillift.core.tasks.relay.RelayPeers;
 import org.chervillift.daemon.tasks.relay.PeerCalls;
 import org.chervillift.daemon.tasks.relay.RelayedAnswer;
+import org.chervillift.runtime.events.EventLog;
+import org.chervillift.runtime.events.Field;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.runtime.supervision.Scheduler;
 
@@ -28,6 +32,7 @@
     private static final HolderElection.LeaseTimes LEASE_TIMES =
             new HolderElection.LeaseTimes(1_000, 2_500, 280);
     private static final long ORDER_LEASE_MARGIN_MILLIS = 300;
+    private static final Duration READINESS_INTERVAL = Duration.ofMillis(200);
 
     private FleetSettings settings;
     private final Scheduler scheduler;
@@ -41,6 +46,7 @@
     private final JobRequestHandler requestHandler;
     private final Optional<EntryVmDirectory> directory;
     private final TaskMetrics metrics = new TaskMetrics();
+    private final ReadinessTracker readiness;
     private boolean stopping;
 
     /**
@@ -85,6 +91,7 @@
         this.ports = BoundedPlatform.of(Checks.notNull("ports", ports), supervision);
         this.process = Checks.notBlank("process", process);
         this.store = new MonitoredStore(this.ports.store(), scheduler);
+        this.readiness = new ReadinessTracker(scheduler.now().toEpochMilli());
         this.manifests = new ManifestTracker(ports.rows());
         this.operatorFollower =
                 new TableFollower(
@@ -178,6 +185,7 @@
         manifests.addChangeListener(startOnFirstManifest);
         operatorFollower.start();
         directory.ifPresent(EntryVmDirectory::start);
+        supervision.repeat("readiness", READINESS_INTERVAL, () -> stopping, this::logReadiness);
     }
 
     /**
@@ -189,15 +197,45 @@
 
     /** Returns whether the load balancer should send new connections to this process. */
     public boolean isReady() {
-        return !stopping
-                && manifests.manifest().isPresent()
-                && operatorFollower.isHealthy()
-                && !store.isUnresponsive();
+        return readiness().isReady();
+    }
+
+    /** Returns whether the load balancer should send new connections here, and if not, why. */
+    public Readiness readiness() {
+        return readiness.update(
+                readinessState(), store.lastFailure(), scheduler.now().toEpochMilli());
+    }
+
+    private Readiness.State readinessState() {
+        if (stopping) {
+            return Readiness.State.STOPPING;
+        } else if (store.isUnresponsive()) {
+            return Readiness.State.STORE_UNRESPONSIVE;
+        } else if (!operatorFollower.isLoaded()) {
+            return Readiness.State.OPERATOR_ROWS_UNREAD;
+        } else if (manifests.manifest().isEmpty()) {
+            return Readiness.State.NO_CONFIGURATION;
+        } else if (!operatorFollower.isHealthy()) {
+            return Readiness.State.OPERATOR_ROWS_NOT_FOLLOWED;
+        }
+        return Readiness.State.READY;
+    }
+
+    private void logReadiness() {
+        Readiness current = readiness();
+        if (readiness.isLogDue(scheduler.now().toEpochMilli())) {
+            EventLog.log(
+                    current.isReady() ? TaskEvent.READY : TaskEvent.NOT_READY,
+                    Field.of("state", current.state()),
+                    Field.of("lastedMillis", current.lasted().toMillis()),
+                    Field.of("storeFailure", current.storeFailure().orElse("")));
+        }
     }
 
     /** Returns the metrics in the Prometheus text format. */
     public byte[] metrics() {
         metrics.setTerm(leaseManager.election().heldTerm().orElse(0L));
+        metrics.readiness().set(readiness());
         metrics.lease().set(leaseManager.leaseView(), leaseManager.openWriteMillis());
         leaseManager.holder().ifPresent(HolderController::updateAges);
         return metrics.toPrometheusText();
