Take crashes by chance into account before a job is told as failed

Cause: three crashes in a row gave a task up, however often workers crash by chance; at 15% three in a row happen to one task of 300.

Change: the crashes under tasks that were done later give the rate by chance, each crash counted once for all runs that it ended. A task is given up once chance brings so many in a row to less than one of 10,000 tasks: after three to five crashes. Five keep to the users' rule on starts after the third crash; runs of such a task that were lost without a known cause use up the difference.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -23,13 +23,16 @@
     static final int CRASHES_BEFORE_ISOLATION = 2;
 
     /**
-     * The number of crashed workers after which a task is given up, if it ran alone on the last
-     * one.
+     * The number of crashed workers after which a task is given up where workers hardly crash by
+     * chance, if it ran alone on the last one; beside others it takes one more.
      */
     static final int MAX_CRASHES = 3;
 
-    /** The number of crashed workers after which a task that ends by itself is given up. */
-    static final int MAX_CRASHES_BESIDE_OTHERS = 4;
+    /**
+     * The number of crashed workers after which a task that ends by itself is given up, however
+     * often workers crash by chance: it is then started at most twice more after the third crash.
+     */
+    static final int MAX_CRASHES_BY_CHANCE = 5;
 
     /**
      * The number of crashed workers after which a long-running task is given up. Giving it up stops
@@ -50,6 +53,8 @@
     private final SortedSet<Integer> confirmed = new TreeSet<>();
     private final SortedSet<Integer> alone = new TreeSet<>();
     private final SortedSet<Integer> unconfirmed = new TreeSet<>();
+    private final SortedSet<Integer> unexplained = new TreeSet<>();
+    private double crashShare;
     private final Set<Integer> storedStarts = new HashSet<>();
     private final Set<Integer> storedCrashes = new HashSet<>();
     private final Set<String> vms = new HashSet<>();
@@ -84,6 +89,29 @@
         return add(unconfirmed, run);
     }
 
+    /** Records how many runs a crash ended, this task's among them. */
+    void recordSharers(int runs) {
+        crashShare += 1.0 / runs;
+    }
+
+    /**
+     * Returns the shares of the crashes under the task that fall to it, in sum; without the crashes
+     * that an earlier holder saw.
+     */
+    double crashShare() {
+        return crashShare;
+    }
+
+    /**
+     * Records that a run was lost with a worker that may have crashed or have been cut off. It is
+     * no crash, but the starts of a task that crashes its workers have a limit.
+     */
+    void recordUnexplainedLoss(int run) {
+        if (isSuspect()) {
+            add(unexplained, run);
+        }
+    }
+
     private static boolean add(SortedSet<Integer> runs, int run) {
         boolean added = runs.add(run);
         if (runs.size() > MAX_KEPT_CRASHES) {
@@ -119,6 +147,8 @@
         confirmed.clear();
         alone.clear();
         unconfirmed.clear();
+        unexplained.clear();
+        crashShare = 0;
         storedCrashes.clear();
         vms.clear();
     }
@@ -159,18 +189,26 @@
         return vms.contains(vm);
     }
 
-    /** Returns whether the task must not be started again. */
-    boolean isExhausted() {
+    /**
+     * Returns whether the task must not be started again.
+     *
+     * @param crashesBeyondChance how many crashes in a row chance hardly brings to a task
+     */
+    boolean isExhausted(int crashesBeyondChance) {
         int crashes = confirmed.size() + unconfirmed.size();
         if (longRunning) {
             return crashes >= MAX_CRASHES_OF_SERVICES
                     && alone.size() >= MIN_CRASHES_ALONE_OF_SERVICES;
         }
-        return confirmed.size() >= MIN_CONFIRMED_CRASHES
-                && crashes >= (wasAloneAtLastCrash() ? MAX_CRASHES : MAX_CRASHES_BESIDE_OTHERS);
+        int enough = Math.max(MAX_CRASHES, crashesBeyondChance) + (wasAloneAtLastCrash() ? 0 : 1);
+        int limit = Math.max(MAX_CRASHES, MAX_CRASHES_BY_CHANCE - unexplained.size());
+        return confirmed.size() >= MIN_CONFIRMED_CRASHES && crashes >= Math.min(enough, limit);
     }
 
     private boolean wasAloneAtLastCrash() {
+        if (confirmed.isEmpty()) {
+            return false;
+        }
         boolean lastIsConfirmed = unconfirmed.isEmpty() || unconfirmed.last() < confirmed.last();
         return lastIsConfirmed && alone.contains(confirmed.last());
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -12,6 +12,7 @@
     private final Set<JobEntry> liveJobs;
     private final Consumer<SchedulerEvent> events;
     private final ProgressChanges changes;
+    private final CrashRate crashRate = new CrashRate();
 
     JobLifecycle(Set<JobEntry> liveJobs, ProgressChanges changes, Consumer<SchedulerEvent> events) {
         this.liveJobs = liveJobs;
@@ -31,6 +32,8 @@
         if (job.state().isFinal()) {
             return;
         }
+        CrashHistory crashes = task.crashes();
+        crashRate.recordDone(crashes.count() + crashes.unconfirmedCount(), crashes.crashShare());
         if (step.spec().gang()) {
             step.markAllDone();
         } else {
@@ -87,7 +90,7 @@
 
     private void onCrashRecorded(TaskEntry task, long now) {
         changes.taskChanged(task);
-        if (task.crashes().isExhausted()) {
+        if (task.crashes().isExhausted(crashRate.crashesBeyondChance())) {
             fail(task, JobFailure.Cause.WORKER_CRASHED, task.crashes().count(), now);
         }
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -20,11 +20,12 @@
     }
 
     /**
-     * A crash that may have ended a run, or may have come before the run began.
+     * A crash of a worker, as seen from one of its runs, which it may have ended.
      *
      * @param alone whether no other run on the worker may have caused the crash
+     * @param sharers how many runs the worker had
      */
-    record CrashDoubt(boolean alone) {}
+    record Crash(boolean alone, int sharers) {}
 
     private static final long PACE_RETRY_MILLIS = 300;
     private static final long NEVER_LISTED = Long.MIN_VALUE;
@@ -48,7 +49,7 @@
     private long listedClock = NEVER_LISTED;
     private boolean begun;
     private boolean listed;
-    private Optional<CrashDoubt> crashDoubt = Optional.empty();
+    private Optional<Crash> crashDoubt = Optional.empty();
     private boolean startHeld;
     private boolean sentToLiveWorker;
     private long startSentAt;
@@ -122,12 +123,12 @@
     }
 
     /** Records that the worker restarted after a crash, under the run or before it began. */
-    void markInDoubt(CrashDoubt doubt) {
+    void markInDoubt(Crash doubt) {
         crashDoubt = Optional.of(doubt);
     }
 
     /** Returns what is known of a crash that may have ended the run; empty if there was none. */
-    Optional<CrashDoubt> crashDoubt() {
+    Optional<Crash> crashDoubt() {
         return crashDoubt;
     }
 
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -51,14 +51,14 @@
         List<Run> open = worker.runsCopy();
         closeRuns(worker, r -> r.isListed() || r.isStartHeld(), cause, now);
         if (cause == LossCause.CRASH) {
-            worker.runs().forEach(r -> r.markInDoubt(new Run.CrashDoubt(isAlone(r, open, now))));
+            worker.runs().forEach(r -> r.markInDoubt(crashOf(r, open, now)));
         }
     }
 
     /** Closes a run that its worker has not, or no longer. */
     void closeVanished(Run run, long now) {
         runs.close(run);
-        run.crashDoubt().ifPresent(d -> recordCrash(run, d.alone(), now));
+        run.crashDoubt().ifPresent(d -> recordCrash(run, d, now));
     }
 
     private static LossCause endCauseOf(WorkerRecord worker) {
@@ -75,9 +75,12 @@
         for (Run run : open.stream().filter(isLost).toList()) {
             runs.close(run);
             if (cause == LossCause.CRASH) {
-                recordCrash(run, isAlone(run, open, now), now);
+                recordCrash(run, crashOf(run, open, now), now);
             } else {
-                run.crashDoubt().ifPresent(d -> recordCrash(run, d.alone(), now));
+                run.crashDoubt().ifPresent(d -> recordCrash(run, d, now));
+            }
+            if (cause == LossCause.LEASE_EXPIRED) {
+                run.task().crashes().recordUnexplainedLoss(run.number());
             }
             events.accept(
                     SchedulerEvent.of(
@@ -85,6 +88,10 @@
         }
     }
 
+    private static Run.Crash crashOf(Run run, List<Run> open, long now) {
+        return new Run.Crash(isAlone(run, open, now), open.size());
+    }
+
     /**
      * Returns whether no other run on a worker may have caused its crash.
      *
@@ -111,13 +118,14 @@
      * sent. If the worker had shown just before that it was alive, the crash is taken to be under
      * the run; else the worker may have been gone when the order came.
      */
-    private void recordCrash(Run run, boolean alone, long now) {
+    private void recordCrash(Run run, Run.Crash crash, long now) {
         if (run.isStartHeld()) {
             return;
         }
         run.task().crashes().recordVm(run.worker().entry().vm());
+        run.task().crashes().recordSharers(crash.sharers());
         if (run.hasBegun() || run.wasSentToLiveWorker()) {
-            lifecycle.workerCrashed(run.task(), run.number(), alone, now);
+            lifecycle.workerCrashed(run.task(), run.number(), crash.alone(), now);
         } else {
             lifecycle.workerCrashedUnconfirmed(run.task(), run.number(), now);
         }
