End a process whose last lines nobody takes

What operators would see: a process that cannot listen, or that was told to stop, stayed for ever, alive without listening, if nobody read its standard output.

Cause: since the log is closed before the process ends; closing waits for the queue of lines to be written, without a bound.

Evidence: StartedNeverReadyTest#aProcessEndsAlsoWhenItsOutputIsNotTaken, whose standard output is a full pipe: alive after 30 s before.

Change: the log is closed on a thread of its own, for which the end waits at most 400 ms.

--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/DaemonProcess.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/DaemonProcess.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -40,6 +42,7 @@
             """;
 
     private static final long MAX_SECONDS = 40;
+    private static final int PIPE_BYTES = 65_536;
 
     /**
      * Starts a daemon whose store refuses all connections.
@@ -48,18 +51,31 @@
      */
     static DaemonProcess start(Path directory, String readiness, String metrics)
             throws IOException {
+        return start(List.of(), directory, readiness, metrics);
+    }
+
+    /** Starts such a daemon whose standard output takes no byte more. */
+    static DaemonProcess startWithFullOutput(Path directory, String readiness, String metrics)
+            throws IOException {
+        String fill = "head -c %d /dev/zero; exec \"$@\"".formatted(PIPE_BYTES);
+        return start(List.of("sh", "-c", fill, "sh"), directory, readiness, metrics);
+    }
+
+    private static DaemonProcess start(
+            List<String> prefix, Path directory, String readiness, String metrics)
+            throws IOException {
         Path settings = directory.resolve("edge-1.ini");
         Files.writeString(settings, SETTINGS.formatted(readiness, metrics));
-        Process process =
-                new ProcessBuilder(
-                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                                "-Dlog4j2.configurationFile=log4j2-fleet.properties",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                FleetDaemonMain.class.getName(),
-                                settings.toString())
-                        .redirectErrorStream(true)
-                        .start();
+        List<String> command = new ArrayList<>(prefix);
+        command.addAll(
+                List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Dlog4j2.configurationFile=log4j2-fleet.properties",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        FleetDaemonMain.class.getName(),
+                        settings.toString()));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         // A test that reads the output of a process that says nothing must end.
         CompletableFuture.delayedExecutor(MAX_SECONDS, TimeUnit.SECONDS)
                 .execute(process::destroyForcibly);
--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StartedNeverReadyTest.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/StartedNeverReadyTest.java
@@ -11,12 +11,14 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Tests what a process says that has started and cannot become ready. */
 class StartedNeverReadyTest {
 
+    private static final long END_SECONDS = 30;
     private static final String FREE = "127.0.0.1:0";
 
     @TempDir Path directory;
@@ -48,6 +50,16 @@
         }
     }
 
+    /** The process waited for ever for its last lines to be taken. */
+    @Test
+    void aProcessEndsAlsoWhenItsOutputIsNotTaken() throws Exception {
+        try (DaemonProcess daemon =
+                DaemonProcess.startWithFullOutput(directory, "192.0.2.1:8343", FREE)) {
+            assertThat(daemon.process().waitFor(END_SECONDS, TimeUnit.SECONDS)).isTrue();
+            assertThat(daemon.process().exitValue()).isEqualTo(1);
+        }
+    }
+
     private static int freePort() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
--- a/chervillift-runtime/src/main/java/org/chervillift/runtime/events/EventLog.java
+++ b/chervillift-runtime/src/main/java/org/chervillift/runtime/events/EventLog.java
@@ -1,5 +1,6 @@
 package org.chervillift.runtime.events;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -11,6 +12,8 @@
 
     private static final Logger LOGGER = LogManager.getLogger("chervillift");
 
+    private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(400);
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private static volatile Optional<LogBudget> budget = Optional.empty();
@@ -22,9 +25,19 @@
         budget = Optional.of(limit);
     }
 
-    /** Writes what is not written yet; nothing is logged afterwards. */
+    /**
+     * Writes what is not written yet, as far as standard output takes it in time; nothing is logged
+     * afterwards.
+     */
     public static void close() {
-        LogManager.shutdown();
+        Thread writer = new Thread(LogManager::shutdown, "log-close");
+        writer.setDaemon(true);
+        writer.start();
+        try {
+            writer.join(CLOSE_TIMEOUT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Logs an event. */
