--- a/chervillift-bench/src/main/java/org/chervillift/bench/start/StartCheckMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/start/StartCheckMain.java
@@ -34,6 +34,10 @@
     private static final String USAGE = "usage: StartCheckMain ROOT WITHIN_SECONDS";
     private static final Path SETTINGS = Path.of("deploy", "class-archive.ini");
     private static final String SETTINGS_VM = "class-archive";
+
+    /** The port that stands for the platform in the settings. */
+    private static final String PLATFORM_PORT = "4";
+
     private static final List<String> VMS = List.of("edge-1", "edge-2");
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_FAILED = 1;
@@ -131,7 +135,7 @@
     private Path settingsOf(String vm) throws IOException {
         String text = Files.readString(root.resolve(SETTINGS)).replace(SETTINGS_VM, vm);
         Path file = directory.resolve(vm + ".ini");
-        Files.writeString(file, FreePorts.replacedIn(text, Map.of("4", platform)));
+        Files.writeString(file, FreePorts.replacedIn(text, Map.of(PLATFORM_PORT, platform)));
         return file;
     }
 
