--- a/chervillift-bench/src/main/java/org/chervillift/bench/start/StartCheckMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/start/StartCheckMain.java
@@ -20,6 +20,7 @@
 import org.chervillift.http.HttpStatus;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorThread;
+import org.chervillift.platform.fleet.ReadinessServlet;
 import org.chervillift.runtime.settings.HostPort;
 import org.chervillift.standin.tasks.FleetServer;
 
@@ -43,7 +44,6 @@
     private static final int EXIT_FAILED = 1;
     private static final int WORKERS = 2;
     private static final String HOST = "127.0.0.1";
-    private static final String READINESS_PATH = "/-/readiness";
     private static final Duration RUN_TIME = Duration.ofMillis(100);
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long INTERVAL_MILLIS = 50;
@@ -168,7 +168,8 @@
         JsonClient client =
                 new JsonClient(thread.reactor(), daemon.readiness(), TIMEOUT, Optional.empty());
         try {
-            HttpAnswer answer = thread.await(() -> client.send(HttpMethod.GET, READINESS_PATH));
+            HttpAnswer answer =
+                    thread.await(() -> client.send(HttpMethod.GET, ReadinessServlet.PATH));
             return new Answer(answer.status(), answer.body());
         } catch (ChervilliftException e) {
             return new Answer(0, e.getMessage());
