Ask for room before all else when a worker is chosen

Change: the room is asked for first, and the isolation of workers only where a worker is isolated or reserved. The conditions are the same ones.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -153,7 +153,7 @@
     }
 
     private boolean isIsolated(WorkerRecord worker) {
-        return isolatedUntil.containsKey(worker);
+        return !isolatedUntil.isEmpty() && isolatedUntil.containsKey(worker);
     }
 
     private boolean isReserved(WorkerRecord worker) {
@@ -172,7 +172,7 @@
 
     /** Returns whether a task may be started on a worker, as far as isolation is concerned. */
     boolean mayStart(TaskEntry task, WorkerRecord worker, long now) {
-        if (isReservedForOther(task, worker) || isIsolated(worker)) {
+        if (isIsolated(worker) || isReservedForOther(task, worker)) {
             return false;
         }
         Reservation reservation = reservations.get(task);
@@ -182,8 +182,9 @@
     }
 
     private boolean isReservedForOther(TaskEntry task, WorkerRecord worker) {
-        return reservations.entrySet().stream()
-                .anyMatch(e -> e.getKey() != task && e.getValue().reserves(worker));
+        return !reservations.isEmpty()
+                && reservations.entrySet().stream()
+                        .anyMatch(e -> e.getKey() != task && e.getValue().reserves(worker));
     }
 
     /** Keeps other tasks off a worker on which a task starts alone that needs that. */
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Placement.java
@@ -44,7 +44,7 @@
 
     /** Returns whether a worker may run a task of a step, and has the capacity for it now. */
     static boolean canTake(StepEntry step, WorkerRecord worker, long now) {
-        return isEligible(step, worker, now) && worker.hasRoomFor(step.spec().footprint());
+        return worker.hasRoomFor(step.spec().footprint()) && isEligible(step, worker, now);
     }
 
     /** Returns whether a worker may run tasks of a step, provided that it has the capacity. */
