--- a/chervillift-bench/src/main/java/org/chervillift/bench/archive/ClassArchiveMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/archive/ClassArchiveMain.java
@@ -37,8 +37,8 @@
         Files.writeString(file, FreePorts.replacedIn(Files.readString(Path.of(args[0]))));
         FleetSettings settings = FleetSettings.read(file);
         try (ReactorThread thread = new ReactorThread("class-archive")) {
+            LocalPlatform.start(thread, settings.store());
             TrainingDay day = new TrainingDay(thread, settings);
-            day.startPlatform();
             Thread daemon =
                     new Thread(
                             () -> FleetDaemonMain.main(new String[] {file.toString()}), "daemon");
--- a/chervillift-bench/src/main/java/org/chervillift/bench/archive/TrainingDay.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/archive/TrainingDay.java
@@ -1,11 +1,6 @@
 package org.chervillift.bench.archive;
 
-import io.activej.http.AsyncServlet;
 import io.activej.http.HttpMethod;
-import io.activej.http.HttpServer;
-import io.activej.promise.Promise;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -26,11 +21,9 @@
 /** Work of all kinds for one daemon, with the platform's stand-in in the same process. */
 final class TrainingDay {
 
-    private static final Duration RUN_TIME = Duration.ofMillis(100);
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final long PATIENCE_MILLIS = 15_000;
     private static final long STEP_MILLIS = 50;
-    private static final String HOST = "127.0.0.1";
     private static final String FINISHED = "completed";
 
     private final ReactorThread thread;
@@ -41,32 +34,6 @@
         this.settings = settings;
     }
 
-    /** Starts the platform's stand-in, with two workers. */
-    void startPlatform() {
-        thread.await(
-                () -> {
-                    FleetServer server = new FleetServer(thread.reactor(), HOST, RUN_TIME);
-                    listen(server.routes(), settings.store());
-                    List<String> addresses = List.of(FreePorts.address(), FreePorts.address());
-                    List<AsyncServlet> workers = server.addWorkers(addresses);
-                    for (int i = 0; i < workers.size(); i++) {
-                        listen(workers.get(i), HostPort.parse(addresses.get(i)));
-                    }
-                    return Promise.complete();
-                });
-    }
-
-    private void listen(AsyncServlet servlet, HostPort address) {
-        try {
-            HttpServer.builder(thread.reactor(), servlet)
-                    .withListenAddress(address.toSocketAddress())
-                    .build()
-                    .listen();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     /** Does the work; returns whether all of it went as it should. */
     boolean play() {
         boolean whole =
--- a/chervillift-bench/src/main/java/org/chervillift/bench/start/StartCheckMain.java
+++ b/chervillift-bench/src/main/java/org/chervillift/bench/start/StartCheckMain.java
@@ -1,11 +1,7 @@
 package org.chervillift.bench.start;
 
-import io.activej.http.AsyncServlet;
 import io.activej.http.HttpMethod;
-import io.activej.http.HttpServer;
-import io.activej.promise.Promise;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -16,13 +12,13 @@
 import java.util.concurrent.TimeUnit;
 import org.chervillift.api.ChervilliftException;
 import org.chervillift.bench.archive.FreePorts;
+import org.chervillift.bench.archive.LocalPlatform;
 import org.chervillift.http.HttpAnswer;
 import org.chervillift.http.HttpStatus;
 import org.chervillift.http.JsonClient;
 import org.chervillift.http.ReactorThread;
 import org.chervillift.platform.fleet.ReadinessServlet;
 import org.chervillift.runtime.settings.HostPort;
-import org.chervillift.standin.tasks.FleetServer;
 
 /**
  * Starts two daemons as the deploy file says, and tells when each is ready, or why it is not.
@@ -42,9 +38,6 @@
     private static final List<String> VMS = List.of("edge-1", "edge-2");
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_FAILED = 1;
-    private static final int WORKERS = 2;
-    private static final String HOST = "127.0.0.1";
-    private static final Duration RUN_TIME = Duration.ofMillis(100);
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long INTERVAL_MILLIS = 50;
 
@@ -69,7 +62,7 @@
         boolean ready;
         try (ReactorThread thread = new ReactorThread("start-check")) {
             StartCheckMain check = new StartCheckMain(Path.of(args[0]), thread, directory);
-            check.startPlatform();
+            LocalPlatform.start(thread, HostPort.parse(check.platform));
             ready = check.startDaemons(Duration.ofSeconds(Long.parseLong(args[1])));
         } finally {
             delete(directory);
@@ -86,34 +79,6 @@
         Files.delete(directory);
     }
 
-    private void startPlatform() {
-        thread.await(
-                () -> {
-                    FleetServer server = new FleetServer(thread.reactor(), HOST, RUN_TIME);
-                    listen(server.routes(), platform);
-                    List<String> addresses = new ArrayList<>();
-                    for (int i = 0; i < WORKERS; i++) {
-                        addresses.add(FreePorts.address());
-                    }
-                    List<AsyncServlet> workers = server.addWorkers(addresses);
-                    for (int i = 0; i < WORKERS; i++) {
-                        listen(workers.get(i), addresses.get(i));
-                    }
-                    return Promise.complete();
-                });
-    }
-
-    private void listen(AsyncServlet servlet, String address) {
-        try {
-            HttpServer.builder(thread.reactor(), servlet)
-                    .withListenAddress(HostPort.parse(address).toSocketAddress())
-                    .build()
-                    .listen();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     /** Starts the daemons; returns whether all of them were ready in time. */
     private boolean startDaemons(Duration within) throws IOException {
         DeployedCommand command = DeployedCommand.read(root);
@@ -140,9 +105,11 @@
     }
 
     private boolean awaitReady(StartedDaemon daemon, Duration within) {
+        JsonClient client =
+                new JsonClient(thread.reactor(), daemon.readiness(), TIMEOUT, Optional.empty());
         Answer answer = new Answer(0, "no answer yet");
         while (nowMillis() - daemon.startedAt() < within.toMillis() && !daemon.hasEnded()) {
-            answer = ask(daemon);
+            answer = ask(client);
             if (answer.status() == HttpStatus.OK) {
                 System.out.printf(
                         "%s ready after %d ms, %d ms of processor time%n",
@@ -164,9 +131,7 @@
     /** What the daemon answers about its readiness; the status is 0 if it does not answer. */
     private record Answer(int status, String text) {}
 
-    private Answer ask(StartedDaemon daemon) {
-        JsonClient client =
-                new JsonClient(thread.reactor(), daemon.readiness(), TIMEOUT, Optional.empty());
+    private Answer ask(JsonClient client) {
         try {
             HttpAnswer answer =
                     thread.await(() -> client.send(HttpMethod.GET, ReadinessServlet.PATH));
