--- a/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
+++ b/chervillift-daemon/src/test/java/org/chervillift/daemon/tasks/NodeFixture.java
@@ -92,6 +92,11 @@
         put(FleetRowWriter.configurationWrite(manifest));
     }
 
+    /** Removes the operator's configuration. */
+    void removeConfiguration() {
+        store.delete(FleetRowWriter.configurationWrite(manifest(1, Set.of(KEY))).key());
+    }
+
     private void put(Write write) {
         store.put(write.key(), write.value().orElseThrow());
     }
