Count a crash's share with the crash, and look up held starts once less

A crash that was told twice for one run, as by a report and by a list, was kept once but its share was added twice, so that crashes by chance looked more frequent than they are. The crash travels as one record in place of a flag and a count.

StartGate found the run of each held start three times a round; the workers to ask are now taken from the runs that were found before.

--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/CrashHistory.java
@@ -71,13 +71,13 @@
     /**
      * Records that a worker surely crashed under a run; returns false if it is recorded already.
      *
-     * @param wasAlone whether no other run on the worker may have caused the crash
+     * @param crash the crash as seen from the run
      */
-    boolean record(int run, boolean wasAlone) {
-        if (wasAlone) {
+    boolean record(int run, Run.Crash crash) {
+        if (crash.alone()) {
             add(alone, run);
         }
-        return add(confirmed, run);
+        return addCrash(confirmed, run, crash);
     }
 
     /**
@@ -85,13 +85,16 @@
      * alive; returns false if it is recorded already. The run may have begun and crashed the
      * worker, or the worker may have been gone.
      */
-    boolean recordUnconfirmed(int run) {
-        return add(unconfirmed, run);
+    boolean recordUnconfirmed(int run, Run.Crash crash) {
+        return addCrash(unconfirmed, run, crash);
     }
 
-    /** Records how many runs a crash ended, this task's among them. */
-    void recordSharers(int runs) {
-        crashShare += 1.0 / runs;
+    private boolean addCrash(SortedSet<Integer> crashes, int run, Run.Crash crash) {
+        boolean added = add(crashes, run);
+        if (added) {
+            crashShare += crash.share();
+        }
+        return added;
     }
 
     /**
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/InheritedStarts.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/InheritedStarts.java
@@ -15,6 +15,9 @@
  */
 final class InheritedStarts {
 
+    /** A crash that no holder saw: which other runs the worker had is not known. */
+    private static final Run.Crash NOT_SEEN = new Run.Crash(false, 0);
+
     private final JobLifecycle lifecycle;
     private final Consumer<SchedulerEvent> events;
     private final Map<String, List<InheritedStart>> startsByWorker = new HashMap<>();
@@ -59,7 +62,7 @@
 
     private void countCrash(InheritedStart start, long now) {
         TaskEntry task = start.task();
-        lifecycle.workerCrashed(task, start.run().run(), false, now);
+        lifecycle.workerCrashed(task, start.run().run(), NOT_SEEN, now);
         events.accept(
                 new SchedulerEvent(
                         SchedulerEvent.Kind.LOST,
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/IsolationPlanner.java
@@ -153,7 +153,7 @@
     }
 
     private boolean isIsolated(WorkerRecord worker) {
-        return !isolatedUntil.isEmpty() && isolatedUntil.containsKey(worker);
+        return isolatedUntil.containsKey(worker);
     }
 
     private boolean isReserved(WorkerRecord worker) {
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/JobLifecycle.java
@@ -71,19 +71,21 @@
     /**
      * Counts a worker that surely crashed under a run; the job fails once there are too many.
      *
-     * @param alone whether no other run on the worker may have caused the crash
+     * @param crash the crash as seen from the run
      */
-    void workerCrashed(TaskEntry task, int run, boolean alone, long now) {
+    void workerCrashed(TaskEntry task, int run, Run.Crash crash, long now) {
         JobEntry job = task.step().job();
-        if (!job.state().isFinal() && !task.isDone() && task.crashes().record(run, alone)) {
+        if (!job.state().isFinal() && !task.isDone() && task.crashes().record(run, crash)) {
             onCrashRecorded(task, now);
         }
     }
 
     /** Counts a worker that crashed when a run may have begun on it, or not. */
-    void workerCrashedUnconfirmed(TaskEntry task, int run, long now) {
+    void workerCrashedUnconfirmed(TaskEntry task, int run, Run.Crash crash, long now) {
         JobEntry job = task.step().job();
-        if (!job.state().isFinal() && !task.isDone() && task.crashes().recordUnconfirmed(run)) {
+        if (!job.state().isFinal()
+                && !task.isDone()
+                && task.crashes().recordUnconfirmed(run, crash)) {
             onCrashRecorded(task, now);
         }
     }
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/Run.java
@@ -23,9 +23,10 @@
      * A crash of a worker, as seen from one of its runs, which it may have ended.
      *
      * @param alone whether no other run on the worker may have caused the crash
-     * @param sharers how many runs the worker had
+     * @param share the part of the crash that falls to the run, as each run of the worker may have
+     *     caused it; 0 if the others are not known
      */
-    record Crash(boolean alone, int sharers) {}
+    record Crash(boolean alone, double share) {}
 
     private static final long PACE_RETRY_MILLIS = 300;
     private static final long NEVER_LISTED = Long.MIN_VALUE;
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/StartGate.java
@@ -73,6 +73,7 @@
         heldStarts.forEach(s -> dropIfWorkerCannotTakeIt(s, now));
         List<Order.Start> ready = new ArrayList<>();
         List<Order.Start> held = new ArrayList<>();
+        List<Run> heldRuns = new ArrayList<>();
         List<Order.Start> all = new ArrayList<>(heldStarts);
         all.addAll(starts);
         for (Order.Start start : all) {
@@ -87,19 +88,19 @@
             } else {
                 hold(run.get());
                 held.add(start);
+                heldRuns.add(run.get());
             }
         }
         heldStarts = held;
-        workersToAsk = workersToAsk(held, now);
+        workersToAsk = workersToAsk(heldRuns, now);
         lastRoundAt = OptionalLong.of(now);
         lastReleaseAt = ready.isEmpty() ? lastReleaseAt : OptionalLong.of(now);
         return ready;
     }
 
     /** Returns the workers whose reports the stored ones of held-back starts wait for. */
-    private Set<String> workersToAsk(List<Order.Start> held, long now) {
+    private static Set<String> workersToAsk(List<Run> held, long now) {
         return held.stream()
-                .flatMap(s -> startingRun(s).stream())
                 .filter(StartGate::mayBeSent)
                 .flatMap(StartGate::runsThatStartTogether)
                 .map(Run::worker)
--- a/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
+++ b/chervillift-core/src/main/java/org/chervillift/core/tasks/WorkerLossHandler.java
@@ -89,7 +89,7 @@
     }
 
     private static Run.Crash crashOf(Run run, List<Run> open, long now) {
-        return new Run.Crash(isAlone(run, open, now), open.size());
+        return new Run.Crash(isAlone(run, open, now), 1.0 / open.size());
     }
 
     /**
@@ -123,11 +123,10 @@
             return;
         }
         run.task().crashes().recordVm(run.worker().entry().vm());
-        run.task().crashes().recordSharers(crash.sharers());
         if (run.hasBegun() || run.wasSentToLiveWorker()) {
-            lifecycle.workerCrashed(run.task(), run.number(), crash.alone(), now);
+            lifecycle.workerCrashed(run.task(), run.number(), crash, now);
         } else {
-            lifecycle.workerCrashedUnconfirmed(run.task(), run.number(), now);
+            lifecycle.workerCrashedUnconfirmed(run.task(), run.number(), crash, now);
         }
     }
 
